--- /dev/null
+++ b/adapter/rpc/local.go
@@ -0,0 +1,166 @@
+package rpc
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/claim"
+	"fieldvale/control"
+	"fieldvale/entry"
+	fieldvalev1 "fieldvale/gen/fieldvale/v1"
+	"fieldvale/gen/fieldvale/v1/fieldvalev1connect"
+	"fieldvale/store"
+)
+
+// localServer serves a node to the entry beside it.
+type localServer struct {
+	node *control.Node
+}
+
+func (s localServer) Sync(_ context.Context, q *fieldvalev1.SyncRequest) (*fieldvalev1.SyncResponse, error) {
+	l, err := ledgerFromWire(q.Ledger)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	r := control.Report{
+		Incarnation: q.Incarnation, Revision: q.Revision, View: q.ViewVersion, Control: q.Control,
+		Ledger: l, Evidence: evidenceFromWire(q.Evidence), Running: map[string]int{}, Stopping: q.Stopping,
+	}
+	for _, x := range q.LocalLoads {
+		r.Running[x.Replica] = int(x.Running)
+	}
+	return updateToWire(s.node.Sync(r)), nil
+}
+
+func updateToWire(u control.Update) *fieldvalev1.SyncResponse {
+	w := &fieldvalev1.SyncResponse{Control: u.Control, Document: u.Document, ViewVersion: u.View}
+	if !u.Fresh {
+		return w
+	}
+	w.View = &fieldvalev1.View{Tripped: versionTexts(u.Tripped), StoreOk: u.StoreOK}
+	for _, r := range u.Replicas {
+		w.View.Replicas = append(w.View.Replicas, replicaToWire(r))
+	}
+	for _, m := range u.Members {
+		w.View.Members = append(w.View.Members, memberToWire(m))
+	}
+	return w
+}
+
+func (s localServer) Claim(ctx context.Context, q *fieldvalev1.ClaimRequest) (*fieldvalev1.ClaimResponse, error) {
+	c := claim.Claim{Customer: q.Customer, Key: q.Key, Nonce: q.Nonce, Holder: s.node.Self.ID, Deadline: timeFromWire(q.Deadline), State: claim.Held}
+	v, f, err := s.node.Claim(ctx, c)
+	if err != nil {
+		return &fieldvalev1.ClaimResponse{Unavailable: true}, nil
+	}
+	return &fieldvalev1.ClaimResponse{Verdict: int32(v), Status: int32(f.Status), Answer: f.Answer}, nil
+}
+
+func (s localServer) FinishClaim(ctx context.Context, q *fieldvalev1.FinishClaimRequest) (*fieldvalev1.FinishClaimResponse, error) {
+	c := claim.Claim{Customer: q.Customer, Key: q.Key, Nonce: q.Nonce, Holder: s.node.Self.ID, Deadline: timeFromWire(q.Deadline)}
+	if q.Ran {
+		c = c.WithAnswer(int(q.Status), q.Answer)
+	} else {
+		c = c.WithFree()
+	}
+	if err := s.node.Finish(ctx, c); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return &fieldvalev1.FinishClaimResponse{Recorded: true}, nil
+}
+
+// Local is an entry's way to the control process beside it.
+type Local struct {
+	c fieldvalev1connect.LocalClient
+}
+
+var _ entry.Claims = (*Local)(nil)
+
+// NewLocal returns a client of the control process at addr.
+func NewLocal(addr, key string) *Local {
+	return &Local{c: fieldvalev1connect.NewLocalClient(keyed(key), "http://"+addr)}
+}
+
+// Sync swaps the entry's report for what is new to it.
+func (l *Local) Sync(ctx context.Context, r control.Report) (control.Update, error) {
+	q := &fieldvalev1.SyncRequest{
+		Incarnation: r.Incarnation, Revision: r.Revision, ViewVersion: r.View, Control: r.Control,
+		Ledger: ledgerToWire(r.Ledger), Evidence: evidenceToWire(r.Evidence), Stopping: r.Stopping,
+	}
+	for k, n := range r.Running {
+		q.LocalLoads = append(q.LocalLoads, &fieldvalev1.LocalLoad{Replica: k, Running: int32(n)})
+	}
+	w, err := l.c.Sync(ctx, q)
+	if err != nil {
+		return control.Update{}, errors.Wrap(err, "rpc.Sync")
+	}
+	return updateFromWire(w), nil
+}
+
+func updateFromWire(w *fieldvalev1.SyncResponse) control.Update {
+	u := control.Update{Control: w.Control, Document: w.Document, View: w.ViewVersion, Fresh: w.View != nil}
+	if !u.Fresh {
+		return u
+	}
+	u.StoreOK = w.View.StoreOk
+	u.Tripped = parseVersions(w.View.Tripped)
+	for _, r := range w.View.Replicas {
+		u.Replicas = append(u.Replicas, replicaFromWire(r))
+	}
+	for _, m := range w.View.Members {
+		u.Members = append(u.Members, memberFromWire(m))
+	}
+	return u
+}
+
+// Claim implements entry.Claims.
+func (l *Local) Claim(ctx context.Context, c claim.Claim) (claim.Verdict, claim.Claim, error) {
+	w, err := l.c.Claim(ctx, &fieldvalev1.ClaimRequest{Customer: c.Customer, Key: c.Key, Nonce: c.Nonce, Deadline: timeToWire(c.Deadline)})
+	if err != nil {
+		return claim.MayHaveRun, c, errors.Wrap(err, "rpc.Claim")
+	}
+	if w.Unavailable {
+		return claim.MayHaveRun, c, errors.Wrap(store.ErrUnavailable, "rpc.Claim")
+	}
+	c.Status, c.Answer = int(w.Status), w.Answer
+	return claim.Verdict(w.Verdict), c, nil
+}
+
+// Finish implements entry.Claims.
+func (l *Local) Finish(ctx context.Context, c claim.Claim) error {
+	_, err := l.c.FinishClaim(ctx, &fieldvalev1.FinishClaimRequest{
+		Customer: c.Customer, Key: c.Key, Nonce: c.Nonce, Deadline: timeToWire(c.Deadline),
+		Ran: c.State == claim.Ran, Status: int32(c.Status), Answer: c.Answer,
+	})
+	return errors.Wrap(err, "rpc.Finish")
+}
+
+// headerKey carries the fleet's shared key between its own processes.
+const headerKey = "X-Fieldvale-Fleet-Key"
+
+// transportIdle is how long a connection between processes is kept unused.
+const transportIdle = time.Minute
+
+// keyed returns an HTTP client that sends the fleet's key.
+func keyed(key string) *http.Client {
+	return &http.Client{Transport: keyTransport{key: key, next: &http.Transport{
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     transportIdle,
+	}}}
+}
+
+type keyTransport struct {
+	key  string
+	next http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t keyTransport) RoundTrip(q *http.Request) (*http.Response, error) {
+	q = q.Clone(q.Context())
+	q.Header.Set(headerKey, t.key)
+	return t.next.RoundTrip(q)
+}
--- /dev/null
+++ b/adapter/rpc/peer.go
@@ -0,0 +1,143 @@
+package rpc
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/bill"
+	"fieldvale/control"
+	"fieldvale/entry"
+	fieldvalev1 "fieldvale/gen/fieldvale/v1"
+	"fieldvale/gen/fieldvale/v1/fieldvalev1connect"
+	"fieldvale/peer"
+)
+
+// peerServer serves a node to other instances.
+type peerServer struct {
+	node *control.Node
+}
+
+func (s peerServer) Exchange(_ context.Context, q *fieldvalev1.ExchangeRequest) (*fieldvalev1.ExchangeResponse, error) {
+	r := s.node.Exchange(peer.Message{
+		From: q.From, Incarnation: q.Incarnation, Since: q.Since, SinceIncarnation: q.SinceIncarnation,
+		Revision: q.Revision, Items: itemsFromWire(q.Items),
+	})
+	return &fieldvalev1.ExchangeResponse{Incarnation: r.Incarnation, Stamp: r.Stamp, Revision: r.Revision, Items: itemsToWire(r.Items)}, nil
+}
+
+func (s peerServer) Document(_ context.Context, q *fieldvalev1.DocumentRequest) (*fieldvalev1.DocumentResponse, error) {
+	d, b := s.node.Document()
+	if d.Revision <= q.Above {
+		return &fieldvalev1.DocumentResponse{}, nil
+	}
+	return &fieldvalev1.DocumentResponse{Document: b}, nil
+}
+
+func (s peerServer) Hold(_ context.Context, q *fieldvalev1.HoldRequest) (*fieldvalev1.HoldResponse, error) {
+	r, err := recordsFromWire(q.Records)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	l, err := recordsFromWire(q.Release)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	w := &fieldvalev1.HoldResponse{}
+	for _, v := range s.node.Hold(r, l) {
+		w.Repeat = append(w.Repeat, v == bill.Repeat)
+	}
+	return w, nil
+}
+
+// Peers is the way to other instances' control processes.
+type Peers struct {
+	http *http.Client
+}
+
+var (
+	_ control.Peers = (*Peers)(nil)
+	_ entry.Holder  = (*Peers)(nil)
+)
+
+// NewPeers returns a client of peers that know the fleet's key.
+func NewPeers(key string) *Peers {
+	return &Peers{http: keyed(key)}
+}
+
+func (p *Peers) client(m peer.Member) fieldvalev1connect.PeerClient {
+	return fieldvalev1connect.NewPeerClient(p.http, "http://"+m.Addr)
+}
+
+// Exchange implements control.Peers.
+func (p *Peers) Exchange(ctx context.Context, m peer.Member, q peer.Message) (peer.Reply, error) {
+	w, err := p.client(m).Exchange(ctx, &fieldvalev1.ExchangeRequest{
+		From: q.From, Incarnation: q.Incarnation, Since: q.Since, SinceIncarnation: q.SinceIncarnation,
+		Revision: q.Revision, Items: itemsToWire(q.Items),
+	})
+	if err != nil {
+		return peer.Reply{}, errors.Wrapf(err, "rpc.Exchange with %s", m.ID)
+	}
+	return peer.Reply{Incarnation: w.Incarnation, Stamp: w.Stamp, Revision: w.Revision, Items: itemsFromWire(w.Items)}, nil
+}
+
+// Document implements control.Peers.
+func (p *Peers) Document(ctx context.Context, m peer.Member, above uint64) ([]byte, error) {
+	w, err := p.client(m).Document(ctx, &fieldvalev1.DocumentRequest{Above: above})
+	if err != nil {
+		return nil, errors.Wrapf(err, "rpc.Document of %s", m.ID)
+	}
+	if len(w.Document) == 0 {
+		return nil, nil
+	}
+	return w.Document, nil
+}
+
+// Hold implements entry.Holder.
+func (p *Peers) Hold(ctx context.Context, m peer.Member, r bill.Record) (bill.Verdict, error) {
+	w, err := p.client(m).Hold(ctx, &fieldvalev1.HoldRequest{Records: []*fieldvalev1.BillRecord{recordToWire(r)}})
+	if err != nil {
+		return bill.First, errors.Wrapf(err, "rpc.Hold at %s", m.ID)
+	}
+	if len(w.Repeat) == 1 && w.Repeat[0] {
+		return bill.Repeat, nil
+	}
+	return bill.First, nil
+}
+
+// Release implements entry.Holder.
+func (p *Peers) Release(ctx context.Context, m peer.Member, r bill.Record) error {
+	_, err := p.client(m).Hold(ctx, &fieldvalev1.HoldRequest{Release: []*fieldvalev1.BillRecord{recordToWire(r)}})
+	return errors.Wrapf(err, "rpc.Release at %s", m.ID)
+}
+
+// maxPeerMessage bounds a message between processes, in bytes.
+const maxPeerMessage = 4 << 20
+
+// LocalHandler serves the entry beside the node.
+func LocalHandler(n *control.Node, key string) http.Handler {
+	m := http.NewServeMux()
+	m.Handle(fieldvalev1connect.NewLocalHandler(localServer{n}, connect.WithReadMaxBytes(maxPeerMessage)))
+	return requireKey(key, m)
+}
+
+// PeerHandler serves other instances.
+func PeerHandler(n *control.Node, key string) http.Handler {
+	m := http.NewServeMux()
+	m.Handle(fieldvalev1connect.NewPeerHandler(peerServer{n}, connect.WithReadMaxBytes(maxPeerMessage)))
+	return requireKey(key, m)
+}
+
+// requireKey lets only processes of the fleet in.
+func requireKey(key string, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(q.Header.Get(headerKey)), []byte(key)) != 1 {
+			http.Error(w, "fleet key is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		h.ServeHTTP(w, q)
+	})
+}
--- /dev/null
+++ b/cmd/fieldvale-demo/main.go
@@ -0,0 +1,51 @@
+// Fieldvale-demo starts a small system of processes on loopback and shows
+// that it keeps its promises, or leaves it running to be tried by hand.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	flags "github.com/jessevdk/go-flags"
+)
+
+const usage = `fieldvale-demo starts 3 entries and 3 controls in three data centres, with
+stand-ins of the platform and of backend servers, all on loopback.
+
+    run   send requests of both workloads, kill an instance midway, roll a
+          version out and withdraw one, and count what became of each request
+          at the client and at the stand-ins
+    up    leave the system running until it is interrupted`
+
+// options of both subcommands.
+type options struct {
+	Bin      string `long:"bin" default:"bin" description:"directory of the built programs"`
+	Examples string `long:"examples" default:"examples" description:"directory of the example policies"`
+	Seed     uint64 `long:"seed" default:"1" description:"seed of the requests"`
+	Requests int    `long:"requests" default:"360" description:"requests to send"`
+}
+
+func main() {
+	p := flags.NewNamedParser("fieldvale-demo", flags.Default)
+	p.LongDescription = usage
+	for _, c := range []struct {
+		name, short string
+		data        any
+	}{
+		{"run", "send requests and check the promises", &runCommand{}},
+		{"up", "leave the system running", &upCommand{}},
+	} {
+		if _, err := p.AddCommand(c.name, c.short, "", c.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	if _, err := p.Parse(); err != nil {
+		var f *flags.Error
+		if errors.As(err, &f) && f.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/fieldvale-entry/main.go
@@ -0,0 +1,26 @@
+// Fieldvale-entry answers callers. See usage for how to run it.
+package main
+
+import (
+	"os"
+
+	"fieldvale/adapter/settings"
+	"fieldvale/process"
+)
+
+const usage = `fieldvale-entry answers callers' requests.
+
+It serves the OpenAI API and plain services to callers, and works with the
+fieldvale-control that runs beside it on the same instance. It goes on serving
+with the configuration that it holds while that process is down.
+
+SIGTERM or SIGINT stops it in order: it is no longer ready, goes on taking
+requests for the time "drain", answers all that run, and exits with 0.
+
+The settings file is INI; examples/entry.ini has every key with a comment.`
+
+func main() {
+	os.Exit(process.Main("fieldvale-entry", usage, settings.LoadEntry, func(s settings.Entry) (string, string, process.Maker) {
+		return s.ID, s.Level, func(l process.Logger) process.Runner { return process.NewEntry(s, l) }
+	}))
+}
--- /dev/null
+++ b/config/active.go
@@ -0,0 +1,184 @@
+package config
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/catalog"
+	"fieldvale/policy"
+	"fieldvale/rollout"
+	"fieldvale/session"
+	"fieldvale/version"
+)
+
+// Active is a document made ready for use: policies compiled, keys indexed.
+// It is immutable and shared by all requests of an entry.
+type Active struct {
+	doc       Document
+	ring      session.Ring
+	callers   map[string]Caller
+	tables    map[string]*policy.Table
+	services  map[string]catalog.Service
+	withdrawn map[version.ID]bool
+	costs     map[version.ID]catalog.Version
+}
+
+// Caller is a customer with its team.
+type Caller struct {
+	Team     string
+	Customer catalog.Customer
+}
+
+// Activate compiles the document. All faults are returned; a document that
+// accept has let through has none.
+func Activate(d Document) (*Active, []error) {
+	a := &Active{
+		doc:       d,
+		ring:      session.NewRing(d.SessionKeys...),
+		callers:   map[string]Caller{},
+		tables:    map[string]*policy.Table{},
+		services:  map[string]catalog.Service{},
+		withdrawn: map[version.ID]bool{},
+		costs:     map[version.ID]catalog.Version{},
+	}
+	var e []error
+	for _, t := range d.Teams() {
+		e = append(e, a.addPart(d.Parts[t])...)
+	}
+	return a, e
+}
+
+func (a *Active) addPart(p Part) []error {
+	t, e := policy.Compile(p.Source)
+	if len(e) > 0 {
+		return wrapAll(e, p.Team)
+	}
+	a.tables[p.Team] = t
+	for _, c := range p.Source.Catalog.Customers {
+		for _, k := range c.KeyHashes {
+			a.callers[k] = Caller{Team: p.Team, Customer: c}
+		}
+	}
+	for _, s := range p.Source.Catalog.Services {
+		a.services[p.Team+"/"+s.Name] = s
+	}
+	for _, v := range p.Source.Catalog.Versions {
+		a.costs[v.ID] = v
+	}
+	for _, v := range p.Withdrawn {
+		a.withdrawn[v] = true
+	}
+	return nil
+}
+
+func wrapAll(e []error, team string) []error {
+	r := make([]error, len(e))
+	for i, x := range e {
+		r[i] = errors.Wrapf(x, "config.Activate: team %s", team)
+	}
+	return r
+}
+
+// Document returns what a was made from.
+func (a *Active) Document() Document { return a.doc }
+
+// Revision returns the document's revision.
+func (a *Active) Revision() uint64 { return a.doc.Revision }
+
+// Ring returns the session keys.
+func (a *Active) Ring() session.Ring { return a.ring }
+
+// Caller returns the customer with that key.
+func (a *Active) Caller(key string) (Caller, bool) {
+	c, ok := a.callers[catalog.HashKey(key)]
+	return c, ok
+}
+
+// Service returns the caller's team's plain service of that name.
+func (a *Active) Service(team, name string) (catalog.Service, bool) {
+	s, ok := a.services[team+"/"+name]
+	return s, ok
+}
+
+// Task returns the team's declaration of a task, or the default one.
+func (a *Active) Task(team, name string) catalog.Task {
+	if t, ok := a.tables[team]; ok {
+		for _, k := range t.Catalog().Tasks {
+			if k.Name == name {
+				return k
+			}
+		}
+	}
+	return catalog.Task{Name: catalog.DefaultTask}.Defaults()
+}
+
+// Decide returns the policy's plan for a request.
+func (a *Active) Decide(c Caller, task string, z policy.Size) policy.Plan {
+	t, ok := a.tables[c.Team]
+	if !ok {
+		return nil
+	}
+	return t.Decide(c.Customer.Name, task, z)
+}
+
+// MayRun reports whether new work of the caller may go to the version now.
+// It is asked at the moment of each dispatch.
+func (a *Active) MayRun(c Caller, v version.ID) bool {
+	t, ok := a.tables[c.Team]
+	return ok && !a.withdrawn[v] && t.Allows(c.Customer.Name, v)
+}
+
+// Cost returns the version's declaration, for the price of a call.
+func (a *Active) Cost(v version.ID) catalog.Version { return a.costs[v] }
+
+// Withdrawn lists the withdrawn versions of all teams.
+func (a *Active) Withdrawn() []version.ID {
+	var r []version.ID
+	for _, t := range a.doc.Teams() {
+		r = append(r, a.doc.Parts[t].Withdrawn...)
+	}
+	return r
+}
+
+// Pick returns the version of the model for a caller: the session's pin if
+// it may still run, else by the roll-out's share, else the active one.
+// tripped versions get no new sessions.
+func (a *Active) Pick(c Caller, model string, s session.Session, tripped func(version.ID) bool) (version.ID, bool) {
+	if v, ok := s.Pin(model); ok && a.MayRun(c, v) && !tripped(v) {
+		return v, true
+	}
+	p := a.doc.Part(c.Team)
+	v, ok := p.ActiveVersion(model)
+	if !ok {
+		return v, false
+	}
+	r, under := p.Rollout(model)
+	if under && r.State == rollout.Running && r.From == v && !tripped(r.To) {
+		if n := r.Pick(s.ID); a.MayRun(c, n) {
+			return n, true
+		}
+	}
+	if a.MayRun(c, v) {
+		return v, true
+	}
+	return a.anyAllowed(c, model)
+}
+
+func (a *Active) anyAllowed(c Caller, model string) (version.ID, bool) {
+	for _, v := range a.doc.Part(c.Team).Source.Catalog.Versions {
+		if v.ID.Model == model && a.MayRun(c, v.ID) {
+			return v.ID, true
+		}
+	}
+	return version.ID{}, false
+}
+
+// Models lists the versions that the caller may use now.
+func (a *Active) Models(c Caller) []version.ID {
+	var r []version.ID
+	for _, v := range a.doc.Part(c.Team).Source.Catalog.Versions {
+		if a.MayRun(c, v.ID) {
+			r = append(r, v.ID)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/control/configuration.go
@@ -0,0 +1,216 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/adapter/codec"
+	"fieldvale/audit"
+	"fieldvale/config"
+	"fieldvale/peer"
+	"fieldvale/store"
+)
+
+// Keys of the store.
+const (
+	configKey   = "/fieldvale/config"
+	auditPrefix = "/fieldvale/audit/"
+	claimPrefix = "/fieldvale/claim/"
+	billPrefix  = "/fieldvale/bill/"
+)
+
+// watchersPerDataCentre is how many instances of a data centre hold a watch
+// on the store; the others learn of a new revision from peers.
+const watchersPerDataCentre = 2
+
+// watchPause is the pause after a watch that failed.
+const watchPause = time.Second
+
+// Document returns the configuration in force and its encoding.
+func (n *Node) Document() (config.Document, []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.doc, n.bytes
+}
+
+// adopt puts a document in force if it is newer than the one held and can be
+// used. It reports whether it was.
+func (n *Node) adopt(b []byte, fromPeers bool) (bool, error) {
+	d, err := codec.DecodeDocument(b)
+	if err != nil {
+		return false, errors.Wrap(err, "control.adopt")
+	}
+	if _, e := config.Activate(d); len(e) > 0 {
+		return false, errors.Wrap(e[0], "control.adopt")
+	}
+	n.mu.Lock()
+	if !n.doc.Newer(d) {
+		n.mu.Unlock()
+		return false, nil
+	}
+	n.doc, n.bytes, n.fromPeers = d, b, fromPeers
+	n.view++
+	n.mu.Unlock()
+	n.log("config_adopted", "revision", d.Revision, "from_peers", fromPeers)
+	n.beat()
+	n.hurry()
+	return true, nil
+}
+
+// watchStore waits at the store for changes, if this instance is one of those
+// of its data centre that do.
+func (n *Node) watchStore(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !n.isWatcher() {
+			n.pause(ctx, n.Times.Beat)
+			continue
+		}
+		n.mu.Lock()
+		v := n.storeVersion
+		n.mu.Unlock()
+		x, cancel := context.WithTimeout(ctx, n.Times.Poll)
+		p, err := n.Store.Wait(x, configKey, v)
+		cancel()
+		if err != nil {
+			n.pause(ctx, watchPause)
+			n.pollStore(ctx)
+			continue
+		}
+		n.sawStore(ctx, p)
+	}
+}
+
+func (n *Node) isWatcher() bool {
+	var d []peer.Member
+	for _, m := range n.Members() {
+		if m.DataCentre == n.Self.DataCentre {
+			d = append(d, m)
+		}
+	}
+	i := peer.Position("watch", n.Self.ID, d)
+	return i >= 0 && i < watchersPerDataCentre
+}
+
+func (n *Node) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// pollStore reads the configuration once.
+func (n *Node) pollStore(ctx context.Context) {
+	x, cancel := n.call(ctx)
+	defer cancel()
+	p, err := n.Store.Get(x, configKey)
+	if err != nil {
+		n.log("store_unreachable", "step", "read configuration", "error", err)
+		return
+	}
+	n.sawStore(ctx, p)
+}
+
+// sawStore takes in what the store holds. An older document than the one in
+// force is not adopted: the store was restored, and gets the newer one back.
+func (n *Node) sawStore(ctx context.Context, p store.Pair) {
+	n.mu.Lock()
+	n.storeVersion = p.Version
+	n.storeOKAt = n.Clock()
+	n.mu.Unlock()
+	if p.Version != 0 {
+		if _, err := n.adopt(p.Value, false); err != nil {
+			n.log("config_unusable", "error", err)
+			return
+		}
+	}
+	n.heal(ctx, p)
+}
+
+func (n *Node) heal(ctx context.Context, p store.Pair) {
+	n.mu.Lock()
+	d, b := n.doc, n.bytes
+	n.mu.Unlock()
+	var r uint64
+	if p.Version != 0 {
+		o, err := codec.DecodeDocument(p.Value)
+		if err != nil {
+			return
+		}
+		r = o.Revision
+	}
+	older := r < d.Revision
+	n.mu.Lock()
+	n.storeOlder = older
+	n.mu.Unlock()
+	if !older {
+		n.mu.Lock()
+		n.fromPeers = false
+		n.mu.Unlock()
+		return
+	}
+	n.log("store_older", "stored", r, "held", d.Revision)
+	n.verifyLedgers()
+	n.restore(ctx, p, r, d, b)
+}
+
+// restore writes the held document over the older one that was found.
+func (n *Node) restore(ctx context.Context, p store.Pair, r uint64, d config.Document, b []byte) {
+	e := audit.Entry{
+		Revision: d.Revision, ChangeID: "restore", Who: "fieldvale/" + n.Self.ID, At: n.Clock(), Action: audit.Restore,
+		From: revisionText(r), To: revisionText(d.Revision), Why: "the store held an older configuration than the instances",
+	}
+	a, err := codec.EncodeAudit(e, nil)
+	if err != nil {
+		n.log("restore_failed", "error", err)
+		return
+	}
+	x, cancel := n.call(ctx)
+	defer cancel()
+	w := []store.Write{{Key: configKey, Value: b}, {Key: auditKey(d.Revision) + "-restore", Value: a}}
+	ok, err := n.Store.Commit(x, []store.Guard{{Key: configKey, Version: p.Version}}, w)
+	if err != nil || !ok {
+		n.log("restore_failed", "committed", ok, "error", err)
+		return
+	}
+	n.log("store_restored", "revision", d.Revision)
+}
+
+// verifyLedgers has the next flush look whether the store still has them.
+func (n *Node) verifyLedgers() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, f := range n.ledgers {
+		f.verifyAt = time.Time{}
+	}
+}
+
+// fetchDocuments gets newer documents from the peers that told of them.
+func (n *Node) fetchDocuments(ctx context.Context) {
+	for {
+		m, err := n.fetches.Take(ctx)
+		if err != nil {
+			return
+		}
+		if err := n.fetchDocument(ctx, m); err != nil {
+			n.log("fetch_failed", "peer", m.ID, "error", err)
+		}
+	}
+}
+
+func (n *Node) fetchDocument(ctx context.Context, m peer.Member) error {
+	n.mu.Lock()
+	r := n.doc.Revision
+	n.mu.Unlock()
+	x, cancel := n.call(ctx)
+	defer cancel()
+	b, err := n.Peers.Document(x, m, r)
+	if err != nil || b == nil {
+		return err
+	}
+	_, err = n.adopt(b, true)
+	return err
+}
--- /dev/null
+++ b/control/rollouts.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"fieldvale/config"
+	"fieldvale/peer"
+	"fieldvale/rollout"
+	"fieldvale/version"
+)
+
+// driveRollouts takes the steps that are due and ends the roll-outs that
+// tripped. Every instance may do it; rank decides who tries first, and the
+// store's compare-and-swap that each is done once.
+func (n *Node) driveRollouts(ctx context.Context) {
+	t := n.Clock()
+	d, _ := n.Document()
+	for _, c := range d.DueSteps(t) {
+		if n.isTripped(c.Rollout.To) || t.Before(n.turn("rollout/"+c.ID, c.Rollout.Steps[c.Rollout.Taken].Due)) {
+			continue
+		}
+		n.drive(ctx, c)
+	}
+	for _, c := range n.dueTrips(d, t) {
+		n.drive(ctx, c)
+	}
+}
+
+// turn is when this instance may do a duty that fell due at the given time.
+func (n *Node) turn(duty string, due time.Time) time.Time {
+	i := peer.Position(duty, n.Self.ID, n.Members())
+	return due.Add(time.Duration(max(0, i)) * n.Times.Takeover)
+}
+
+func (n *Node) isTripped(v version.ID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.tripped[v]
+}
+
+func (n *Node) dueTrips(d config.Document, t time.Time) []config.Change {
+	var r []config.Change
+	for _, m := range d.Teams() {
+		for _, o := range d.Parts[m].Rollouts {
+			if o.State != rollout.Running || !n.isTripped(o.To) {
+				continue
+			}
+			c := config.TripChange(m, o, n.tripReason(o.To))
+			if !t.Before(n.turn("trip/"+c.ID, n.trippedAt(o.To, t))) {
+				r = append(r, c)
+			}
+		}
+	}
+	return r
+}
+
+func (n *Node) trippedAt(v version.ID, t time.Time) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	i, ok := n.table.Get(peer.Key{Kind: peer.Trip, Name: v.String()}, t)
+	if !ok {
+		return t
+	}
+	return time.Unix(0, int64(i.Version))
+}
+
+func (n *Node) tripReason(v version.ID) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p, ok := n.pooled[v]
+	if !ok {
+		return "peers found the version bad"
+	}
+	return fmt.Sprintf("%d good and %d bad answers", p.Total().Good, p.Total().Bad)
+}
+
+func (n *Node) drive(ctx context.Context, c config.Change) {
+	c.At = n.Clock()
+	c.Who = "fieldvale/" + n.Self.ID
+	if _, err := n.Change(ctx, c); err != nil {
+		n.log("rollout_change_failed", "change", c.ID, "error", err)
+	}
+}
--- /dev/null
+++ b/entry/backends.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"fieldvale/admission"
+	"fieldvale/outcome"
+	"fieldvale/pool"
+)
+
+// placement is the rule by which replicas are chosen; docs/MEASURES.md has
+// what it was measured against.
+type placement = pool.Affine[pool.TwoChoices]
+
+// affinityBound is how far above the mean load a session's replica may be.
+const affinityBound = 1.5
+
+// backends keeps what this entry knows of each replica from its own calls.
+type backends struct {
+	mu      sync.Mutex
+	state   map[string]*backend
+	chooser *pool.Chooser[placement]
+	scratch []pool.Candidate
+}
+
+type backend struct {
+	running int
+	breaker admission.Breaker
+}
+
+func newBackends(s rand.Source) *backends {
+	return &backends{
+		state:   map[string]*backend{},
+		chooser: pool.NewChooser(placement{Bound: affinityBound}, s),
+	}
+}
+
+func (b *backends) of(id string) *backend {
+	x, ok := b.state[id]
+	if !ok {
+		x = &backend{}
+		b.state[id] = x
+	}
+	return x
+}
+
+// take chooses a replica and counts the request on it; nil if none is left.
+func (b *backends) take(r []*pool.Replica, a pool.Ask, tried []string, now time.Time) *pool.Replica {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.scratch = b.scratch[:0]
+	for _, x := range r {
+		s := b.of(x.ID)
+		if s.breaker.Allows(now) && !contains(tried, x.ID) {
+			b.scratch = append(b.scratch, pool.Candidate{Replica: x, Local: s.running})
+		}
+	}
+	i := b.chooser.Choose(a, b.scratch)
+	if i < 0 {
+		return nil
+	}
+	c := b.scratch[i].Replica
+	s := b.of(c.ID)
+	s.running++
+	s.breaker.Tried(now)
+	return c
+}
+
+func contains(l []string, s string) bool {
+	for _, x := range l {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// done gives the replica back and learns from the result. A refusal is the
+// replica's sound answer and does not count against it.
+func (b *backends) done(id string, err error, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(id)
+	s.running--
+	if err == nil || isRefusal(err) {
+		s.breaker.Succeeded()
+		return
+	}
+	s.breaker.Failed(now)
+}
+
+func isRefusal(err error) bool {
+	o, ok := asOutcome(err)
+	return ok && o.Kind == outcome.NotRun && o.Status != 0
+}
+
+// queued is the work waiting at the replicas, by slot.
+func (b *backends) queued(r []*pool.Replica) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, n := 0, 0
+	for _, x := range r {
+		c := pool.Candidate{Replica: x, Local: b.of(x.ID).running}
+		w += max(0, -c.Free())
+		n += max(1, x.Slots)
+	}
+	if n == 0 {
+		return 0
+	}
+	return float64(w) / float64(n)
+}
+
+// running returns this entry's requests on each replica.
+func (b *backends) running() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := map[string]int{}
+	for k, s := range b.state {
+		if s.running > 0 {
+			r[k] = s.running
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/entry/chat.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/bill"
+	"fieldvale/outcome"
+	"fieldvale/policy"
+	"fieldvale/pool"
+	"fieldvale/session"
+	"fieldvale/version"
+)
+
+// cascadeRun is a chat request on its way through the steps of its plan.
+type cascadeRun struct {
+	session session.Session
+	moved   bool
+	spent   bill.Amount
+	// best is the last whole answer that was rated too low.
+	best *Answer
+	by   version.ID
+	// held is that answer's chunks, if the request is streamed.
+	held *collector
+	// unknown is set by a step of which it is not known that it did not run.
+	unknown bool
+}
+
+// maxRepicks bounds how often one step picks anew because its version was
+// withdrawn under way.
+const maxRepicks = 3
+
+// Chat answers a request whole.
+func (r *Router) Chat(ctx context.Context, q Request) (Answer, Result, error) {
+	v := r.view.Get()
+	if v.Active == nil {
+		return Answer{}, Result{}, notRun(NotReady, "no configuration is in force yet")
+	}
+	x, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	p, err := r.plan(v, q)
+	if err != nil {
+		return Answer{}, Result{}, err
+	}
+	c := &cascadeRun{session: q.Session}
+	for i, s := range p {
+		a, ok, err := r.step(x, q, c, s)
+		if err != nil && i == len(p)-1 {
+			return r.fallBack(q, c, err)
+		}
+		if ok {
+			return a, r.finish(q, c, c.by, false), nil
+		}
+	}
+	return r.fallBack(q, c, nil)
+}
+
+// fallBack ends a cascade whose last step gave no answer: with the best
+// answer that an earlier step gave, else with the failure.
+func (r *Router) fallBack(q Request, c *cascadeRun, err error) (Answer, Result, error) {
+	if c.best != nil {
+		return *c.best, r.finish(q, c, c.by, true), nil
+	}
+	if err == nil {
+		err = notRun(NotAllowed, "the plan has no steps")
+	}
+	f := *failed(err)
+	if c.unknown {
+		f.Run = outcome.Unknown
+	}
+	return Answer{}, Result{}, &f
+}
+
+// finish bills the request and says what the caller gets beside the answer.
+func (r *Router) finish(q Request, c *cascadeRun, x version.ID, below bool) Result {
+	v := r.view.Get()
+	r.bill(v, q, x, c.spent)
+	return Result{RequestID: q.ID, Version: x, Revision: v.Active.Revision(), Session: c.session, Moved: c.moved, BelowTarget: below}
+}
+
+// step runs one step of the plan. ok says that its answer is good enough.
+func (r *Router) step(ctx context.Context, q Request, c *cascadeRun, s policy.Step) (a Answer, ok bool, err error) {
+	for range maxRepicks {
+		a, err = r.stepOnce(ctx, q, c, s)
+		if !errors.Is(err, errWithdrawn) {
+			break
+		}
+	}
+	if err != nil {
+		c.unknown = c.unknown || outcome.Of(err) == outcome.Unknown && !isFailure(err)
+		return a, false, err
+	}
+	return a, r.accept(ctx, q, c, s, a), nil
+}
+
+func isFailure(err error) bool {
+	var f *Failure
+	return errors.As(err, &f)
+}
+
+func (r *Router) stepOnce(ctx context.Context, q Request, c *cascadeRun, s policy.Step) (Answer, error) {
+	v := r.view.Get()
+	x, n, moved, err := r.pick(v, q, c.session, s.Model)
+	if err != nil {
+		return Answer{}, err
+	}
+	var a Answer
+	err = r.attempts(ctx, q, x, func(b *pool.Replica) (err error) {
+		a, err = r.engines.Chat(ctx, b, newAttempt(q, x))
+		return err
+	})
+	if err != nil {
+		return a, err
+	}
+	c.by, c.session, c.moved = x, n, c.moved || moved
+	c.spent = c.spent.Plus(price(v, x, a))
+	return a, nil
+}
+
+// accept decides whether the answer reaches the step's quality. Without a
+// rating the next step is tried: quality goes before cost.
+func (r *Router) accept(ctx context.Context, q Request, c *cascadeRun, s policy.Step, a Answer) bool {
+	if s.Accept == 0 {
+		r.weigh(r.view.Get(), q, c.by, a.Body)
+		return true
+	}
+	c.best = &a
+	f, err := r.rater.Rate(ctx, q.Body, []byte(a.Text))
+	if err != nil {
+		r.events.unrated(q.ID, err)
+		return false
+	}
+	r.evidence.rated(c.by, f)
+	r.mu.Lock()
+	r.learner.Saw(learnKey(q, s), f >= s.Accept)
+	r.mu.Unlock()
+	return f >= s.Accept
+}
--- /dev/null
+++ b/entry/events.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"fieldvale/claim"
+)
+
+// Events is told of what an operator may want to see. Its functions may be
+// nil and must not block.
+type Events struct {
+	// Attempt is a failed attempt of a request at a backend server.
+	Attempt func(request, replica string, err error)
+	// Unrated is an answer that the rating service did not rate.
+	Unrated func(request string, err error)
+	// Unrecorded is a claim whose end was not recorded: a caller who asks
+	// again is told that the request may have run.
+	Unrecorded func(c claim.Claim, err error)
+}
+
+func (e *Events) attempt(request, replica string, err error) {
+	if e.Attempt != nil {
+		e.Attempt(request, replica, err)
+	}
+}
+
+func (e *Events) unrated(request string, err error) {
+	if e.Unrated != nil {
+		e.Unrated(request, err)
+	}
+}
+
+func (e *Events) unrecorded(c claim.Claim, err error) {
+	if e.Unrecorded != nil {
+		e.Unrecorded(c, err)
+	}
+}
--- /dev/null
+++ b/entry/failure.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/admission"
+	"fieldvale/outcome"
+)
+
+// Code names a failure to callers.
+type Code string
+
+// The codes of failures.
+const (
+	NotReady      Code = "not_ready"
+	NotAllowed    Code = "model_not_allowed"
+	UnknownModel  Code = "model_not_found"
+	UnknownTarget Code = "service_not_found"
+	Refused       Code = "refused"
+	TooLate       Code = "deadline_exceeded"
+	Failed        Code = "backend_failed"
+	MayHaveRun    Code = "may_have_run"
+	RanBefore     Code = "already_ran"
+	NeedsKey      Code = "idempotency_key_required"
+	StoreOut      Code = "claims_unavailable"
+)
+
+// Failure is the final word on a request that got no answer.
+type Failure struct {
+	Code    Code
+	Run     outcome.Kind
+	RetryAt time.Time
+	Message string
+	Cause   error
+}
+
+// Error returns the message and the cause.
+func (f *Failure) Error() string {
+	if f.Cause == nil {
+		return f.Message
+	}
+	return f.Message + ": " + f.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+func notRun(c Code, message string) *Failure {
+	return &Failure{Code: c, Run: outcome.NotRun, Message: message}
+}
+
+func refused(r *admission.Refusal) *Failure {
+	return &Failure{Code: Refused, Run: outcome.NotRun, RetryAt: r.RetryAt, Message: "refused: " + string(r.Reason)}
+}
+
+// failed turns an attempt's error into the caller's failure.
+func failed(err error) *Failure {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	f = &Failure{Code: Failed, Run: outcome.Of(err), Message: "the backend servers failed", Cause: err}
+	var o *outcome.Error
+	if errors.As(err, &o) {
+		f.RetryAt = o.RetryAt
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		f.Code, f.Message = TooLate, "the deadline passed"
+	}
+	return f
+}
--- /dev/null
+++ b/entry/ports.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"fieldvale/bill"
+	"fieldvale/claim"
+	"fieldvale/peer"
+	"fieldvale/pool"
+	"fieldvale/version"
+)
+
+// Attempt is one dispatch of a chat request to a model engine.
+type Attempt struct {
+	// ID is new for each attempt; the engine echoes it.
+	ID       string
+	Version  version.ID
+	Body     []byte
+	Deadline time.Time
+	Priority int
+	// Resume is how many chunks of a stream the caller has already.
+	Resume int
+}
+
+// Answer is a whole answer of a model engine.
+type Answer struct {
+	Body      []byte
+	Text      string
+	TokensIn  uint64
+	TokensOut uint64
+}
+
+// Engines calls model engines. Failures are *outcome.Error.
+type Engines interface {
+	Chat(ctx context.Context, r *pool.Replica, a Attempt) (Answer, error)
+	// Stream hands each chunk to sink as it comes. It succeeds only if the
+	// stream came to its proper end; an error of sink ends it.
+	Stream(ctx context.Context, r *pool.Replica, a Attempt, sink func(chunk []byte) error) (Answer, error)
+}
+
+// ServiceCall is one call of a plain service.
+type ServiceCall struct {
+	Call     string
+	Body     []byte
+	Type     string
+	Key      string
+	Deadline time.Time
+	// Once asks for a connection on which nothing can be left unknown that
+	// need not be.
+	Once bool
+}
+
+// ServiceAnswer is a plain service's answer.
+type ServiceAnswer struct {
+	Status int
+	Type   string
+	Body   []byte
+}
+
+// Services calls plain services. Failures are *outcome.Error.
+type Services interface {
+	Call(ctx context.Context, r *pool.Replica, c ServiceCall) (ServiceAnswer, error)
+}
+
+// Claims asks for the right to send what may not be repeated.
+type Claims interface {
+	// Claim returns the verdict and, to replay, the claim that was found. An
+	// error means that nothing was claimed that may be relied on.
+	Claim(ctx context.Context, c claim.Claim) (claim.Verdict, claim.Claim, error)
+	// Finish records a claim that ran or is free.
+	Finish(ctx context.Context, c claim.Claim) error
+}
+
+// Holder keeps bill records at another instance.
+type Holder interface {
+	Hold(ctx context.Context, m peer.Member, r bill.Record) (bill.Verdict, error)
+	Release(ctx context.Context, m peer.Member, r bill.Record) error
+}
+
+// Rater asks the platform's rating service how good an answer is, from 0 to 1.
+type Rater interface {
+	Rate(ctx context.Context, request, answer []byte) (float64, error)
+}
+
+// Clock tells the time.
+type Clock func() time.Time
--- /dev/null
+++ b/entry/router.go
@@ -0,0 +1,338 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"fieldvale/admission"
+	"fieldvale/bill"
+	"fieldvale/cascade"
+	"fieldvale/config"
+	"fieldvale/outcome"
+	"fieldvale/policy"
+	"fieldvale/pool"
+	"fieldvale/rollout"
+	"fieldvale/session"
+	"fieldvale/version"
+)
+
+// maxTries bounds the attempts at one step.
+const maxTries = 3
+
+// raters is how many duties rate answers behind the callers' backs.
+const raters = 4
+
+// Router decides and carries out each request.
+type Router struct {
+	view     *Current
+	engines  Engines
+	services Services
+	claims   Claims
+	rater    Rater
+	biller   *Biller
+	clock    Clock
+	self     string
+
+	backends *backends
+	evidence *evidence
+	mu       sync.Mutex
+	limiters map[string]*admission.Limiter
+	budget   *admission.RetryBudget
+	learner  *cascade.Learner
+	events   *Events
+}
+
+// Ports are what a router works through.
+type Ports struct {
+	View     *Current
+	Engines  Engines
+	Services Services
+	Claims   Claims
+	Rater    Rater
+	Biller   *Biller
+	Clock    Clock
+	// Self is the instance's id.
+	Self string
+	// Rand seeds the choice of replicas.
+	Rand rand.Source
+	// Events may be nil.
+	Events *Events
+}
+
+// NewRouter returns a router.
+func NewRouter(p Ports) *Router {
+	e := p.Events
+	if e == nil {
+		e = &Events{}
+	}
+	return &Router{
+		view: p.View, engines: p.Engines, services: p.Services, claims: p.Claims, rater: p.Rater,
+		biller: p.Biller, clock: p.Clock, self: p.Self,
+		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
+		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
+		learner: cascade.NewLearner(), events: e,
+	}
+}
+
+// Run is the router's duties; it returns when ctx ends.
+func (r *Router) Run(ctx context.Context) error {
+	g, x := errgroup.WithContext(ctx)
+	for range raters {
+		g.Go(func() error { return r.evidence.run(x) })
+	}
+	return g.Wait()
+}
+
+// Evidence returns the counts of good and bad outcomes by version.
+func (r *Router) Evidence() map[version.ID]rollout.Evidence { return r.evidence.all() }
+
+// Running returns this entry's requests by replica.
+func (r *Router) Running() map[string]int { return r.backends.running() }
+
+// Limits returns the limits in force by version or service.
+func (r *Router) Limits() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := map[string]int{}
+	for k, l := range r.limiters {
+		m[k] = l.Limit()
+	}
+	return m
+}
+
+// plan returns the steps for a request: the policy's, or the one model that
+// the caller names.
+func (r *Router) plan(v *View, q Request) (policy.Plan, error) {
+	if q.Model == AutoModel || q.Model == "" {
+		p := v.Active.Decide(q.Caller, q.Task, q.Size)
+		if len(p) == 0 {
+			return nil, notRun(NotAllowed, "the policy has no model for this request")
+		}
+		return r.learned(v, q, p), nil
+	}
+	m := q.Model
+	if x, err := version.Parse(q.Model); err == nil {
+		m = x.Model
+	}
+	for _, x := range v.Active.Models(q.Caller) {
+		if x.Model == m {
+			return policy.Plan{{Model: m}}, nil
+		}
+	}
+	return nil, notRun(UnknownModel, "model "+q.Model+" does not exist or may not be used")
+}
+
+// learned leaves out a cheap first step that ratings show to be wasted.
+func (r *Router) learned(v *View, q Request, p policy.Plan) policy.Plan {
+	if len(p) < 2 {
+		return p
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.learner.Skip(learnKey(q, p[0]), unitCost(v, q, p[0].Model), unitCost(v, q, p[1].Model)) {
+		return p[1:]
+	}
+	return p
+}
+
+func learnKey(q Request, s policy.Step) cascade.Key {
+	return cascade.Key{Team: q.Caller.Team, Task: q.Task, Size: q.Size, Model: s.Model}
+}
+
+// unitCost is a model's price for the comparison of steps.
+func unitCost(v *View, q Request, model string) float64 {
+	x, ok := v.Active.Document().Part(q.Caller.Team).ActiveVersion(model)
+	if !ok {
+		return 0
+	}
+	c := v.Active.Cost(x)
+	return float64(c.CostIn + c.CostOut)
+}
+
+// pick returns the version for a step and the session that keeps it.
+func (r *Router) pick(v *View, q Request, s session.Session, model string) (version.ID, session.Session, bool, error) {
+	if x, err := version.Parse(q.Model); err == nil {
+		if !v.Active.MayRun(q.Caller, x) || v.IsTripped(x) {
+			return x, s, false, notRun(NotAllowed, "version "+q.Model+" may not be used")
+		}
+		return x, s, false, nil
+	}
+	x, ok := v.Active.Pick(q.Caller, model, s, v.IsTripped)
+	if !ok {
+		return x, s, false, notRun(NotAllowed, "no version of "+model+" may be used")
+	}
+	o, had := s.Pin(model)
+	return x, s.WithPin(x), had && o != x, nil
+}
+
+// limiter returns the bound of a version or service.
+func (r *Router) limiter(name string) *admission.Limiter {
+	l, ok := r.limiters[name]
+	if !ok {
+		l = admission.NewLimiter()
+		r.limiters[name] = l
+	}
+	return l
+}
+
+func (r *Router) admit(name string, c config.Caller, p []*pool.Replica, deadline time.Time) *admission.Refusal {
+	n := r.clock()
+	w := r.backends.queued(p)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget.Request()
+	return r.limiter(name).Admit(c.Customer.Name, c.Customer.Share, w, n, deadline)
+}
+
+func (r *Router) leave(name string, c config.Caller, start, deadline time.Time, err error) {
+	n := r.clock()
+	t := 0.0
+	if err == nil {
+		t = n.Sub(start).Seconds()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limiter(name).Done(c.Customer.Name, t, n.After(deadline) || isOverload(err), n)
+}
+
+// isOverload reports whether the error is a backend server's word that it
+// has too much to do.
+func isOverload(err error) bool {
+	o, ok := asOutcome(err)
+	return ok && (o.Status == statusTooMany || errors.Is(o.Cause, context.DeadlineExceeded))
+}
+
+const statusTooMany = 429
+
+func asOutcome(err error) (*outcome.Error, bool) {
+	var o *outcome.Error
+	ok := errors.As(err, &o)
+	return o, ok
+}
+
+// retry reports whether another attempt may be made after err.
+func (r *Router) retry(err error, once bool) bool {
+	if !outcome.MayRepeat(err, once) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Retry()
+}
+
+// attempts dispatches a step to replicas of the version until one answers.
+// Whether the version may still run is asked anew before each dispatch. call
+// makes one attempt.
+func (r *Router) attempts(ctx context.Context, q Request, x version.ID, call func(*pool.Replica) error) error {
+	p := r.view.Get().byVersion[x]
+	if len(p) == 0 {
+		return refused(&admission.Refusal{Reason: admission.NoReplica, RetryAt: r.clock().Add(time.Second)})
+	}
+	if f := r.admit(x.String(), q.Caller, p, q.Deadline); f != nil {
+		return refused(f)
+	}
+	start := r.clock()
+	err := r.tries(ctx, q, x, call)
+	r.leave(x.String(), q.Caller, start, q.Deadline, err)
+	return err
+}
+
+func (r *Router) tries(ctx context.Context, q Request, x version.ID, call func(*pool.Replica) error) error {
+	var tried []string
+	var last error
+	for range maxTries {
+		v := r.view.Get()
+		if !v.Active.MayRun(q.Caller, x) || v.IsTripped(x) {
+			return errors.CombineErrors(errWithdrawn, last)
+		}
+		b := r.backends.take(v.byVersion[x], pool.Ask{Affinity: q.Session.ID}, tried, r.clock())
+		if b == nil {
+			break
+		}
+		err := call(b)
+		r.backends.done(b.ID, err, r.clock())
+		r.judge(x, err)
+		if err == nil {
+			return nil
+		}
+		r.events.attempt(q.ID, b.ID, err)
+		tried, last = append(tried, b.ID), worse(last, err)
+		if ctx.Err() != nil || !r.retry(err, false) {
+			return last
+		}
+	}
+	if last == nil {
+		return refused(&admission.Refusal{Reason: admission.NoReplica, RetryAt: r.clock().Add(time.Second)})
+	}
+	return last
+}
+
+// errWithdrawn says that the version was withdrawn while the request was on
+// its way; another version is picked.
+var errWithdrawn = errors.New("version was withdrawn")
+
+// worse keeps the error of which less is known, so that "not run" is told
+// only if no attempt may have run.
+func worse(a, b error) error {
+	if a != nil && outcome.Of(a) == outcome.Unknown {
+		return a
+	}
+	return b
+}
+
+// judge counts a failed attempt against the version if it may be its fault.
+// Good answers are counted where they are rated.
+func (r *Router) judge(x version.ID, err error) {
+	o, ok := asOutcome(err)
+	if !ok || o.Kind == outcome.NotRun || errors.Is(o.Cause, errCaller) {
+		return
+	}
+	if o.Step == stepAnswer {
+		r.evidence.bad(x)
+	}
+}
+
+// stepAnswer is the step of errors that the answer itself shows: a server
+// error, a wrong or broken answer. A lost connection is the replica's fault,
+// not the version's.
+const stepAnswer = "answer"
+
+// errCaller marks failures of the caller's side of a stream.
+var errCaller = errors.New("the caller is gone")
+
+// inForce reports whether a roll-out to the version is under way, so that its
+// answers must be rated.
+func inForce(v *View, c config.Caller, x version.ID) bool {
+	o, ok := v.Active.Document().Part(c.Team).Rollout(x.Model)
+	return ok && o.To == x && o.State == rollout.Running
+}
+
+// weigh counts an answer that the policy does not rate.
+func (r *Router) weigh(v *View, q Request, x version.ID, answer []byte) {
+	if inForce(v, q.Caller, x) {
+		r.evidence.later(x, q.Body, answer)
+		return
+	}
+	r.evidence.good(x)
+}
+
+func (r *Router) bill(v *View, q Request, x version.ID, a bill.Amount) {
+	a.Requests = 1
+	r.biller.Bill(q.ID, bill.Line{Team: q.Caller.Team, Customer: q.Caller.Customer.Name, Version: x}, a)
+}
+
+// price is the amount of one step's answer.
+func price(v *View, x version.ID, a Answer) bill.Amount {
+	c := v.Active.Cost(x).Cost(int64(a.TokensIn), int64(a.TokensOut))
+	return bill.Amount{TokensIn: a.TokensIn, TokensOut: a.TokensOut, Cost: uint64(c)}
+}
+
+func newAttempt(q Request, x version.ID) Attempt {
+	return Attempt{ID: uuid.NewString(), Version: x, Body: q.Body, Deadline: q.Deadline, Priority: q.Priority}
+}
--- /dev/null
+++ b/entry/service.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"fieldvale/admission"
+	"fieldvale/bill"
+	"fieldvale/claim"
+	"fieldvale/outcome"
+	"fieldvale/pool"
+	"fieldvale/version"
+)
+
+// finishTimeout bounds how long a claim's end may take to record.
+const finishTimeout = 3 * time.Second
+
+// Call answers a call of a plain service.
+func (r *Router) Call(ctx context.Context, q ServiceRequest) (ServiceResult, error) {
+	v := r.view.Get()
+	if v.Active == nil {
+		return ServiceResult{}, notRun(NotReady, "no configuration is in force yet")
+	}
+	s, ok := v.Active.Service(q.Caller.Team, q.Service)
+	if !ok {
+		return ServiceResult{}, notRun(UnknownTarget, "service "+q.Service+" does not exist")
+	}
+	x, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	q.Once = q.Once || s.IsOnce(q.Call)
+	if !q.Once {
+		return r.callService(x, q)
+	}
+	if q.Key == "" {
+		return ServiceResult{}, notRun(NeedsKey, q.Service+"/"+q.Call+" may not be repeated: give an Idempotency-Key")
+	}
+	return r.callOnce(x, q, s.ChecksKey)
+}
+
+// callOnce claims the key, sends once and records what became of it.
+func (r *Router) callOnce(ctx context.Context, q ServiceRequest, checked bool) (ServiceResult, error) {
+	k := q.Caller.Team + "/" + q.Caller.Customer.Name
+	c := claim.New(k, q.Key, uuid.NewString(), r.self, q.Deadline)
+	d, f, err := r.claims.Claim(ctx, c)
+	if err != nil {
+		return r.unclaimed(ctx, q, checked, err)
+	}
+	if d != claim.Send {
+		return r.notMine(d, f)
+	}
+	a, err := r.callService(ctx, q)
+	r.endClaim(c, a, err)
+	return a, err
+}
+
+// unclaimed is a request whose claim could not be had: it goes on only to a
+// service that itself refuses a second call with the key.
+func (r *Router) unclaimed(ctx context.Context, q ServiceRequest, checked bool, err error) (ServiceResult, error) {
+	if checked {
+		return r.callService(ctx, q)
+	}
+	f := notRun(StoreOut, "the right to run this once can't be had now")
+	f.Cause = err
+	f.RetryAt = r.clock().Add(time.Second)
+	return ServiceResult{}, f
+}
+
+func (r *Router) notMine(d claim.Verdict, f claim.Claim) (ServiceResult, error) {
+	switch d {
+	case claim.Replay:
+		v := r.view.Get()
+		return ServiceResult{Answer: ServiceAnswer{Status: f.Status, Body: f.Answer, Type: jsonType}, Replayed: true, Revision: v.Active.Revision()}, nil
+	case claim.RanBefore:
+		return ServiceResult{}, &Failure{Code: RanBefore, Run: outcome.Ran, Message: "the request ran before; its answer is not kept"}
+	case claim.Expired:
+		return ServiceResult{}, notRun(TooLate, "the deadline passed before the request was sent")
+	}
+	return ServiceResult{}, &Failure{Code: MayHaveRun, Run: outcome.Unknown, Message: "a request with this key may have run"}
+}
+
+const jsonType = "application/json"
+
+// endClaim records a result or a proof that there is none. An unknown
+// outcome leaves the claim held until it expires.
+func (r *Router) endClaim(c claim.Claim, a ServiceResult, err error) {
+	x, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	switch {
+	case err == nil:
+		err = r.claims.Finish(x, c.WithAnswer(a.Answer.Status, a.Answer.Body))
+	case failed(err).Run == outcome.NotRun:
+		err = r.claims.Finish(x, c.WithFree())
+	default:
+		return
+	}
+	if err != nil {
+		r.events.unrecorded(c, err)
+	}
+}
+
+// callService sends to replica after replica until one answers. A request
+// that may not be repeated goes on only from replicas that surely did not
+// run it.
+func (r *Router) callService(ctx context.Context, q ServiceRequest) (ServiceResult, error) {
+	p := r.view.Get().byService[q.Service]
+	if f := r.admit(q.Service, q.Caller, p, q.Deadline); f != nil {
+		return ServiceResult{}, refused(f)
+	}
+	start := r.clock()
+	a, err := r.serviceTries(ctx, q)
+	r.leave(q.Service, q.Caller, start, q.Deadline, err)
+	if err != nil {
+		return ServiceResult{}, failed(err)
+	}
+	r.billCall(q)
+	return ServiceResult{Answer: a, Revision: r.view.Get().Active.Revision()}, nil
+}
+
+func (r *Router) serviceTries(ctx context.Context, q ServiceRequest) (ServiceAnswer, error) {
+	var tried []string
+	var last error
+	for range maxTries {
+		b := r.backends.take(r.view.Get().byService[q.Service], pool.Ask{}, tried, r.clock())
+		if b == nil {
+			break
+		}
+		a, err := r.serviceTry(ctx, b, q)
+		r.backends.done(b.ID, err, r.clock())
+		if err == nil {
+			return a, nil
+		}
+		r.events.attempt(q.ID, b.ID, err)
+		tried, last = append(tried, b.ID), worse(last, err)
+		if ctx.Err() != nil || !r.retry(err, q.Once) {
+			return a, last
+		}
+	}
+	if last == nil {
+		last = refused(&admission.Refusal{Reason: admission.NoReplica, RetryAt: r.clock().Add(time.Second)})
+	}
+	return ServiceAnswer{}, last
+}
+
+// serviceTry makes one attempt. The deadline is looked at right before: a
+// process that was paused after its claim sends nothing.
+func (r *Router) serviceTry(ctx context.Context, b *pool.Replica, q ServiceRequest) (ServiceAnswer, error) {
+	if !r.clock().Before(q.Deadline) {
+		return ServiceAnswer{}, outcome.New(outcome.NotRun, "deadline", b.ID, errors.New("the deadline passed before the request was sent"))
+	}
+	return r.services.Call(ctx, b, ServiceCall{
+		Call: q.Call, Body: q.Body, Type: q.Type, Key: q.Key, Deadline: q.Deadline, Once: q.Once,
+	})
+}
+
+func (r *Router) billCall(q ServiceRequest) {
+	id := q.ID
+	if q.Key != "" {
+		id = q.Key
+	}
+	l := bill.Line{Team: q.Caller.Team, Customer: q.Caller.Customer.Name, Version: version.New(q.Service, q.Call)}
+	r.biller.Bill(id, l, bill.Amount{Requests: 1})
+}
--- /dev/null
+++ b/entry/stream.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/bill"
+	"fieldvale/outcome"
+	"fieldvale/policy"
+	"fieldvale/pool"
+)
+
+// Sink takes a stream to the caller.
+type Sink interface {
+	// Head is called once, before the first chunk.
+	Head(Result) error
+	// Chunk takes one chunk; an error means that the caller is gone.
+	Chunk(b []byte) error
+}
+
+// Stream answers a request in chunks. A plan of one step passes chunks on as
+// they come. Where a rating must come first, the rated steps are answered
+// whole and only an accepted answer or the last step reaches the caller. It
+// returns nil only if the whole answer was handed to the sink and billed.
+func (r *Router) Stream(ctx context.Context, q Request, s Sink) error {
+	v := r.view.Get()
+	if v.Active == nil {
+		return notRun(NotReady, "no configuration is in force yet")
+	}
+	x, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	p, err := r.plan(v, q)
+	if err != nil {
+		return err
+	}
+	c := &cascadeRun{session: q.Session}
+	l := len(p) - 1
+	for _, y := range p[:l] {
+		n := &collector{}
+		ok, err := r.collect(x, q, c, y, n)
+		if err == nil && ok {
+			return r.replay(q, c, s, n, false)
+		}
+		if err == nil {
+			n.best = true
+		}
+		c.held = keepBest(c.held, n)
+	}
+	return r.last(x, q, c, p[l], s)
+}
+
+// collector gathers a stream that must be rated before the caller sees it.
+type collector struct {
+	chunks [][]byte
+	best   bool
+}
+
+func keepBest(o, n *collector) *collector {
+	if n.best {
+		return n
+	}
+	return o
+}
+
+func (c *collector) add(b []byte) error {
+	c.chunks = append(c.chunks, append([]byte(nil), b...))
+	return nil
+}
+
+// collect runs a rated step of a streamed request.
+func (r *Router) collect(ctx context.Context, q Request, c *cascadeRun, y policy.Step, n *collector) (bool, error) {
+	a, err := r.streamStep(ctx, q, c, y, func(Result) error { n.chunks = nil; return nil }, n.add)
+	if err != nil {
+		return false, err
+	}
+	return r.accept(ctx, q, c, y, a), nil
+}
+
+// replay hands a gathered answer to the caller.
+func (r *Router) replay(q Request, c *cascadeRun, s Sink, n *collector, below bool) error {
+	f := r.finish(q, c, c.by, below)
+	if err := s.Head(f); err != nil {
+		return callerGone(err)
+	}
+	for _, b := range n.chunks {
+		if err := s.Chunk(b); err != nil {
+			return callerGone(err)
+		}
+	}
+	return nil
+}
+
+// last runs the step whose chunks go to the caller as they come.
+func (r *Router) last(ctx context.Context, q Request, c *cascadeRun, y policy.Step, s Sink) error {
+	started := false
+	head := func(f Result) error {
+		started = true
+		return s.Head(f)
+	}
+	a, err := r.streamStep(ctx, q, c, y, head, s.Chunk)
+	if err != nil && !started && c.held != nil {
+		return r.replay(q, c, s, c.held, true)
+	}
+	if err != nil {
+		r.billCut(q, c)
+		return r.streamFailure(c, err, started)
+	}
+	r.weigh(r.view.Get(), q, c.by, []byte(a.Text))
+	r.finish(q, c, c.by, false)
+	return nil
+}
+
+// billCut bills the earlier steps of a request whose last one failed.
+func (r *Router) billCut(q Request, c *cascadeRun) {
+	if c.spent != (bill.Amount{}) {
+		r.bill(r.view.Get(), q, c.by, c.spent)
+	}
+}
+
+func (r *Router) streamFailure(c *cascadeRun, err error, started bool) error {
+	f := *failed(err)
+	if c.unknown || started {
+		f.Run = outcome.Unknown
+	}
+	return &f
+}
+
+func callerGone(err error) error {
+	return outcome.New(outcome.Unknown, "caller", "caller", errors.Mark(err, errCaller))
+}
+
+// streamStep streams one step from replica after replica: one that breaks in
+// the middle is resumed on another from the chunk where it broke.
+func (r *Router) streamStep(ctx context.Context, q Request, c *cascadeRun, y policy.Step, head func(Result) error, chunk func([]byte) error) (a Answer, err error) {
+	sent := 0
+	for range maxRepicks {
+		a, err = r.streamOnce(ctx, q, c, y, head, chunk, &sent)
+		if !errors.Is(err, errWithdrawn) || sent > 0 {
+			break
+		}
+	}
+	return a, err
+}
+
+func (r *Router) streamOnce(ctx context.Context, q Request, c *cascadeRun, y policy.Step, head func(Result) error, chunk func([]byte) error, sent *int) (Answer, error) {
+	v := r.view.Get()
+	x, n, moved, err := r.pick(v, q, c.session, y.Model)
+	if err != nil {
+		return Answer{}, err
+	}
+	sink := func(b []byte) error {
+		if *sent == 0 {
+			f := Result{RequestID: q.ID, Version: x, Revision: v.Active.Revision(), Session: n, Moved: c.moved || moved}
+			if err := head(f); err != nil {
+				return callerGone(err)
+			}
+		}
+		*sent++
+		if err := chunk(b); err != nil {
+			return callerGone(err)
+		}
+		return nil
+	}
+	var a Answer
+	err = r.attempts(ctx, q, x, func(b *pool.Replica) (err error) {
+		t := newAttempt(q, x)
+		t.Resume = *sent
+		a, err = r.engines.Stream(ctx, b, t, sink)
+		return err
+	})
+	if err != nil {
+		c.unknown = c.unknown || outcome.Of(err) == outcome.Unknown && !isFailure(err)
+		return a, err
+	}
+	c.by, c.session, c.moved = x, n, c.moved || moved
+	c.spent = c.spent.Plus(price(v, x, a))
+	return a, nil
+}
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,98 @@
+// Package entry answers callers' requests: it applies the policy in force,
+// picks version and replica, dispatches, rates, bills, and says truly what
+// became of a request that it could not answer. All that it needs from
+// outside comes through the ports in ports.go.
+package entry
+
+import (
+	"sync/atomic"
+
+	"fieldvale/config"
+	"fieldvale/peer"
+	"fieldvale/pool"
+	"fieldvale/version"
+)
+
+// View is what an entry knows at one moment. It is immutable.
+type View struct {
+	Active   *config.Active
+	Replicas []pool.Replica
+	Members  []peer.Member
+	Tripped  map[version.ID]bool
+
+	byVersion map[version.ID][]*pool.Replica
+	byService map[string][]*pool.Replica
+}
+
+// NewView returns a view with its indexes made. a may be nil: then nothing
+// can be served yet.
+func NewView(a *config.Active, r []pool.Replica, m []peer.Member, tripped []version.ID) *View {
+	v := &View{
+		Active:    a,
+		Replicas:  r,
+		Members:   m,
+		Tripped:   map[version.ID]bool{},
+		byVersion: map[version.ID][]*pool.Replica{},
+		byService: map[string][]*pool.Replica{},
+	}
+	for _, x := range tripped {
+		v.Tripped[x] = true
+	}
+	for i := range r {
+		v.index(&r[i])
+	}
+	return v
+}
+
+func (v *View) index(r *pool.Replica) {
+	if r.Leaving {
+		return
+	}
+	if r.Kind == pool.Service {
+		v.byService[r.Service] = append(v.byService[r.Service], r)
+		return
+	}
+	for _, x := range r.Versions {
+		v.byVersion[x] = append(v.byVersion[x], r)
+	}
+}
+
+// WithActive returns v with another configuration.
+func (v *View) WithActive(a *config.Active) *View {
+	n := *v
+	n.Active = a
+	return &n
+}
+
+// IsTripped reports whether the version was found bad.
+func (v *View) IsTripped(x version.ID) bool { return v.Tripped[x] }
+
+// Current is the view in force, replaced as a whole.
+type Current struct {
+	p atomic.Pointer[View]
+}
+
+// NewCurrent returns an empty view in force.
+func NewCurrent() *Current {
+	c := &Current{}
+	c.p.Store(NewView(nil, nil, nil, nil))
+	return c
+}
+
+// Get returns the view in force.
+func (c *Current) Get() *View { return c.p.Load() }
+
+// Put replaces the view. A configuration with a lower revision than the one
+// in force is not taken: the rest of v is, with the newer configuration.
+func (c *Current) Put(v *View) {
+	for {
+		o := c.p.Load()
+		n := v
+		if o.Active != nil && (v.Active == nil || v.Active.Revision() < o.Active.Revision()) {
+			n = v.WithActive(o.Active)
+		}
+		if c.p.CompareAndSwap(o, n) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/peer/member.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is one of fieldvale's instances.
+type Member struct {
+	ID string
+	// Addr is where its control process listens to peers.
+	Addr       string
+	DataCentre string
+}
+
+// chords is how many partners an instance has beside its successor.
+const chords = 2
+
+// Partners returns the instances that self starts exchanges with: its
+// successor on a ring by hash, so that all are connected, and chords chosen
+// by rendezvous hashing, so that all are few steps apart.
+func Partners(self string, m []Member) []Member {
+	o := others(self, m)
+	if len(o) == 0 {
+		return nil
+	}
+	r := []Member{successor(self, o)}
+	for _, x := range Rank("partner/"+self, o) {
+		if len(r) > chords {
+			break
+		}
+		if !slices.Contains(r, x) {
+			r = append(r, x)
+		}
+	}
+	return r
+}
+
+func others(self string, m []Member) []Member {
+	var r []Member
+	for _, x := range m {
+		if x.ID != self {
+			r = append(r, x)
+		}
+	}
+	return r
+}
+
+// successor returns the member that follows self on the ring of hashes.
+func successor(self string, m []Member) Member {
+	h := xxhash.Sum64String(self)
+	return slices.MinFunc(m, func(a, b Member) int {
+		return compare(xxhash.Sum64String(a.ID)-h, xxhash.Sum64String(b.ID)-h)
+	})
+}
+
+// Rank sorts members by rendezvous hashing for the key: all instances that
+// know the same members agree on it without a message.
+func Rank(key string, m []Member) []Member {
+	r := slices.Clone(m)
+	w := make(map[string]uint64, len(r))
+	for _, x := range r {
+		w[x.ID] = xxhash.Sum64String(key + "/" + x.ID)
+	}
+	slices.SortFunc(r, func(a, b Member) int {
+		if c := compare(w[b.ID], w[a.ID]); c != 0 {
+			return c
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	return r
+}
+
+// Position returns self's place in the ranking for the key, from 0.
+func Position(key, self string, m []Member) int {
+	return slices.IndexFunc(Rank(key, m), func(x Member) bool { return x.ID == self })
+}
+
+// Holders returns the two instances, in different data centres where there
+// are two, that hold the bill of a request. All instances agree on them, so
+// that a request id asked again elsewhere is found to be billed. The first
+// one's word goes before the second's.
+func Holders(id string, m []Member) []Member {
+	r := Rank("bill/"+id, m)
+	for i := 1; i < len(r); i++ {
+		if r[i].DataCentre != r[0].DataCentre {
+			return []Member{r[0], r[i]}
+		}
+	}
+	return r[:min(len(r), holders)]
+}
+
+// holders is how many instances hold a bill beside the entry that made it.
+const holders = 2
+
+func compare(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,90 @@
+// Package pool knows the replicas of the backend servers and chooses the one
+// that a request goes to.
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"fieldvale/version"
+)
+
+// Kind is what a backend server runs.
+type Kind string
+
+// The kinds of backend server.
+const (
+	Engine  Kind = "engine"
+	Service Kind = "service"
+)
+
+// Replica is one backend server as the platform's instance list gives it.
+type Replica struct {
+	ID string
+	// Addr is the IP number and port.
+	Addr       string
+	DataCentre string
+	Kind       Kind
+	// Service is the name of the plain service, for that kind.
+	Service string
+	// Versions are those that an engine says it has loaded.
+	Versions []version.ID
+	// Slots is how many requests it works on at once.
+	Slots int
+	// ChecksFence says that it refuses orders with a lower fence.
+	ChecksFence bool
+	Leaving     bool
+	Load        Load
+}
+
+// Load is what a replica last said of itself.
+type Load struct {
+	Running int
+	Waiting int
+	At      time.Time
+	// Local is how many of this instance's own requests were on the replica
+	// when the report was taken; they are part of Running and Waiting.
+	Local int
+}
+
+// Serves reports whether new work for the version may go to the replica.
+func (r Replica) Serves(v version.ID) bool {
+	return r.Kind == Engine && !r.Leaving && slices.Contains(r.Versions, v)
+}
+
+// WithLeaving returns r marked as leaving.
+func (r Replica) WithLeaving() Replica {
+	r.Leaving = true
+	return r
+}
+
+// WithLoad returns r with a newer report.
+func (r Replica) WithLoad(l Load) Replica {
+	r.Load = l
+	return r
+}
+
+// Candidate is a replica as one decision sees it.
+type Candidate struct {
+	Replica *Replica
+	// Local is this instance's own requests on the replica now.
+	Local int
+}
+
+// Work estimates the requests on the replica now: what others had there when
+// it last reported, and what this instance has there itself. Taking the own
+// share out of the report keeps a lagging report from being counted twice.
+func (c Candidate) Work() int {
+	o := c.Replica.Load.Running + c.Replica.Load.Waiting - c.Replica.Load.Local
+	return max(0, o) + c.Local
+}
+
+// Relative is Work by slot, so that unlike replicas compare.
+func (c Candidate) Relative() float64 {
+	return float64(c.Work()) / float64(max(1, c.Replica.Slots))
+}
+
+// Free is the number of slots that seem idle.
+func (c Candidate) Free() int {
+	return c.Replica.Slots - c.Work()
+}
--- /dev/null
+++ b/process/control.go
@@ -0,0 +1,162 @@
+package process
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"fieldvale/adapter/etcd"
+	"fieldvale/adapter/httpconn"
+	"fieldvale/adapter/logging"
+	"fieldvale/adapter/metrics"
+	"fieldvale/adapter/platform"
+	"fieldvale/adapter/rpc"
+	"fieldvale/adapter/settings"
+	"fieldvale/control"
+	"fieldvale/peer"
+)
+
+// Control is a running fieldvale-control.
+type Control struct {
+	settings settings.Control
+	log      log.Interface
+	node     *control.Node
+	metrics  *metrics.Registry
+}
+
+// NewControl puts a control process together.
+func NewControl(s settings.Control, l log.Interface) *Control {
+	c := &Control{settings: s, log: l, metrics: metrics.New()}
+	k := etcd.New(s.Store)
+	n := c.metrics.Counter("store_calls_total", "Calls to the platform's store.", "method")
+	k.Count = func(method string) { n.WithLabelValues(method).Inc() }
+	c.node = control.New(control.Parts{
+		Self:        peer.Member{ID: s.ID, Addr: s.PeerAddr, DataCentre: s.DataCentre},
+		Incarnation: uuid.NewString(),
+		Store:       k,
+		Peers:       rpc.NewPeers(s.FleetKey),
+		Platform:    platform.New(httpconn.New(), s.List, ""),
+		Clock:       time.Now,
+		Times:       s.Times,
+		Rates:       s.Rates,
+		Log: func(event string, f ...any) {
+			l.WithFields(logging.Fields(f...)).Info(event)
+		},
+	})
+	c.gauges()
+	return c
+}
+
+func (c *Control) gauges() {
+	c.metrics.Gauge("revision", "Revision of the configuration held.", func() float64 {
+		d, _ := c.node.Document()
+		return float64(d.Revision)
+	})
+	c.metrics.Gauge("members", "Live instances known.", func() float64 { return float64(len(c.node.Members())) })
+	c.metrics.Gauge("bill_records_held", "Bill records held for other instances.", func() float64 { return float64(c.node.Held()) })
+	c.metrics.Gauge("alarms", "Alarms of this instance; fieldvale status tells them in words.", func() float64 {
+		for _, h := range c.node.Instances() {
+			if h.ID == c.settings.ID {
+				return float64(len(h.Alarms))
+			}
+		}
+		return 0
+	})
+}
+
+// headerTimeout bounds the reading of a request's head.
+const headerTimeout = 5 * time.Second
+
+type listener struct {
+	addr    string
+	handler http.Handler
+	tls     *tls.Config
+}
+
+// Run serves until ctx ends and then stops in order.
+func (c *Control) Run(ctx context.Context) error {
+	t, err := c.settings.TLS.Config()
+	if err != nil {
+		return err
+	}
+	x, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, x := errgroup.WithContext(x)
+	for _, l := range []listener{
+		{c.settings.LocalListen, rpc.LocalHandler(c.node, c.settings.FleetKey), nil},
+		{c.settings.PeerListen, rpc.PeerHandler(c.node, c.settings.FleetKey), nil},
+		{c.settings.AdminListen, rpc.AdminHandler(c.node, c.settings.Admins), t},
+	} {
+		if err := serveHTTP(x, g, l); err != nil {
+			return err
+		}
+	}
+	m, err := net.Listen("tcp", c.settings.Metrics)
+	if err != nil {
+		return errors.Wrap(err, "process.Control")
+	}
+	g.Go(func() error { return ignoreClosed(x, c.metrics.Serve(m, func() bool { return true })) })
+	c.log.WithFields(logging.Fields("peers", c.settings.PeerListen, "admin", c.settings.AdminListen, "incarnation", c.node.Incarnation)).Info("started")
+	g.Go(func() error { return c.node.Run(x) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-x.Done():
+			return nil
+		}
+		c.stop()
+		cancel()
+		_ = m.Close()
+		return nil
+	})
+	err = g.Wait()
+	c.log.Info("stopped")
+	return err
+}
+
+// serveHTTP serves one listener in g until ctx ends.
+func serveHTTP(ctx context.Context, g *errgroup.Group, l listener) error {
+	n, err := net.Listen("tcp", l.addr)
+	if err != nil {
+		return errors.Wrap(err, "process.Control")
+	}
+	if l.tls != nil {
+		n = tls.NewListener(n, l.tls)
+	}
+	s := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout}
+	g.Go(func() error { return ignoreClosed(ctx, s.Serve(n)) })
+	g.Go(func() error {
+		<-ctx.Done()
+		return s.Close()
+	})
+	return nil
+}
+
+const (
+	// entryGrace is how long a stopping control waits for word that its
+	// entry stops too, and how long an entry must be silent to be gone.
+	entryGrace = time.Second
+	entryPoll  = 50 * time.Millisecond
+	// stopFlush bounds the last writes.
+	stopFlush = 5 * time.Second
+)
+
+// stop waits for an entry that stops too, so that its last bills are taken
+// in, and then hands over.
+func (c *Control) stop() {
+	c.log.Info("stopping")
+	time.Sleep(entryGrace)
+	for c.node.EntryStopping(entryGrace) {
+		time.Sleep(entryPoll)
+	}
+	x, cancel := context.WithTimeout(context.Background(), stopFlush)
+	defer cancel()
+	c.node.Stop(x)
+}
--- /dev/null
+++ b/rollout/pooled.go
@@ -0,0 +1,26 @@
+package rollout
+
+// Pooled adds up the evidence that many instances report, so that a version
+// which no instance sees much of is judged by all of its answers. It is not
+// safe for concurrent use.
+type Pooled struct {
+	from  map[string]Evidence
+	total Evidence
+}
+
+// NewPooled returns a pool without reports.
+func NewPooled() *Pooled {
+	return &Pooled{from: map[string]Evidence{}}
+}
+
+// Report takes the origin's cumulative evidence in. An older report changes
+// nothing.
+func (p *Pooled) Report(origin string, e Evidence) {
+	o := p.from[origin]
+	n := o.Max(e)
+	p.total = p.total.WithGood(n.Good - o.Good).WithBad(n.Bad - o.Bad)
+	p.from[origin] = n
+}
+
+// Total returns the evidence of all origins.
+func (p *Pooled) Total() Evidence { return p.total }
--- /dev/null
+++ b/standin/kv/fake.go
@@ -0,0 +1,124 @@
+package kv
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/store"
+)
+
+// Fake is one client's way to a Memory, with faults, for tests within one
+// process.
+type Fake struct {
+	*Memory
+	mu sync.Mutex
+	f  Fault
+	// calls counts the calls by name.
+	calls map[string]int
+}
+
+// Fault is what goes wrong between a client and the store.
+type Fault int
+
+// The faults of a Fake.
+const (
+	Sound Fault = iota
+	// Down: nothing is reached.
+	Down
+	// LostAnswers: writes take effect and their answers are lost.
+	LostAnswers
+	// LostRequests: requests are lost; the client can't tell from LostAnswers.
+	LostRequests
+)
+
+// NewFake returns a sound way to m.
+func NewFake(m *Memory) *Fake {
+	return &Fake{Memory: m, calls: map[string]int{}}
+}
+
+// Break puts a fault in force; Sound mends.
+func (f *Fake) Break(x Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.f = x
+}
+
+// Calls returns how many calls of a name were made.
+func (f *Fake) Calls(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls[name]
+}
+
+var errFake = errors.New("fake store")
+
+// before returns the error that a call ends with ahead of any effect.
+func (f *Fake) before(name string) (after, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[name]++
+	switch f.f {
+	case Down:
+		return nil, errors.Mark(errors.Wrapf(errFake, "%s: down", name), store.ErrUnavailable)
+	case LostRequests:
+		return nil, errors.Mark(errors.Wrapf(errFake, "%s: request lost", name), store.ErrUnknown)
+	case LostAnswers:
+		return errors.Mark(errors.Wrapf(errFake, "%s: answer lost", name), store.ErrUnknown), nil
+	}
+	return nil, nil
+}
+
+// Get implements store.Store.
+func (f *Fake) Get(ctx context.Context, key string) (store.Pair, error) {
+	a, err := f.before("get")
+	if err != nil || a != nil {
+		return store.Pair{}, errors.CombineErrors(err, a)
+	}
+	return f.Memory.Get(ctx, key)
+}
+
+// List implements store.Store.
+func (f *Fake) List(ctx context.Context, prefix string, n int) ([]store.Pair, error) {
+	a, err := f.before("list")
+	if err != nil || a != nil {
+		return nil, errors.CombineErrors(err, a)
+	}
+	return f.Memory.List(ctx, prefix, n)
+}
+
+// Commit implements store.Store.
+func (f *Fake) Commit(ctx context.Context, g []store.Guard, w []store.Write) (bool, error) {
+	a, err := f.before("commit")
+	if err != nil {
+		return false, err
+	}
+	ok, err := f.Memory.Commit(ctx, g, w)
+	if a != nil {
+		return false, a
+	}
+	return ok, err
+}
+
+// CreateAll implements store.Store.
+func (f *Fake) CreateAll(ctx context.Context, w []store.Write) ([]store.Pair, error) {
+	a, err := f.before("create")
+	if err != nil {
+		return nil, err
+	}
+	r, err := f.Memory.CreateAll(ctx, w)
+	if a != nil {
+		return nil, a
+	}
+	return r, err
+}
+
+// Wait implements store.Store.
+func (f *Fake) Wait(ctx context.Context, key string, above int64) (store.Pair, error) {
+	a, err := f.before("wait")
+	if err != nil || a != nil {
+		return store.Pair{}, errors.CombineErrors(err, a)
+	}
+	return f.Memory.Wait(ctx, key, above)
+}
