--- a/adapter/rpc/peer.go
+++ b/adapter/rpc/peer.go
@@ -48,7 +48,7 @@
 	}
 	w := &fieldvalev1.HoldResponse{}
 	for _, v := range s.node.Hold(r, l) {
-		w.Repeat = append(w.Repeat, v == bill.Repeat)
+		w.Words = append(w.Words, &fieldvalev1.HoldWord{Repeat: v.Repeat, Owner: v.Owner, Settled: v.Settled})
 	}
 	return w, nil
 }
@@ -97,15 +97,15 @@
 }
 
 // Hold implements entry.Holder.
-func (p *Peers) Hold(ctx context.Context, m peer.Member, r bill.Record) (bill.Verdict, error) {
+func (p *Peers) Hold(ctx context.Context, m peer.Member, r bill.Record) (bill.Word, error) {
 	w, err := p.client(m).Hold(ctx, &fieldvalev1.HoldRequest{Records: []*fieldvalev1.BillRecord{recordToWire(r)}})
 	if err != nil {
-		return bill.First, errors.Wrapf(err, "rpc.Hold at %s", m.ID)
+		return bill.Word{}, errors.Wrapf(err, "rpc.Hold at %s", m.ID)
 	}
-	if len(w.Repeat) == 1 && w.Repeat[0] {
-		return bill.Repeat, nil
+	if len(w.Words) != 1 {
+		return bill.Word{}, errors.Newf("rpc.Hold at %s: %d words on one record", m.ID, len(w.Words))
 	}
-	return bill.First, nil
+	return bill.Word{Repeat: w.Words[0].Repeat, Owner: w.Words[0].Owner, Settled: w.Words[0].Settled}, nil
 }
 
 // Release implements entry.Holder.
--- a/adapter/settings/control.go
+++ b/adapter/settings/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"time"
 
 	"fieldvale/adapter/inifile"
 	"fieldvale/adapter/rpc"
@@ -27,6 +28,9 @@
 	Admins      []rpc.Admin
 	Times       control.Times
 	Rates       rollout.Rates
+	// StopWithin is the longest that a planned stop waits to hand over bills
+	// that nobody else has.
+	StopWithin time.Duration
 }
 
 // LoadControl reads and checks a control's file.
@@ -75,6 +79,7 @@
 	c.AdminListen = address(s, "admin_listen")
 	c.Metrics = address(s, "metrics_listen")
 	c.FleetKey = readFleetKey(s)
+	c.StopWithin = s.Span("stop_within", defaultStopWithin)
 }
 
 const sumLength = 32
--- a/bill/book.go
+++ b/bill/book.go
@@ -4,15 +4,32 @@
 	"time"
 )
 
-// Verdict is a holder's word on a record.
-type Verdict int
-
-const (
-	// First: the request was not billed before; the record is held.
-	First Verdict = iota
-	// Repeat: another record bills the request; this one must be void.
-	Repeat
-)
+// Word is what a holder says of a record that it was offered.
+type Word struct {
+	// Repeat says that another record bills the request. Owner is that
+	// record's, and Settled that it is too old to be under way still.
+	Repeat  bool
+	Owner   string
+	Settled bool
+}
+
+// underWay is how long a record may be on its way to its holders.
+const underWay = time.Second
+
+// Void reports whether the record must not be counted, by the words of the
+// holders that were reached. Of two records that reach the holders at the
+// same time in different order, all agree on the one of the lower owner.
+func Void(mine Record, w []Word) bool {
+	first, lower := false, false
+	for _, x := range w {
+		if x.Repeat && x.Settled {
+			return true
+		}
+		first = first || !x.Repeat
+		lower = lower || x.Repeat && x.Owner < mine.Owner
+	}
+	return lower || !first && len(w) > 0
+}
 
 // Window is how long a holder knows a request id. A caller that repeats a
 // request later than this is billed again.
@@ -29,7 +46,9 @@
 }
 
 type held struct {
-	record  Record
+	record Record
+	// settled is when the record can't be under way any more.
+	settled time.Time
 	expires time.Time
 	flushed bool
 }
@@ -50,18 +69,18 @@
 
 // Hold keeps the record and says whether its request is billed already. The
 // same record may be offered again and gets the same word.
-func (b *Book) Hold(r Record, now time.Time) Verdict {
+func (b *Book) Hold(r Record, now time.Time) Word {
 	k := requestKey{r.Line.Team, r.Line.Customer, r.RequestID}
 	if h, ok := b.byID[k]; ok {
 		if h.record.Owner == r.Owner && h.record.Seq == r.Seq {
-			return First
+			return Word{}
 		}
-		return Repeat
+		return Word{Repeat: true, Owner: h.record.Owner, Settled: !now.Before(h.settled)}
 	}
 	b.makeRoom()
-	b.byID[k] = &held{record: r, expires: now.Add(Window)}
+	b.byID[k] = &held{record: r, settled: now.Add(underWay), expires: now.Add(Window)}
 	b.order = append(b.order, k)
-	return First
+	return Word{}
 }
 
 // Release forgets a record that its owner has found to be a repeat.
--- a/control/bills.go
+++ b/control/bills.go
@@ -16,6 +16,8 @@
 	ledger  bill.Ledger
 	flushed uint64
 	upto    uint64
+	// alone is the number of the last record that no peer holds.
+	alone uint64
 	// verifyAt is when the store is read again even if nothing changed: it
 	// may have been restored to an older state.
 	verifyAt time.Time
@@ -25,11 +27,11 @@
 const verifyEvery = 10 * time.Minute
 
 // Hold keeps another instance's bill records.
-func (n *Node) Hold(r []bill.Record, release []bill.Record) []bill.Verdict {
+func (n *Node) Hold(r []bill.Record, release []bill.Record) []bill.Word {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	t := n.Clock()
-	v := make([]bill.Verdict, len(r))
+	v := make([]bill.Word, len(r))
 	for i, x := range r {
 		v[i] = n.book.Hold(x, t)
 	}
@@ -40,7 +42,7 @@
 }
 
 // takeLedger keeps the entry's ledger for the next flush.
-func (n *Node) takeLedger(l bill.Ledger) {
+func (n *Node) takeLedger(l bill.Ledger, alone uint64) {
 	if l.Owner == "" {
 		return
 	}
@@ -50,6 +52,20 @@
 		n.ledgers[l.Owner] = f
 	}
 	f.ledger = f.ledger.Later(l)
+	f.alone = max(f.alone, alone)
+}
+
+// heldAlone reports whether there are bills that neither the store nor any
+// other instance has.
+func (n *Node) heldAlone() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, f := range n.ledgers {
+		if f.alone > f.upto && f.flushed < f.ledger.Changes {
+			return true
+		}
+	}
+	return false
 }
 
 // flushedUpto is how far the living entry's ledger is in the store.
--- a/control/node.go
+++ b/control/node.go
@@ -217,9 +217,13 @@
 	return context.WithTimeout(ctx, n.Times.Call)
 }
 
-// Stop is the first part of a planned stop: peers learn of it, and what the
-// store lacks of the entry's bills is written. What can't be written is held
-// by peers.
+// stopPause is between tries to hand bills over.
+const stopPause = 500 * time.Millisecond
+
+// Stop is a planned stop: peers learn of it, and what the store lacks of the
+// entry's bills is written. Bills that peers hold need not wait for a store
+// that is out; those that no one else has keep the node until they are
+// written or ctx ends.
 func (n *Node) Stop(ctx context.Context) {
 	n.mu.Lock()
 	n.stopping = true
@@ -227,4 +231,11 @@
 	n.beat()
 	n.exchange(ctx)
 	n.flushLedgers(ctx)
+	for n.heldAlone() && ctx.Err() == nil {
+		n.pause(ctx, stopPause)
+		n.flushLedgers(ctx)
+	}
+	if n.heldAlone() {
+		n.log("bills_lost", "why", "no peer and no store was reached until the end of the stop")
+	}
 }
--- a/control/sync.go
+++ b/control/sync.go
@@ -16,10 +16,13 @@
 	Revision    uint64
 	// View is the number of the view that the entry has, counted by the
 	// incarnation Control.
-	View     uint64
-	Control  string
-	Ledger   bill.Ledger
-	Evidence map[version.ID]rollout.Evidence
+	View    uint64
+	Control string
+	Ledger  bill.Ledger
+	// AloneUpto is the number of the entry's last bill record that no other
+	// instance holds.
+	AloneUpto uint64
+	Evidence  map[version.ID]rollout.Evidence
 	// Running is the entry's own requests by replica.
 	Running map[string]int
 	// Stopping says that the entry is finishing what it has.
@@ -47,7 +50,7 @@
 	t := n.Clock()
 	changed := n.entry.incarnation != r.Incarnation || n.entry.revision != r.Revision
 	n.entry = entryState{incarnation: r.Incarnation, revision: r.Revision, heardAt: t, stopping: r.Stopping}
-	n.takeLedger(r.Ledger)
+	n.takeLedger(r.Ledger, r.AloneUpto)
 	n.local = r.Running
 	for v, e := range r.Evidence {
 		n.tellEvidence(v, e, t)
--- a/entry/biller.go
+++ b/entry/biller.go
@@ -10,27 +10,49 @@
 	"fieldvale/peer"
 )
 
-// holdTimeout bounds how long a caller waits for its bill to be held.
-const holdTimeout = 250 * time.Millisecond
+const (
+	// holdTimeout bounds how long a caller waits for its bill to be held.
+	holdTimeout = 250 * time.Millisecond
+	// offerEvery is between offers of the records that nobody holds yet.
+	offerEvery = time.Second
+	// maxPending bounds those records.
+	maxPending = 100_000
+)
 
-// Biller counts the entry's bills and has each held at other instances.
+// Biller counts the entry's bills and has each held at other instances. A
+// record is counted once another instance has said that it is the first for
+// its request. While no other instance is reached records are pending, for an
+// instance that is cut off can't know whether its caller asked elsewhere.
 type Biller struct {
 	holder Holder
 	view   *Current
 	self   string
 
-	mu     sync.Mutex
-	seq    uint64
-	ledger bill.Ledger
+	// offering has a place for the one that offers pending records, which are
+	// not in the list meanwhile.
+	offering chan struct{}
+
+	mu      sync.Mutex
+	seq     uint64
+	ledger  bill.Ledger
+	pending []pendingRecord
+	// aloneUpto is the number of the last record counted without a holder.
+	aloneUpto uint64
 	// Alone counts the bills that no other instance held in time; Repeats
 	// those found to be billed before.
 	Alone   atomic.Uint64
 	Repeats atomic.Uint64
 }
 
+// pendingRecord is counted in any case once nobody could know its request.
+type pendingRecord struct {
+	record  bill.Record
+	expires time.Time
+}
+
 // NewBiller returns a biller for the incarnation of the instance self.
 func NewBiller(h Holder, v *Current, self, incarnation string) *Biller {
-	return &Biller{holder: h, view: v, self: self, ledger: bill.NewLedger(incarnation)}
+	return &Biller{holder: h, view: v, self: self, offering: make(chan struct{}, 1), ledger: bill.NewLedger(incarnation)}
 }
 
 // Ledger returns what is counted so far.
@@ -40,23 +62,37 @@
 	return b.ledger
 }
 
+// AloneUpto is the number of the last counted record that no other instance
+// holds: a planned stop must wait until the store has it.
+func (b *Biller) AloneUpto() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.aloneUpto
+}
+
+// Pending is the number of records that no other instance has seen.
+func (b *Biller) Pending() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.pending)
+}
+
 // Bill counts one request and returns once another instance holds the
 // record, or after holdTimeout. It runs on past the caller's own context:
 // work that was done is billed.
 func (b *Biller) Bill(id string, l bill.Line, a bill.Amount) {
 	r := b.record(id, l, a)
-	h := peer.Holders(id, b.view.Get().Members)
-	v, n := b.hold(h, r)
-	if n == 0 {
-		b.Alone.Add(1)
-	}
-	if v == bill.Repeat {
-		b.Repeats.Add(1)
-		b.settle(func(l bill.Ledger) bill.Ledger { return l.WithVoid(r.Seq) })
-		b.release(h, r)
+	if b.offer(context.Background(), r) {
 		return
 	}
-	b.settle(func(l bill.Ledger) bill.Ledger { return l.With(r) })
+	b.Alone.Add(1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.pending) >= maxPending {
+		b.countAlone(b.pending[0].record)
+		b.pending = b.pending[1:]
+	}
+	b.pending = append(b.pending, pendingRecord{record: r, expires: time.Now().Add(bill.Window)})
 }
 
 func (b *Biller) record(id string, l bill.Line, a bill.Amount) bill.Record {
@@ -66,39 +102,56 @@
 	return bill.Record{RequestID: id, Owner: b.ledger.Owner, Seq: b.seq, Line: l, Add: a}
 }
 
+// offer asks the record's holders and settles it if another instance
+// answered. It reports whether one did.
+func (b *Biller) offer(ctx context.Context, r bill.Record) bool {
+	h := peer.Holders(r.RequestID, b.view.Get().Members)
+	w, n := b.hold(ctx, h, r)
+	if n == 0 {
+		return false
+	}
+	if !bill.Void(r, w) {
+		b.settle(func(l bill.Ledger) bill.Ledger { return l.With(r) })
+		return true
+	}
+	b.Repeats.Add(1)
+	b.settle(func(l bill.Ledger) bill.Ledger { return l.WithVoid(r.Seq) })
+	b.release(ctx, h, r)
+	return true
+}
+
 func (b *Biller) settle(f func(bill.Ledger) bill.Ledger) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ledger = f(b.ledger)
 }
 
-// hold offers the record to the holders at once. The word of the first-ranked
-// one that answered counts; n is how many other instances hold it.
-func (b *Biller) hold(h []peer.Member, r bill.Record) (v bill.Verdict, n int) {
-	x, cancel := context.WithTimeout(context.Background(), holdTimeout)
+// hold offers the record to the holders at once and returns their words; n is
+// how many other instances answered.
+func (b *Biller) hold(ctx context.Context, h []peer.Member, r bill.Record) (w []bill.Word, n int) {
+	x, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
 	e := make([]error, len(h))
-	w := make([]bill.Verdict, len(h))
+	all := make([]bill.Word, len(h))
 	var g sync.WaitGroup
 	for i := range h {
-		g.Go(func() { w[i], e[i] = b.holder.Hold(x, h[i], r) })
+		g.Go(func() { all[i], e[i] = b.holder.Hold(x, h[i], r) })
 	}
 	g.Wait()
-	v = bill.First
-	for i := len(h) - 1; i >= 0; i-- {
+	for i := range h {
 		if e[i] != nil {
 			continue
 		}
-		v = w[i]
+		w = append(w, all[i])
 		if h[i].ID != b.self {
 			n++
 		}
 	}
-	return v, n
+	return w, n
 }
 
-func (b *Biller) release(h []peer.Member, r bill.Record) {
-	x, cancel := context.WithTimeout(context.Background(), holdTimeout)
+func (b *Biller) release(ctx context.Context, h []peer.Member, r bill.Record) {
+	x, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
 	for _, m := range h {
 		// A holder that can't be told keeps a record that the ledger has as
@@ -106,3 +159,74 @@
 		_ = b.holder.Release(x, m, r)
 	}
 }
+
+// Run is the duty that offers pending records again, until ctx ends.
+func (b *Biller) Run(ctx context.Context) error {
+	t := time.NewTicker(offerEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			b.offerPending(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// offerPending goes through the pending records once, as far as there are
+// holders that answer.
+func (b *Biller) offerPending(ctx context.Context) {
+	b.offering <- struct{}{}
+	defer func() { <-b.offering }()
+	b.mu.Lock()
+	l := b.pending
+	b.pending = nil
+	b.mu.Unlock()
+	var keep []pendingRecord
+	for i, p := range l {
+		if b.offer(ctx, p.record) {
+			continue
+		}
+		if !time.Now().Before(p.expires) {
+			b.mu.Lock()
+			b.countAlone(p.record)
+			b.mu.Unlock()
+			continue
+		}
+		keep = append(keep, l[i:]...)
+		break
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pending = append(keep, b.pending...)
+}
+
+// countAlone counts a record without a holder's word.
+func (b *Biller) countAlone(r bill.Record) {
+	b.ledger = b.ledger.With(r)
+	b.aloneUpto = max(b.aloneUpto, r.Seq)
+}
+
+// Settle ends the pending records before a planned stop: it offers them until
+// they have holders or ctx ends, and counts what is left.
+func (b *Biller) Settle(ctx context.Context) {
+	for ctx.Err() == nil {
+		b.offerPending(ctx)
+		if b.Pending() == 0 {
+			return
+		}
+		select {
+		case <-time.After(offerEvery):
+		case <-ctx.Done():
+		}
+	}
+	b.offering <- struct{}{}
+	defer func() { <-b.offering }()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.pending {
+		b.countAlone(p.record)
+	}
+	b.pending = nil
+}
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -74,7 +74,7 @@
 
 // Holder keeps bill records at another instance.
 type Holder interface {
-	Hold(ctx context.Context, m peer.Member, r bill.Record) (bill.Verdict, error)
+	Hold(ctx context.Context, m peer.Member, r bill.Record) (bill.Word, error)
 	Release(ctx context.Context, m peer.Member, r bill.Record) error
 }
 
--- a/entry/router.go
+++ b/entry/router.go
@@ -86,6 +86,7 @@
 	for range raters {
 		g.Go(func() error { return r.evidence.run(x) })
 	}
+	g.Go(func() error { return r.biller.Run(x) })
 	return g.Wait()
 }
 
--- a/process/control.go
+++ b/process/control.go
@@ -144,8 +144,6 @@
 	// entry stops too, and how long an entry must be silent to be gone.
 	entryGrace = time.Second
 	entryPoll  = 50 * time.Millisecond
-	// stopFlush bounds the last writes.
-	stopFlush = 5 * time.Second
 )
 
 // stop waits for an entry that stops too, so that its last bills are taken
@@ -156,7 +154,7 @@
 	for c.node.EntryStopping(entryGrace) {
 		time.Sleep(entryPoll)
 	}
-	x, cancel := context.WithTimeout(context.Background(), stopFlush)
+	x, cancel := context.WithTimeout(context.Background(), c.settings.StopWithin)
 	defer cancel()
 	c.node.Stop(x)
 }
--- a/process/entry.go
+++ b/process/entry.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -16,7 +15,6 @@
 
 	"fieldvale/adapter/backend"
 	"fieldvale/adapter/caller"
-	"fieldvale/adapter/codec"
 	"fieldvale/adapter/httpconn"
 	"fieldvale/adapter/logging"
 	"fieldvale/adapter/metrics"
@@ -24,8 +22,6 @@
 	"fieldvale/adapter/rpc"
 	"fieldvale/adapter/settings"
 	"fieldvale/claim"
-	"fieldvale/config"
-	"fieldvale/control"
 	"fieldvale/entry"
 )
 
@@ -38,24 +34,24 @@
 	router      *entry.Router
 	biller      *entry.Biller
 	caller      *caller.Server
-	local       *rpc.Local
+	link        *Link
 	metrics     *metrics.Registry
-
-	seen    control.Update
-	failing bool
 }
 
 // NewEntry puts an entry together.
 func NewEntry(s settings.Entry, l log.Interface) *Entry {
 	e := &Entry{settings: s, log: l, incarnation: uuid.NewString(), view: entry.NewCurrent(), metrics: metrics.New()}
 	h := httpconn.New()
-	e.local = rpc.NewLocal(s.Control, s.FleetKey)
+	k := rpc.NewLocal(s.Control, s.FleetKey)
 	e.biller = entry.NewBiller(rpc.NewPeers(s.FleetKey), e.view, s.ID, e.incarnation)
 	e.router = entry.NewRouter(entry.Ports{
-		View: e.view, Engines: backend.NewEngines(h), Services: backend.NewServices(h), Claims: e.local,
+		View: e.view, Engines: backend.NewEngines(h), Services: backend.NewServices(h), Claims: k,
 		Rater: platform.New(h, "", s.Rating), Biller: e.biller, Clock: time.Now, Self: s.ID,
 		Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Events: e.events(),
 	})
+	e.link = NewLink(k, e.view, e.router, e.biller, e.incarnation, func(event string, f ...any) {
+		l.WithFields(logging.Fields(f...)).Info(event)
+	})
 	e.caller = caller.New(e.router, e.view, time.Now, e.observer())
 	e.gauges()
 	return e
@@ -87,18 +83,12 @@
 }
 
 func (e *Entry) gauges() {
-	e.metrics.Gauge("revision", "Revision of the configuration in force.", func() float64 { return float64(e.revision()) })
+	e.metrics.Gauge("revision", "Revision of the configuration in force.", func() float64 { return float64(e.link.revision()) })
 	e.metrics.Gauge("bills_alone_total", "Bills that no other instance held in time.", func() float64 { return float64(e.biller.Alone.Load()) })
+	e.metrics.Gauge("bills_pending", "Bills that no other instance has seen yet.", func() float64 { return float64(e.biller.Pending()) })
 	e.metrics.Gauge("bills_repeated_total", "Bills left out because the request id was billed before.", func() float64 { return float64(e.biller.Repeats.Load()) })
 }
 
-func (e *Entry) revision() uint64 {
-	if a := e.view.Get().Active; a != nil {
-		return a.Revision()
-	}
-	return 0
-}
-
 // Run serves until ctx ends and then stops in order: no more new requests,
 // all that run are answered, the last bills are handed over.
 func (e *Entry) Run(ctx context.Context) error {
@@ -123,7 +113,12 @@
 		return ignoreClosed(x, e.metrics.Serve(m, func() bool { return e.view.Get().Active != nil }))
 	})
 	g.Go(func() error { return e.router.Run(x) })
-	g.Go(func() error { return e.syncs(x, ctx) })
+	g.Go(func() error {
+		e.link.Run(x, e.settings.Sync, func() bool { return ctx.Err() != nil }, func() {
+			e.caller.SetReady(ctx.Err() == nil && e.view.Get().Active != nil)
+		})
+		return nil
+	})
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -157,84 +152,7 @@
 	if err := e.caller.Shutdown(x); err != nil {
 		return errors.Wrap(err, "process.Entry: requests were cut off")
 	}
-	e.sync(x, true)
+	e.biller.Settle(x)
+	e.link.Sync(x, true)
 	return nil
 }
-
-// syncs swaps with the control process until the entry has stopped.
-func (e *Entry) syncs(ctx, stopping context.Context) error {
-	t := time.NewTicker(e.settings.Sync)
-	defer t.Stop()
-	for {
-		e.sync(ctx, stopping.Err() != nil)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// syncTimeout bounds one swap.
-const syncTimeout = 2 * time.Second
-
-func (e *Entry) sync(ctx context.Context, stopping bool) {
-	x, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
-	u, err := e.local.Sync(x, control.Report{
-		Incarnation: e.incarnation, Revision: e.revision(), View: e.seen.View, Control: e.seen.Control,
-		Ledger: e.biller.Ledger(), Evidence: e.router.Evidence(), Running: e.router.Running(), Stopping: stopping,
-	})
-	if err != nil {
-		e.controlLost(err)
-		return
-	}
-	if e.failing {
-		e.failing = false
-		e.log.Info("control_back")
-	}
-	e.apply(u)
-	if !stopping && e.view.Get().Active != nil {
-		e.caller.SetReady(true)
-	}
-}
-
-// controlLost goes on with what the entry holds.
-func (e *Entry) controlLost(err error) {
-	if !e.failing {
-		e.failing = true
-		e.log.WithFields(logging.Fields("error", err, "revision", strconv.FormatUint(e.revision(), 10))).Error("control_lost")
-	}
-}
-
-func (e *Entry) apply(u control.Update) {
-	a := e.view.Get().Active
-	if len(u.Document) > 0 {
-		if n, err := activate(u.Document); err != nil {
-			e.log.WithFields(logging.Fields("error", err)).Error("config_unusable")
-		} else {
-			a = n
-			e.log.WithFields(logging.Fields("revision", a.Revision())).Info("config_in_force")
-		}
-	}
-	if !u.Fresh {
-		if a != e.view.Get().Active {
-			e.view.Put(e.view.Get().WithActive(a))
-		}
-		return
-	}
-	e.view.Put(entry.NewView(a, u.Replicas, u.Members, u.Tripped))
-	e.seen = u
-}
-
-func activate(b []byte) (*config.Active, error) {
-	d, err := codec.DecodeDocument(b)
-	if err != nil {
-		return nil, err
-	}
-	a, x := config.Activate(d)
-	if len(x) > 0 {
-		return nil, x[0]
-	}
-	return a, nil
-}
