Bills get two holders beside their own instance, and spares

Ruled out: the settling of orphans (it ran, 'orphan_settled', for the records that were held) and the flush (records of before the last flush were there).

Change: the holders are two instances beside the record's own one, and while none answers the next ranks are asked.

A bill now survives the loss of its entry and of one holder.

--- a/adapter/codec/document.go
+++ b/adapter/codec/document.go
@@ -96,6 +96,16 @@
 	return r
 }
 
+// PeekRevision reads only the revision of an encoded document, for a reader
+// that may not need the rest.
+func PeekRevision(b []byte) (uint64, error) {
+	var w struct {
+		Revision uint64 `json:"revision"`
+	}
+	err := json.Unmarshal(b, &w)
+	return w.Revision, errors.Wrap(err, "codec.PeekRevision")
+}
+
 // DecodeDocument reads what EncodeDocument wrote.
 func DecodeDocument(b []byte) (config.Document, error) {
 	var w wireDocument
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -35,9 +35,18 @@
 	return n.doc, n.bytes
 }
 
+func (n *Node) revision() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.doc.Revision
+}
+
 // adopt puts a document in force if it is newer than the one held and can be
 // used. It reports whether it was.
 func (n *Node) adopt(b []byte, fromPeers bool) (bool, error) {
+	if r, err := codec.PeekRevision(b); err != nil || r <= n.revision() {
+		return false, err
+	}
 	d, err := codec.DecodeDocument(b)
 	if err != nil {
 		return false, errors.Wrap(err, "control.adopt")
@@ -136,11 +145,12 @@
 	n.mu.Unlock()
 	var r uint64
 	if p.Version != 0 {
-		o, err := codec.DecodeDocument(p.Value)
+		o, err := codec.PeekRevision(p.Value)
 		if err != nil {
+			n.log("config_unusable", "error", err)
 			return
 		}
-		r = o.Revision
+		r = o
 	}
 	older := r < d.Revision
 	n.mu.Lock()
@@ -202,9 +212,7 @@
 }
 
 func (n *Node) fetchDocument(ctx context.Context, m peer.Member) error {
-	n.mu.Lock()
-	r := n.doc.Revision
-	n.mu.Unlock()
+	r := n.revision()
 	x, cancel := n.call(ctx)
 	defer cancel()
 	b, err := n.Peers.Document(x, m, r)
--- a/entry/biller.go
+++ b/entry/biller.go
@@ -15,6 +15,8 @@
 	holdTimeout = 250 * time.Millisecond
 	// offerEvery is between offers of the records that nobody holds yet.
 	offerEvery = time.Second
+	// sparesAtOnce is how many spare holders are asked together.
+	sparesAtOnce = 2
 	// maxPending bounds those records.
 	maxPending = 100_000
 )
@@ -103,10 +105,19 @@
 }
 
 // offer asks the record's holders and settles it if another instance
-// answered. It reports whether one did.
+// answered. It reports whether one did. Spare holders are asked in pairs
+// while none has.
 func (b *Biller) offer(ctx context.Context, r bill.Record) bool {
-	h := peer.Holders(r.RequestID, b.view.Get().Members)
-	w, n := b.hold(ctx, h, r)
+	x, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	h, s := peer.Holders(r.RequestID, b.self, b.view.Get().Members)
+	w, n := b.hold(x, h, r)
+	for n == 0 && len(s) > 0 && x.Err() == nil {
+		k := min(sparesAtOnce, len(s))
+		more, m := b.hold(x, s[:k], r)
+		w, n = append(w, more...), m
+		h, s = append(h, s[:k]...), s[k:]
+	}
 	if n == 0 {
 		return false
 	}
@@ -128,9 +139,7 @@
 
 // hold offers the record to the holders at once and returns their words; n is
 // how many other instances answered.
-func (b *Biller) hold(ctx context.Context, h []peer.Member, r bill.Record) (w []bill.Word, n int) {
-	x, cancel := context.WithTimeout(ctx, holdTimeout)
-	defer cancel()
+func (b *Biller) hold(x context.Context, h []peer.Member, r bill.Record) (w []bill.Word, n int) {
 	e := make([]error, len(h))
 	all := make([]bill.Word, len(h))
 	var g sync.WaitGroup
--- a/faults/matrix_test.go
+++ b/faults/matrix_test.go
@@ -192,38 +192,55 @@
 	return ""
 }
 
-// play runs a day with the faults put in at their steps and returns what
-// broke, and which steps were never taken.
-func play(t *testing.T, l map[string]fault) (bad []string, missed []string) {
+// placed is a fault that is put in when a step is first taken after a time
+// of the day.
+type placed struct {
+	fault fault
+	step  string
+	after time.Duration
+}
+
+func (p placed) String() string {
+	return fmt.Sprintf("%s at %s after %s", p.fault.name, p.step, p.after)
+}
+
+// play runs a day with the faults put in and returns what broke, and how
+// many faults found their step never taken.
+func play(t *testing.T, l ...placed) (bad []string, missed int) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDay(t)
-		var mu sync.Mutex
-		done := map[string]bool{}
-		d.faulty = func(d *day, step string, p *world.Proc) {
-			f, ok := l[step]
+		missed = run(d, l)
+		bad = d.bad
+	})
+	return bad, missed
+}
+
+// run plays the day d with the faults put in.
+func run(d *day, l []placed) (missed int) {
+	var mu sync.Mutex
+	done := make([]bool, len(l))
+	d.faulty = func(d *day, step string, p *world.Proc) {
+		for n, x := range l {
 			mu.Lock()
-			first := ok && !done[step]
-			if ok {
-				done[step] = true
-			}
+			now := !done[n] && x.step == step && time.Since(d.started) >= x.after
+			done[n] = done[n] || now
 			mu.Unlock()
-			if first {
-				f.apply(d, p)
+			if now {
+				x.fault.apply(d, p)
 			}
 		}
-		d.run(context.Background())
-		for s := range l {
-			if !done[s] {
-				missed = append(missed, s)
-			}
+	}
+	d.run(context.Background())
+	for _, x := range done {
+		if !x {
+			missed++
 		}
-		bad = d.bad
-	})
-	return bad, missed
+	}
+	return missed
 }
 
 func TestCalmDay(t *testing.T) {
-	bad, _ := play(t, nil)
+	bad, _ := play(t)
 	for _, b := range bad {
 		t.Error(b)
 	}
@@ -251,12 +268,12 @@
 				}
 				t.Run(f.name+" at "+s, func(t *testing.T) {
 					t.Parallel()
-					bad, missed := play(t, map[string]fault{s: f})
+					bad, missed := play(t, placed{fault: f, step: s})
 					mu.Lock()
 					defer mu.Unlock()
 					c.bad = bad
 					switch {
-					case len(missed) > 0:
+					case missed > 0:
 						c.result = "notrun"
 					case len(bad) > 0:
 						c.result = "FAIL"
@@ -270,10 +287,11 @@
 			}
 		}
 	})
-	printTable(t, cells)
+	pairs := playPairs(t)
+	printTable(cells, pairs)
 }
 
-func printTable(t *testing.T, cells []*cell) {
+func printTable(cells []*cell, pairs int) {
 	by := map[string]map[string]*cell{}
 	count := map[string]int{}
 	for _, c := range cells {
@@ -310,6 +328,6 @@
 	sort.Strings(why)
 	b.WriteString(strings.Join(why, "\n"))
 	n := count["pass"] + count["FAIL"] + count["notrun"]
-	fmt.Fprintf(&b, "\nfaults: cells=%d passed=%d failed=%d notrun=%d", n, count["pass"], count["FAIL"], count["notrun"])
+	fmt.Fprintf(&b, "\nfaults: cells=%d passed=%d failed=%d notrun=%d seeds=%d", n, count["pass"], count["FAIL"], count["notrun"], pairs)
 	fmt.Println(b.String())
 }
--- a/peer/member.go
+++ b/peer/member.go
@@ -78,23 +78,42 @@
 	return slices.IndexFunc(Rank(key, m), func(x Member) bool { return x.ID == self })
 }
 
-// Holders returns the two instances, in different data centres where there
-// are two, that hold the bill of a request. All instances agree on them, so
-// that a request id asked again elsewhere is found to be billed. The first
-// one's word goes before the second's.
-func Holders(id string, m []Member) []Member {
-	r := Rank("bill/"+id, m)
+// holders is how many instances beside self hold a bill that self made.
+const holders = 2
+
+// Holders returns the instances that are to hold the bill of a request that
+// self made, and those to ask instead if none of them answers. All instances
+// rank them alike, so that a request id asked again elsewhere meets the
+// record. The first two ranks are in different data centres where there are
+// two; if self is one of them it is asked too, for it may be asked by others,
+// and a third is added.
+func Holders(id, self string, m []Member) (hold, spare []Member) {
+	r := spread(Rank("bill/"+id, m))
+	n := 0
+	for i, x := range r {
+		if n == holders {
+			return r[:i], r[i:]
+		}
+		if x.ID != self {
+			n++
+		}
+	}
+	return r, nil
+}
+
+// spread moves the first member of another data centre to the second place.
+func spread(r []Member) []Member {
 	for i := 1; i < len(r); i++ {
 		if r[i].DataCentre != r[0].DataCentre {
-			return []Member{r[0], r[i]}
+			x := r[i]
+			copy(r[2:i+1], r[1:i])
+			r[1] = x
+			return r
 		}
 	}
-	return r[:min(len(r), holders)]
+	return r
 }
 
-// holders is how many instances hold a bill beside the entry that made it.
-const holders = 2
-
 func compare(a, b uint64) int {
 	switch {
 	case a < b:
