A stopping instance hands the bill records that it holds to the next holders

Ruled out: settling them into the store at the stop; an owner that is alive would have its ledger written by every stopping holder, 350 writes at once.

Change: Stop gives the unflushed records to the next rank, one message for each receiver.

--- a/adapter/rpc/peer.go
+++ b/adapter/rpc/peer.go
@@ -108,6 +108,16 @@
 	return bill.Word{Repeat: w.Words[0].Repeat, Owner: w.Words[0].Owner, Settled: w.Words[0].Settled}, nil
 }
 
+// HandOver implements control.Peers.
+func (p *Peers) HandOver(ctx context.Context, m peer.Member, r []bill.Record) error {
+	q := &fieldvalev1.HoldRequest{}
+	for _, x := range r {
+		q.Records = append(q.Records, recordToWire(x))
+	}
+	_, err := p.client(m).Hold(ctx, q)
+	return errors.Wrapf(err, "rpc.HandOver to %s", m.ID)
+}
+
 // Release implements entry.Holder.
 func (p *Peers) Release(ctx context.Context, m peer.Member, r bill.Record) error {
 	_, err := p.client(m).Hold(ctx, &fieldvalev1.HoldRequest{Release: []*fieldvalev1.BillRecord{recordToWire(r)}})
--- a/bill/book.go
+++ b/bill/book.go
@@ -138,5 +138,16 @@
 	return r
 }
 
+// Unflushed returns the held records that the store lacks.
+func (b *Book) Unflushed() []Record {
+	var r []Record
+	for _, h := range b.byID {
+		if !h.flushed {
+			r = append(r, h.record)
+		}
+	}
+	return r
+}
+
 // Len returns the number of records held.
 func (b *Book) Len() int { return len(b.byID) }
--- a/control/bills.go
+++ b/control/bills.go
@@ -8,6 +8,7 @@
 
 	"fieldvale/adapter/codec"
 	"fieldvale/bill"
+	"fieldvale/peer"
 	"fieldvale/store"
 )
 
@@ -258,3 +259,35 @@
 	defer n.mu.Unlock()
 	return n.book.Len()
 }
+
+// handOver gives the records that this instance holds, and the store lacks,
+// to the next holders in rank.
+func (n *Node) handOver(ctx context.Context) {
+	by := map[peer.Member][]bill.Record{}
+	n.mu.Lock()
+	m := n.members()
+	for _, r := range n.book.Unflushed() {
+		if x, ok := n.successor(r, m); ok {
+			by[x] = append(by[x], r)
+		}
+	}
+	n.mu.Unlock()
+	for x, r := range by {
+		y, cancel := n.call(ctx)
+		err := n.Peers.HandOver(y, x, r)
+		cancel()
+		if err != nil {
+			n.log("hand_over_failed", "peer", x.ID, "records", len(r), "error", err)
+		}
+	}
+}
+
+// successor is the first in rank for the record other than this instance.
+func (n *Node) successor(r bill.Record, m []peer.Member) (peer.Member, bool) {
+	for _, x := range peer.Rank("bill/"+r.RequestID, m) {
+		if x.ID != n.Self.ID {
+			return x, true
+		}
+	}
+	return peer.Member{}, false
+}
--- a/control/node.go
+++ b/control/node.go
@@ -27,6 +27,8 @@
 	Exchange(ctx context.Context, m peer.Member, q peer.Message) (peer.Reply, error)
 	// Document returns the peer's configuration, nil if it is not above.
 	Document(ctx context.Context, m peer.Member, above uint64) ([]byte, error)
+	// HandOver gives held bill records to another holder.
+	HandOver(ctx context.Context, m peer.Member, r []bill.Record) error
 }
 
 // Platform is what the platform says of instances and takes as orders.
@@ -231,6 +233,7 @@
 	n.beat()
 	n.exchange(ctx)
 	n.flushLedgers(ctx)
+	n.handOver(ctx)
 	for n.heldAlone() && ctx.Err() == nil {
 		n.pause(ctx, stopPause)
 		n.flushLedgers(ctx)
--- a/standin/world/links.go
+++ b/standin/world/links.go
@@ -165,6 +165,15 @@
 	})
 }
 
+// HandOver implements control.Peers.
+func (l *peerLink) HandOver(ctx context.Context, m peer.Member, r []bill.Record) error {
+	_, err := peerCall(ctx, l.w, l.p, m.ID, func(n *control.Node) (bool, error) {
+		n.Hold(r, nil)
+		return true, nil
+	})
+	return err
+}
+
 // platformLink is a node's way to the platform's list and to backend servers.
 type platformLink struct {
 	w *World
