--- a/faults/day_test.go
+++ b/faults/day_test.go
@@ -435,7 +435,7 @@
 	c.Team = "t"
 	c.Customer, _ = v.Active.Document().Part("t").Source.Catalog.Customer(customer(s.n))
 	q := entry.Request{ID: s.id, Caller: c, Task: "chat", Size: policy.Small, Model: entry.AutoModel, Body: world.Body(s.id), Deadline: time.Now().Add(allowance)}
-	q.Session = session.New(thread, "", time.Now().Add(time.Hour))
+	q.Session = session.New(thread, "", time.Now().Add(24*time.Hour))
 	if token != "" {
 		o, err := v.Active.Ring().Open(token, time.Now())
 		if err != nil {
--- a/standin/world/backend.go
+++ b/standin/world/backend.go
@@ -43,12 +43,18 @@
 	Full
 	// Broken answers nothing but server errors.
 	Broken
+	// Slow takes half a minute for an answer, chunk by chunk.
+	Slow
 )
 
+// slowChunk is the time of one chunk of a slow answer.
+const slowChunk = 5 * time.Second
+
 // lateBy is the delay of a late answer.
 const lateBy = 3 * time.Second
 
-// Run is one piece of work that a backend server started.
+// Run is one piece of work that a backend server started. At is when the
+// request reached it.
 type Run struct {
 	// Marker is the request's own mark, or "call/key" of a plain call.
 	Marker  string
@@ -205,6 +211,7 @@
 
 // begin waits for a slot and notes the work.
 func (b *Backend) begin(ctx context.Context, r Run) (Defect, error) {
+	r.At = time.Now()
 	b.hook(StepQueue, b.Proc)
 	select {
 	case b.slots <- struct{}{}:
@@ -218,7 +225,7 @@
 	defer b.mu.Unlock()
 	b.waiting--
 	b.running++
-	r.At, r.Backend = time.Now(), b.Proc.Name
+	r.Backend = b.Proc.Name
 	b.runs = append(b.runs, r)
 	return b.defect, nil
 }
@@ -262,6 +269,9 @@
 	t := b.tokens(a, m)
 	for n := a.Resume; n < len(t); n++ {
 		time.Sleep(perChunk)
+		if d == Slow {
+			time.Sleep(slowChunk)
+		}
 		if err := b.Proc.gate(); err != nil {
 			return entry.Answer{}, outcome.New(outcome.Unknown, "stream", b.Proc.Name, err)
 		}
@@ -335,3 +345,6 @@
 	b.hook(StepEnd, b.Proc)
 	return entry.ServiceAnswer{Status: 200, Body: append([]byte("done "), c.Body...)}, b.wrong(d)
 }
+
+// Order gives the backend server an order to unload a version.
+func Order(b *Backend, v version.ID, fence uint64) error { return b.unload(v, fence) }
