Answers read ahead are not the next request's; tests of the ports' adapters

Cause: a backend server that sends a second answer on a connection had it given to the next request: the bytes were in the reader's buffer already, so that the look at the socket saw nothing ('got "!!"', TestSecondAnswerOnAConnection).

Ruled out: the look at the socket itself, which finds what comes later.

Change: a connection with bytes read ahead is not kept.

--- /dev/null
+++ b/adapter/backend/backend_test.go
@@ -0,0 +1,146 @@
+package backend_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"fieldvale/adapter/backend"
+	"fieldvale/adapter/httpconn"
+	"fieldvale/entry"
+	"fieldvale/outcome"
+	"fieldvale/pool"
+	"fieldvale/standin/engine"
+	"fieldvale/standin/fault"
+	"fieldvale/standin/serve"
+	"fieldvale/standin/service"
+	"fieldvale/version"
+)
+
+var small = version.New("small", "1")
+
+func newEngine(t *testing.T) (*engine.Engine, *pool.Replica) {
+	e := engine.New(engine.Settings{ID: "e", Slots: 2, Queue: 2, Models: map[string]engine.Model{"small@1": {Quality: 0.9}}})
+	l, err := serve.On("127.0.0.1:0", e.Handle)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return e, &pool.Replica{ID: "e", Addr: l.Addr}
+}
+
+func attempt(resume int) entry.Attempt {
+	return entry.Attempt{ID: "id-1", Version: small, Deadline: time.Now().Add(time.Minute), Resume: resume,
+		Body: []byte(`{"model":"auto","temperature":0.5,"messages":[{"role":"user","content":"<mark> hello"}]}`)}
+}
+
+func TestEngineAnswers(t *testing.T) {
+	_, r := newEngine(t)
+	e := backend.NewEngines(httpconn.New())
+	a, err := e.Chat(t.Context(), r, attempt(0))
+	if err != nil || !strings.HasPrefix(a.Text, "<mark> small@1") || a.TokensOut == 0 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	var b []string
+	s, err := e.Stream(t.Context(), r, attempt(0), func(c []byte) error { b = append(b, string(c)); return nil })
+	if err != nil || s.Text != a.Text {
+		t.Fatalf("streamed %q, %v; want %q", s.Text, err, a.Text)
+	}
+	rest, err := e.Stream(t.Context(), r, attempt(3), func([]byte) error { return nil })
+	if err != nil || !strings.HasSuffix(a.Text, rest.Text) || rest.Text == a.Text {
+		t.Errorf("resumed %q, %v", rest.Text, err)
+	}
+}
+
+func TestEngineFaults(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		fault  fault.Set
+		model  string
+		want   outcome.Kind
+		step   string
+		stream bool
+	}{
+		{"another's answer", fault.Set{Bad: true}, "small", outcome.Unknown, "answer", false},
+		{"another's stream", fault.Set{Bad: true}, "small", outcome.Unknown, "answer", true},
+		{"cut stream", fault.Set{CutAfter: 2}, "small", outcome.Unknown, "stream", true},
+		{"server error", fault.Set{FailPart: 1}, "small", outcome.Unknown, "answer", false},
+		{"no answer", fault.Set{Down: true}, "small", outcome.Unknown, "read", false},
+		{"answer lost", fault.Set{DropAnswers: true}, "small", outcome.Unknown, "read", false},
+		{"not loaded", fault.Set{}, "large", outcome.NotRun, "refusal", false},
+		{"not loaded, stream", fault.Set{}, "large", outcome.NotRun, "refusal", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x, r := newEngine(t)
+			x.Faults.Put(c.fault)
+			a := attempt(0)
+			a.Version = version.New(c.model, "1")
+			e := backend.NewEngines(httpconn.New())
+			var err error
+			if c.stream {
+				_, err = e.Stream(t.Context(), r, a, func([]byte) error { return nil })
+			} else {
+				_, err = e.Chat(t.Context(), r, a)
+			}
+			o, ok := err.(*outcome.Error)
+			if !ok || o.Kind != c.want || o.Step != c.step {
+				t.Errorf("%v, want %s at %s", err, c.want, c.step)
+			}
+		})
+	}
+}
+
+// A stream that says its end without a finish reason is not whole.
+func TestStreamWithoutFinishReason(t *testing.T) {
+	for name, body := range map[string]string{
+		"no finish":     `data: {"id":"id-1","model":"small@1","choices":[{"delta":{"content":"x"}}]}` + "\n\ndata: [DONE]\n\n",
+		"no end":        `data: {"id":"id-1","model":"small@1","choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\n",
+		"another model": `data: {"id":"id-1","model":"small@2","choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\ndata: [DONE]\n\n",
+		"another id":    `data: {"id":"id-2","model":"small@1","choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\ndata: [DONE]\n\n",
+		"no JSON":       "data: {\n\ndata: [DONE]\n\n",
+	} {
+		l, err := serve.On("127.0.0.1:0", raw(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(l.Close)
+		_, err = backend.NewEngines(httpconn.New()).Stream(context.Background(), &pool.Replica{ID: "e", Addr: l.Addr}, attempt(0), func([]byte) error { return nil })
+		if err == nil || outcome.Of(err) != outcome.Unknown {
+			t.Errorf("%s: %v, want unknown", name, err)
+		}
+	}
+}
+
+func TestServiceCalls(t *testing.T) {
+	s := service.New(0, false)
+	l, err := serve.On("127.0.0.1:0", s.Handle)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	c := backend.NewServices(httpconn.New())
+	r := &pool.Replica{ID: "s", Addr: l.Addr}
+	k := entry.ServiceCall{Call: "confirm", Key: "k1", Body: []byte("rye"), Type: "text/plain", Deadline: time.Now().Add(time.Minute), Once: true}
+	a, err := c.Call(t.Context(), r, k)
+	if err != nil || !strings.Contains(string(a.Body), "rye") || s.Runs()["confirm/k1"] != 1 {
+		t.Fatalf("%s, %v, runs %v", a.Body, err, s.Runs())
+	}
+	s.Faults.Put(fault.Set{DropAnswers: true})
+	if _, err := c.Call(t.Context(), r, k); outcome.Of(err) != outcome.Unknown {
+		t.Errorf("answer lost: %v, want unknown", err)
+	}
+	s.Faults.Put(fault.Set{Limited: true})
+	if a, err := c.Call(t.Context(), r, k); err != nil || a.Status != 429 {
+		t.Errorf("the service's own 429: %d, %v; want it passed on", a.Status, err)
+	}
+}
+
+func raw(body string) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		c.Response.Header.Set("X-Request-Id", "id-1")
+		c.SetBodyString(body)
+	}
+}
--- a/adapter/httpconn/httpconn.go
+++ b/adapter/httpconn/httpconn.go
@@ -165,7 +165,8 @@
 	n.expires = time.Now().Add(idleFor)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[addr]) >= idlePerPeer {
+	// What is read ahead belongs to no request: a second answer, or a late one.
+	if len(c.idle[addr]) >= idlePerPeer || n.r.Buffered() > 0 {
 		_ = n.c.Close()
 		return
 	}
--- /dev/null
+++ b/adapter/httpconn/httpconn_test.go
@@ -0,0 +1,145 @@
+package httpconn_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"fieldvale/adapter/httpconn"
+	"fieldvale/outcome"
+)
+
+// server answers each connection by f until the test ends.
+func server(t *testing.T, f func(n int, c net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f(n, c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func do(c *httpconn.Client, addr string, body string) (string, error) {
+	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	q.Header.SetMethod("POST")
+	q.SetRequestURI("http://" + addr + "/")
+	q.SetBodyString(body)
+	x, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	err := c.Do(x, addr, q, p)
+	return string(p.Body()), err
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+
+func readRequest(r *bufio.Reader) bool {
+	var q fasthttp.Request
+	return q.Read(r) == nil
+}
+
+func TestRefusalBeforeBytesIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := l.Addr().String()
+	_ = l.Close()
+	if _, err := do(httpconn.New(), a, "x"); outcome.Of(err) != outcome.NotRun {
+		t.Errorf("nobody listens: %v, want not run", err)
+	}
+}
+
+func TestRefusalAfterBytesWereSentIsUnknown(t *testing.T) {
+	for name, f := range map[string]func(int, net.Conn){
+		"closed after the request": func(_ int, c net.Conn) { readRequest(bufio.NewReader(c)); _ = c.Close() },
+		"reset at once":            func(_ int, c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() },
+		"head cut short": func(_ int, c net.Conn) {
+			readRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.")
+			_ = c.Close()
+		},
+		"body cut short": func(_ int, c net.Conn) {
+			readRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, ok+"a")
+			_ = c.Close()
+		},
+		"silent": func(_ int, c net.Conn) { readRequest(bufio.NewReader(c)) },
+	} {
+		if _, err := do(httpconn.New(), server(t, f), "x"); err == nil || outcome.Of(err) != outcome.Unknown {
+			t.Errorf("%s: %v, want unknown", name, err)
+		}
+	}
+}
+
+// An answer that comes twice, or late, must not be taken for the next
+// request's.
+func TestSecondAnswerOnAConnectionIsNotTheNextOnes(t *testing.T) {
+	a := server(t, func(n int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for readRequest(r) {
+			body := "a" + string(rune('0'+n))
+			_, _ = io.WriteString(c, ok+body)
+			_, _ = io.WriteString(c, ok+"!!")
+		}
+	})
+	c := httpconn.New()
+	for range 20 {
+		g, err := do(c, a, "x")
+		if err != nil || g == "!!" {
+			t.Fatalf("got %q, %v", g, err)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func TestIdleConnectionThatThePeerClosedIsNotUsed(t *testing.T) {
+	a := server(t, func(_ int, c net.Conn) {
+		readRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, ok+"ok")
+		_ = c.Close()
+	})
+	c := httpconn.New()
+	for range 10 {
+		if _, err := do(c, a, "x"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func TestStreamIsCancelledAtOnce(t *testing.T) {
+	ended := make(chan struct{})
+	a := server(t, func(_ int, c net.Conn) {
+		readRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")
+		_, _ = c.Read(make([]byte, 1))
+		close(ended)
+	})
+	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	q.SetRequestURI("http://" + a + "/")
+	x, cancel := context.WithCancel(context.Background())
+	l, err := httpconn.New().Stream(x, a, q, p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go cancel()
+	if _, err := io.ReadAll(l.Body()); err == nil {
+		t.Error("a cancelled stream ended as if it were whole")
+	}
+	l.Close()
+	<-ended
+}
--- /dev/null
+++ b/bill/bill_test.go
@@ -0,0 +1,102 @@
+package bill_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fieldvale/bill"
+	"fieldvale/standin/seed"
+	"fieldvale/version"
+)
+
+var _ = seed.Fix()
+
+var (
+	line = bill.Line{Team: "t", Customer: "c", Version: version.New("m", "1")}
+	noon = time.Unix(1_700_000_000, 0)
+)
+
+func record(owner, id string, seq uint64) bill.Record {
+	return bill.Record{RequestID: id, Owner: owner, Seq: seq, Line: line, Add: bill.Amount{Requests: 1, Cost: seq}}
+}
+
+func TestLedgerCountsEachRecordOnceInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "records")
+		l, want := bill.NewLedger("o"), bill.Amount{}
+		void := map[int]bool{}
+		for i := 1; i <= n; i++ {
+			void[i] = rapid.IntRange(0, 4).Draw(t, "void") == 0
+			if !void[i] {
+				want = want.Plus(record("o", "", uint64(i)).Add)
+			}
+		}
+		order := rapid.Permutation(numbers(n)).Draw(t, "order")
+		for _, i := range append(order, rapid.SliceOf(rapid.SampledFrom(order)).Draw(t, "again")...) {
+			if void[i] {
+				l = l.WithVoid(uint64(i))
+				continue
+			}
+			l = l.With(record("o", "", uint64(i)))
+		}
+		if l.Total() != want || l.Upto != uint64(n) || len(l.Above) != 0 {
+			t.Fatalf("total %+v up to %d, want %+v up to %d", l.Total(), l.Upto, want, n)
+		}
+	})
+}
+
+func numbers(n int) []int {
+	r := make([]int, n)
+	for i := range r {
+		r[i] = i + 1
+	}
+	return r
+}
+
+// Two entries bill one request; their records reach two holders in any
+// order. Exactly one must count, whether they are under way together or not.
+func TestOneOfTwoRecordsCountsInAnyOrder(t *testing.T) {
+	for _, gap := range []time.Duration{0, 10 * time.Second} {
+		for firstAt1 := range 2 {
+			for firstAt2 := range 2 {
+				r := []bill.Record{record("a", "id", 1), record("b", "id", 1)}
+				w := [2][]bill.Word{}
+				for n, first := range []int{firstAt1, firstAt2} {
+					if gap > 0 && n == 1 && firstAt1 != firstAt2 {
+						continue
+					}
+					b := bill.NewBook()
+					w[first] = append(w[first], b.Hold(r[first], noon))
+					w[1-first] = append(w[1-first], b.Hold(r[1-first], noon.Add(gap)))
+				}
+				counted := 0
+				for i := range r {
+					if !bill.Void(r[i], w[i]) {
+						counted++
+					}
+				}
+				if counted != 1 {
+					t.Errorf("gap %s, first at holders %d %d: %d records count", gap, firstAt1, firstAt2, counted)
+				}
+			}
+		}
+	}
+}
+
+func TestBookIsBoundedThroughHoursOfOutage(t *testing.T) {
+	b := bill.NewBook()
+	const most = 200_000
+	for i := range uint64(most + 1000) {
+		b.Hold(record("o", string(rune(i))+"/"+time.Duration(i).String(), i), noon)
+	}
+	if b.Len() > most || b.Dropped != 1000 {
+		t.Errorf("holds %d and dropped %d, want at most %d and 1000", b.Len(), b.Dropped, most)
+	}
+	b.Flushed(bill.Ledger{Owner: "o", Upto: most + 1000})
+	b.Expire(noon.Add(bill.Window))
+	if b.Len() != 0 {
+		t.Errorf("holds %d after the store has them all", b.Len())
+	}
+}
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,134 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fieldvale/audit"
+	"fieldvale/catalog"
+	"fieldvale/policy"
+	"fieldvale/rollout"
+	"fieldvale/session"
+	"fieldvale/standin/seed"
+	"fieldvale/version"
+)
+
+var _ = seed.Fix()
+
+const program = `
+def allow(customer, model, version):
+    return version != "9"
+def route(customer, task, size):
+    return [step("m")]
+`
+
+func source(team, model string) policy.Source {
+	c := catalog.Catalog{Team: team, Customers: []catalog.Customer{{Name: "c", Share: 1, KeyHashes: []string{catalog.HashKey(team)}}}}
+	for _, v := range []string{"1", "2", "3", "9"} {
+		c.Versions = append(c.Versions, catalog.Version{ID: version.New(model, v), Default: v == "1"})
+	}
+	return policy.Source{Program: program, Catalog: c}
+}
+
+func drawChange(t *rapid.T, d Document, now time.Time) Change {
+	v := version.New("m", rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "version"))
+	c := Change{
+		ID: fmt.Sprint("id", rapid.IntRange(0, 40).Draw(t, "id")), Team: "t", Who: "op", At: now, Version: v,
+		Action: rapid.SampledFrom([]audit.Action{audit.Accept, audit.Withdraw, audit.Reinstate, audit.StartRoll, audit.StepRoll, audit.TripRoll, audit.HaltRoll, audit.RotateKeys}).Draw(t, "action"),
+		Base:   rapid.SampledFrom([]uint64{AnyBase, d.Part("t").Revision, 0, 1}).Draw(t, "base"),
+		Source: source("t", "m"), Key: session.NewKey(),
+	}
+	c.Rollout, _ = rollout.New(version.New("m", "1"), v, []int{100, rollout.Whole}, now, time.Second)
+	if o, ok := d.Part("t").Rollout("m"); ok && rapid.Bool().Draw(t, "current") {
+		c.Rollout = o
+	}
+	return c
+}
+
+func TestChangesKeepTheDocumentSound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1e9, 0)
+		d := Document{}
+		for range rapid.IntRange(1, 30).Draw(t, "changes") {
+			now = now.Add(time.Second)
+			c := drawChange(t, d, now)
+			n, e, err := d.Apply(c)
+			switch {
+			case err != nil && n.Revision != d.Revision:
+				t.Fatalf("a refused change made revision %d", n.Revision)
+			case err == nil && e != nil && n.Revision != d.Revision+1:
+				t.Fatalf("revision %d follows %d", n.Revision, d.Revision)
+			case err == nil && e == nil && n.Revision != d.Revision:
+				t.Fatalf("a repeated change made revision %d", n.Revision)
+			}
+			if err == nil {
+				if again, e, err := n.Apply(c); err != nil || e != nil || again.Revision != n.Revision {
+					t.Fatalf("%s is not safe to repeat: %v", c.Action, err)
+				}
+			}
+			if n.Newer(d) || !d.Newer(n) && n.Revision != d.Revision {
+				t.Fatal("an older document counts as newer")
+			}
+			d = n
+			checkPick(t, d)
+		}
+	})
+}
+
+// checkPick: whatever the document, a pick is a version that may run.
+func checkPick(t *rapid.T, d Document) {
+	a, e := Activate(d)
+	if len(e) > 0 {
+		t.Fatal(e)
+	}
+	c, ok := a.Caller("t")
+	if !ok {
+		return
+	}
+	for n := range 20 {
+		s := session.New(fmt.Sprint(n), "c", time.Time{})
+		v, ok := a.Pick(c, "m", s, func(version.ID) bool { return false })
+		if ok && !a.MayRun(c, v) {
+			t.Fatalf("picked %s, which may not run", v)
+		}
+		if !ok {
+			continue
+		}
+		p, _ := a.Pick(c, "m", s.WithPin(v), func(version.ID) bool { return false })
+		if p != v {
+			t.Fatalf("a session pinned to %s got %s", v, p)
+		}
+	}
+}
+
+func TestApplyRefuses(t *testing.T) {
+	d, _, err := Document{}.Apply(Change{ID: "1", Team: "t", Action: audit.Accept, Base: AnyBase, Source: source("t", "m")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := source("u", "n")
+	other.Catalog.Customers[0].KeyHashes = []string{catalog.HashKey("t")}
+	for _, c := range []struct {
+		name   string
+		change Change
+	}{
+		{"a base that is not in force", Change{ID: "2", Team: "t", Action: audit.Accept, Base: 7, Source: source("t", "m")}},
+		{"another team's policy", Change{ID: "2", Team: "u", Action: audit.Accept, Base: AnyBase, Source: source("t", "m")}},
+		{"another team's model", Change{ID: "2", Team: "u", Action: audit.Accept, Base: AnyBase, Source: source("u", "m")}},
+		{"another team's caller key", Change{ID: "2", Team: "u", Action: audit.Accept, Base: AnyBase, Source: other}},
+		{"withdrawing what is not declared", Change{ID: "2", Team: "t", Action: audit.Withdraw, Version: version.New("m", "7")}},
+		{"reinstating what is not withdrawn", Change{ID: "2", Team: "t", Action: audit.Reinstate, Version: version.New("m", "1")}},
+		{"a step of no roll-out", Change{ID: "2", Team: "t", Action: audit.StepRoll}},
+		{"an unknown action", Change{ID: "2", Team: "t", Action: "paint"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n, _, err := d.Apply(c.change)
+			if err == nil || n.Revision != d.Revision {
+				t.Errorf("got revision %d and no refusal", n.Revision)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/session/session_test.go
@@ -0,0 +1,80 @@
+package session_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"fieldvale/session"
+	"fieldvale/standin/seed"
+	"fieldvale/version"
+)
+
+var _ = seed.Fix()
+
+var (
+	key1 = session.Key{ID: "k1", Secret: []byte("one")}
+	key2 = session.Key{ID: "k2", Secret: []byte("two")}
+	now  = time.Unix(1_700_000_000, 0)
+)
+
+func drawSession(t *rapid.T) session.Session {
+	id := rapid.StringMatching(`[a-z0-9/-]{1,20}`)
+	s := session.New(id.Draw(t, "id"), id.Draw(t, "customer"), now.Add(time.Duration(rapid.IntRange(1, 1e6).Draw(t, "life"))*time.Second))
+	for range rapid.IntRange(0, 4).Draw(t, "pins") {
+		s = s.WithPin(version.New(id.Draw(t, "model"), id.Draw(t, "version")))
+	}
+	return s
+}
+
+func TestTokenSaysWhatWasMintedAcrossRotation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSession(t)
+		token := session.NewRing(key1).Mint(s)
+		for _, r := range []session.Ring{session.NewRing(key1), session.NewRing(key2, key1)} {
+			got, err := r.Open(token, now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if d := cmp.Diff(s, got); d != "" {
+				t.Fatal(d)
+			}
+		}
+		if _, err := session.NewRing(key2).Open(token, now); !errors.Is(err, session.ErrUnknown) {
+			t.Fatalf("a dropped key's token: %v", err)
+		}
+		if _, err := session.NewRing(key1).Open(token, s.Expires); !errors.Is(err, session.ErrExpired) {
+			t.Fatalf("an expired token: %v", err)
+		}
+	})
+}
+
+func TestChangedTokenIsNotHonoured(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSession(t)
+		r := session.NewRing(key1)
+		b := []byte(r.Mint(s))
+		i := rapid.IntRange(0, len(b)-1).Draw(t, "at")
+		c := rapid.ByteRange('!', '~').Draw(t, "byte")
+		if b[i] == c {
+			return
+		}
+		b[i] = c
+		got, err := r.Open(string(b), now)
+		if err == nil && !cmp.Equal(s, got) {
+			t.Fatalf("token %q opened as %+v", b, got)
+		}
+	})
+}
+
+func FuzzOpen(f *testing.F) {
+	f.Add(session.NewRing(key1).Mint(session.New("s", "c", now)))
+	f.Add("k1..")
+	f.Add("..")
+	f.Fuzz(func(t *testing.T, token string) {
+		_, _ = session.NewRing(key1).Open(token, now)
+	})
+}
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -114,8 +114,8 @@
 
 // refuse says that the work was not started.
 func refuse(c *fasthttp.RequestCtx, status int, reason string) {
-	c.Response.Header.Set("X-Not-Run", "true")
 	c.Error(reason, status)
+	c.Response.Header.Set("X-Not-Run", "true")
 }
 
 func completion(id, model string, t []string, in int) map[string]any {
