--- a/control/node.go
+++ b/control/node.go
@@ -66,7 +66,7 @@
 func DefaultTimes() Times {
 	return Times{
 		Exchange: 500 * time.Millisecond, Beat: 2 * time.Second, BeatPerPeer: 60 * time.Millisecond,
-		List: 2 * time.Second, Load: time.Second, Poll: 30 * time.Second, Flush: 10 * time.Second,
+		List: 2 * time.Second, Load: 2 * time.Second, Poll: 30 * time.Second, Flush: 10 * time.Second,
 		Orphan: 15 * time.Second, Takeover: 2 * time.Second, Call: 2 * time.Second,
 	}
 }
--- a/control/replicas.go
+++ b/control/replicas.go
@@ -17,7 +17,7 @@
 
 // subset is how many engines an instance knows the load of; each instance
 // uses its own subset, so that no replica is asked by the whole fleet.
-const subset = 48
+const subset = 24
 
 // readList takes in the platform's list.
 func (n *Node) readList(ctx context.Context) {
--- a/faults/named_test.go
+++ b/faults/named_test.go
@@ -171,6 +171,42 @@
 	})
 }
 
+func TestAnswerLostWhileCutOffIsBilledOnce(t *testing.T) {
+	scene(t, func(d *day, ctx context.Context) {
+		d.faulty = func(d *day, step string, _ *world.Proc) {
+			if step == world.StepEnd {
+				d.faulty = nil
+				d.w.Cut("site:dc-c", world.Any)
+				d.w.Cut(world.Any, "site:dc-c")
+				for _, b := range d.engines() {
+					d.w.Cut(b.Proc.Name, "c1/entry")
+				}
+			}
+		}
+		for _, b := range d.engines() {
+			if b.Proc.Site != "dc-c" {
+				b.SetDefect(world.Full)
+			}
+		}
+		if _, err := d.one(ctx, "c1", "plain", 1); err == nil {
+			t.Fatal("the answer was not lost")
+		}
+		for _, b := range d.engines() {
+			b.SetDefect(world.None)
+		}
+		if _, err := d.one(ctx, "a1", "plain", 1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(held)
+		d.w.Mend("site:dc-c", world.Any)
+		d.w.Mend(world.Any, "site:dc-c")
+		time.Sleep(settle)
+		if n := d.lines(ctx)[customer(1)]; n != 1 {
+			t.Errorf("billed %d times, want 1", n)
+		}
+	})
+}
+
 func TestIncarnationDiesWithUnflushedBills(t *testing.T) {
 	scene(t, func(d *day, ctx context.Context) {
 		d.w.BreakStore(kv.Down)
@@ -279,6 +315,7 @@
 	scene(t, func(d *day, ctx context.Context) {
 		c := d.instance("c1")
 		d.w.Cut(c.Control.Name, "store")
+		d.w.Cut("store", c.Control.Name)
 		for _, id := range []string{"a1", "b1"} {
 			d.w.Cut(c.Control.Name, d.instance(id).Control.Name)
 			d.w.Cut(d.instance(id).Control.Name, c.Control.Name)
