--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 # make demo and make test do all on a fresh machine that has Go.
 
 BIN := bin
+SHELL := /bin/bash
 
-.PHONY: build demo up test lint faults measure bench fuzz
+.PHONY: build demo up test lint faults mutants measure bench fuzz
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -10,6 +11,7 @@
 demo: build
 	./$(BIN)/fieldvale-demo run
 
+# up leaves the small system of the demo running in the foreground.
 up: build
 	./$(BIN)/fieldvale-demo up
 
@@ -17,6 +19,26 @@
 	go test ./...
 
 lint:
-	@test -z "$$(gofmt -l $$(git ls-files '*.go' 2>/dev/null || find . -name '*.go'))" || { echo 'gofmt would change:'; gofmt -l .; exit 1; }
+	@l="$$(gofmt -l $$(git ls-files '*.go'))"; test -z "$$l" || { echo "gofmt would change: $$l"; exit 1; }
 	go vet ./...
 	go tool staticcheck ./...
+
+# faults prints the fault matrix; the tests it runs are part of make test.
+faults:
+	@set -o pipefail; go test -count=1 -run TestMatrix -v ./faults | grep -vE '^ *(=== |--- PASS)|^(PASS|ok )'
+
+# mutants takes one mechanism out at a time and shows which test notices.
+mutants:
+	go run ./faults/mutate
+
+measure: build
+	./$(BIN)/fieldvale-measure --plots docs/measures
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./entry ./policy
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzOpen -fuzztime 10s ./session
+	go test -run '^$$' -fuzz FuzzParse -fuzztime 10s ./policy
+	go test -run '^$$' -fuzz FuzzChat -fuzztime 10s ./adapter/caller
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./adapter/codec
--- a/adapter/caller/server.go
+++ b/adapter/caller/server.go
@@ -171,8 +171,8 @@
 // requestID is the caller's own id if it gave a usable one.
 func requestID(c *fasthttp.RequestCtx) string {
 	id := string(c.Request.Header.Peek(HeaderRequestID))
-	if id == "" || len(id) > maxIDLength || !printable(id) {
-		return uuid.NewString()
+	if id == "" || len(id) > maxIDLength || !printable(id) || strings.HasPrefix(id, entry.MintedPrefix) {
+		return entry.MintedPrefix + uuid.NewString()
 	}
 	return id
 }
--- /dev/null
+++ b/adapter/codec/codec_test.go
@@ -0,0 +1,111 @@
+package codec_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"fieldvale/adapter/codec"
+	"fieldvale/adapter/policyfile"
+	"fieldvale/audit"
+	"fieldvale/bill"
+	"fieldvale/claim"
+	"fieldvale/config"
+	"fieldvale/peer"
+	"fieldvale/rollout"
+	"fieldvale/session"
+	"fieldvale/version"
+)
+
+var (
+	noon = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+	m1   = version.New("lingua-small", "1")
+	m2   = version.New("lingua-small", "2")
+)
+
+func document(t testing.TB) config.Document {
+	f, err := policyfile.ReadDir("../../examples/shared-memory")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, e := policyfile.Parse(f)
+	if len(e) > 0 {
+		t.Fatal(e)
+	}
+	r, err := rollout.New(m1, m2, []int{100, rollout.Whole}, noon, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config.Document{
+		Revision: 9, Recent: []string{"a", "b"}, SessionKeys: []session.Key{{ID: "k", Secret: []byte{1}}},
+		Parts: map[string]config.Part{"shared-memory": {
+			Team: "shared-memory", Revision: 8, Source: s, Active: map[string]version.ID{"lingua-small": m2},
+			Withdrawn: []version.ID{m1}, Rollouts: []rollout.Rollout{r.WithStep()},
+		}},
+	}
+}
+
+func TestValuesComeBackAsTheyWere(t *testing.T) {
+	d := document(t)
+	b, err := codec.EncodeDocument(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, err := codec.DecodeDocument(b)
+	if x := cmp.Diff(d, g); err != nil || x != "" {
+		t.Error(err, x)
+	}
+	if r, err := codec.PeekRevision(b); err != nil || r != 9 {
+		t.Errorf("revision %d, %v", r, err)
+	}
+	c := claim.New("t/c", "k", "n", "i", noon).WithAnswer(200, []byte("yes"))
+	b, _ = codec.EncodeClaim(c)
+	k, err := codec.DecodeClaim(b)
+	if x := cmp.Diff(c, k); err != nil || x != "" {
+		t.Error(err, x)
+	}
+	l := bill.NewLedger("o").With(bill.Record{Owner: "o", Seq: 2, Line: bill.Line{Team: "t", Customer: "c", Version: m1}, Add: bill.Amount{Requests: 1, Cost: 5}})
+	b, _ = codec.EncodeLedger(l)
+	o, err := codec.DecodeLedger(b)
+	if x := cmp.Diff(l, o); err != nil || x != "" {
+		t.Error(err, x)
+	}
+	e := audit.Entry{Revision: 1, ChangeID: "c", Team: "t", Who: "w", At: noon, Action: audit.Accept, From: "f", To: "t", Why: "y"}
+	b, _ = codec.EncodeAudit(e, map[string]string{"f": "x"})
+	a, f, err := codec.DecodeAudit(b)
+	if x := cmp.Diff(e, a); err != nil || x != "" || f["f"] != "x" {
+		t.Error(err, x, f)
+	}
+	h := peer.Heartbeat{Addr: "a", DataCentre: "d", Incarnation: "i", EntryIncarnation: "e", Revision: 3, EntryRevision: 2, StoreOK: true, LedgerUpto: 4, Alarms: []string{"x"}}
+	b, _ = codec.EncodeHeartbeat(h)
+	j, err := codec.DecodeHeartbeat(b)
+	if x := cmp.Diff(h, j); err != nil || x != "" {
+		t.Error(err, x)
+	}
+	v, err := codec.DecodeEvidence(codec.EncodeEvidence(rollout.Evidence{Good: 300, Bad: 2}))
+	if err != nil || v != (rollout.Evidence{Good: 300, Bad: 2}) {
+		t.Error(v, err)
+	}
+}
+
+// What peers and the store send is read without a panic, whatever it is.
+func FuzzDecode(f *testing.F) {
+	b, err := codec.EncodeDocument(document(f))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add([]byte(`{"parts":{"t":{"rollouts":[{"from":"a@1","to":"a@2","taken":7}]}}}`))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		if d, err := codec.DecodeDocument(b); err == nil {
+			config.Activate(d)
+			d.DueSteps(noon)
+		}
+		_, _ = codec.DecodeClaim(b)
+		_, _ = codec.DecodeLedger(b)
+		_, _, _ = codec.DecodeAudit(b)
+		_, _ = codec.DecodeHeartbeat(b)
+		_, _ = codec.DecodeEvidence(b)
+	})
+}
--- a/adapter/codec/document.go
+++ b/adapter/codec/document.go
@@ -169,7 +169,7 @@
 	for _, s := range w.Steps {
 		r.Steps = append(r.Steps, rollout.Step{Share: s.Share, Due: s.Due})
 	}
-	if r.Taken < 0 || r.Taken > len(r.Steps) {
+	if len(r.Steps) == 0 || r.Taken < 0 || r.Taken > len(r.Steps) {
 		return r, errors.Newf("roll-out to %s has taken %d of %d steps", t, r.Taken, len(r.Steps))
 	}
 	return r, nil
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -237,3 +237,23 @@
 		}
 	})
 }
+
+// A heartbeat sent by a small fleet is followed by the next before it runs
+// out, also when the fleet has grown meanwhile.
+func TestHeartbeatOutlivesTheFleetsGrowth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newTestNode("n", kv.NewFake(kv.NewMemory()))
+		for i := range 349 {
+			k := peer.Key{Kind: peer.Instance, Name: fmt.Sprint("i", i)}
+			n.table.Put(peer.Item{Key: k, Version: 1, Expires: time.Now().Add(time.Hour)}, "", time.Now())
+		}
+		for range 120 {
+			time.Sleep(n.Times.Beat)
+			n.beatIfDue()
+			i, ok := n.table.Get(peer.Key{Kind: peer.Instance, Name: "n"}, time.Now())
+			if !ok || time.Until(i.Expires) < i.Expires.Sub(time.Unix(0, int64(i.Version)))/2 {
+				t.Fatal("the heartbeat has run half out, or out, before the next")
+			}
+		}
+	})
+}
--- a/control/membership.go
+++ b/control/membership.go
@@ -59,12 +59,19 @@
 	n.table.Expire(t)
 	n.view++
 	k := peer.Key{Kind: peer.Instance, Name: n.Self.ID}
-	if i, ok := n.table.Get(k, t); ok && uint64(t.UnixNano())-i.Version < uint64(n.beatEvery()) {
+	if i, ok := n.table.Get(k, t); ok && t.Before(nextBeat(i)) {
 		return
 	}
 	n.beatLocked()
 }
 
+// nextBeat is when a heartbeat must be followed by the next: it was sent for
+// beatLives intervals of the fleet's size at that time, which may have grown.
+func nextBeat(i peer.Item) time.Time {
+	s := time.Unix(0, int64(i.Version))
+	return s.Add(i.Expires.Sub(s) / beatLives)
+}
+
 func (n *Node) storeOK(t time.Time) bool {
 	return t.Before(n.storeOKAt.Add(n.Times.Poll + storeLife))
 }
--- /dev/null
+++ b/entry/bench_test.go
@@ -0,0 +1,24 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"fieldvale/pool"
+	"fieldvale/session"
+)
+
+// BenchmarkDecision is one whole decision: plan, version and replica.
+func BenchmarkDecision(b *testing.B) {
+	r, v := newTestRouter(b, &backendsFake{}, &rest{})
+	q := request(v, "gold", AutoModel)
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		x := v.Get()
+		p := x.Active.Decide(q.Caller, q.Task, q.Size)
+		w, _ := x.Active.Pick(q.Caller, p[0].Model, session.Session{ID: "s"}, x.IsTripped)
+		c := r.backends.take(x.byVersion[w], pool.Ask{Affinity: "s"}, nil, now)
+		r.backends.done(c.ID, nil, now)
+	}
+}
--- a/entry/biller.go
+++ b/entry/biller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -119,7 +120,7 @@
 	defer cancel()
 	m := b.view.Get().Members
 	b.noteMembers(m)
-	h, s := peer.Holders(r.RequestID, b.self, m)
+	h, s := b.holders(r, m)
 	w, n := b.hold(x, h, r)
 	for n == 0 && len(s) > 0 && x.Err() == nil {
 		k := min(sparesAtOnce, len(s))
@@ -140,6 +141,24 @@
 	return true
 }
 
+// holders ranks the instances to ask. An id that this entry made itself can
+// be asked again nowhere else, so any instance may hold its bill.
+func (b *Biller) holders(r bill.Record, m []peer.Member) (hold, spare []peer.Member) {
+	if !strings.HasPrefix(r.RequestID, MintedPrefix) {
+		return peer.Holders(r.RequestID, b.self, m)
+	}
+	d := ""
+	for _, x := range m {
+		if x.ID == b.self {
+			d = x.DataCentre
+		}
+	}
+	return peer.NearHolders(b.self, d, m)
+}
+
+// MintedPrefix starts the ids of requests to which the caller gave none.
+const MintedPrefix = "fieldvale-"
+
 func (b *Biller) noteMembers(m []peer.Member) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -72,6 +72,9 @@
 	leaving atomic.Pointer[string]
 	peers   atomic.Int64
 	loads   atomic.Int64
+	holds   atomic.Int64
+	// named says that requests have ids of their callers.
+	named   atomic.Bool
 	stop    context.CancelFunc
 	done    sync.WaitGroup
 	servers []*http.Server
@@ -80,8 +83,10 @@
 
 const (
 	fleetKey = "measure-fleet-key"
-	// fleetEngines stand for the replicas that one instance knows.
+	// fleetEngines are the replicas that one instance knows; a large fleet
+	// gets fewer, for its connections must fit into one process.
 	fleetEngines = 24
+	fewEngines   = 4
 	dataCentres  = 9
 	// billRate is the requests a second of one instance at the target.
 	billRate = 10
@@ -108,7 +113,7 @@
 func newFleet(n int) (*fleet, error) {
 	x, cancel := context.WithCancel(context.Background())
 	f := &fleet{list: &platform.List{}, stop: cancel}
-	if err := f.startEngines(); err != nil {
+	if err := f.startEngines(n); err != nil {
 		return nil, err
 	}
 	m := kv.NewMemory()
@@ -135,8 +140,12 @@
 	return f, nil
 }
 
-func (f *fleet) startEngines() error {
-	for i := range fleetEngines {
+func (f *fleet) startEngines(nodes int) error {
+	k := fleetEngines
+	if nodes > namedMost {
+		k = fewEngines
+	}
+	for i := range k {
 		e := engine.New(engine.Settings{ID: fmt.Sprint("e", i), Slots: 8, Models: map[string]engine.Model{"m@1": {}, "m@2": {}, "n@1": {}}})
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -173,9 +182,14 @@
 			defer t.Stop()
 			for k := uint64(1); ctx.Err() == nil; k++ {
 				r := bill.Record{RequestID: fmt.Sprint(i, "/", k), Owner: e.Owner, Seq: k, Line: bill.Line{Team: "t", Customer: fmt.Sprint("c", k%10), Version: version.New("m", "1")}, Add: bill.Amount{Requests: 1}}
-				h, _ := peer.Holders(r.RequestID, n.Self.ID, f.list.Members)
+				h, _ := peer.NearHolders(n.Self.ID, n.Self.DataCentre, f.list.Members)
+				if f.named.Load() {
+					h, _ = peer.Holders(r.RequestID, n.Self.ID, f.list.Members)
+				}
 				for _, m := range h {
-					_, _ = p.Hold(ctx, m, r)
+					if _, err := p.Hold(ctx, m, r); err == nil {
+						f.holds.Add(1)
+					}
 				}
 				e = e.With(r)
 				if k%2 == 0 {
@@ -226,6 +240,9 @@
 var fleetSizes = []int{7, 35, 100, 350}
 
 const (
+	// namedMost is the largest fleet that is measured with ids of callers:
+	// its connections must fit into one process.
+	namedMost    = 100
 	settleFleet  = 12 * time.Second
 	measureFleet = 10 * time.Second
 	spreadRounds = 5
@@ -262,16 +279,25 @@
 	f.entries(x, &g)
 	time.Sleep(2 * time.Second)
 	f.steady(r, v, "control")
-	f.spread(r, v)
-	f.leave(r, v)
+	if n <= namedMost {
+		f.named.Store(true)
+		time.Sleep(2 * time.Second)
+		f.steady(r, v, "control-named-ids")
+		f.named.Store(false)
+	}
+	// All nodes share one machine here: the players of entries would take the
+	// processor from what is measured next.
 	cancel()
 	g.Wait()
+	f.spread(r, v)
+	f.leave(r, v)
 	return nil
 }
 
 // steady measures a fleet in which nothing is changed. The processor time is
 // that of the whole measuring process: stand-ins and players of entries too.
 func (f *fleet) steady(r *Report, v, item string) {
+	h0 := f.holds.Load()
 	p0, l0, c0 := f.peers.Load(), f.loads.Load(), processorSeconds()
 	r0, w0 := f.storeCalls()
 	t := time.Now()
@@ -284,6 +310,7 @@
 	r.Add(item, v, "load_traffic", float64(l1-l0)/s/n/1000, "kB/s")
 	r.Add(item, v, "store_reads_of_fleet", float64(r1-r0)/s, "calls/s")
 	r.Add(item, v, "store_writes_of_fleet", float64(w1-w0)/s, "calls/s")
+	r.Add(item, v, "bills_held", float64(f.holds.Load()-h0)/s/n, "records/s")
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/peer/member.go
+++ b/peer/member.go
@@ -88,7 +88,7 @@
 // two; if self is one of them it is asked too, for it may be asked by others,
 // and a third is added.
 func Holders(id, self string, m []Member) (hold, spare []Member) {
-	r := spread(Rank("bill/"+id, m))
+	r := spread(Rank("bill/"+id, candidates(m)))
 	n := 0
 	for i, x := range r {
 		if n == holders {
@@ -101,6 +101,33 @@
 	return r, nil
 }
 
+// maxHolders bounds the instances among which bills are held by request id,
+// so that not every instance keeps a connection to every other.
+const maxHolders = 64
+
+func candidates(m []Member) []Member {
+	if len(m) <= maxHolders {
+		return m
+	}
+	return Rank("holders", m)[:maxHolders]
+}
+
+// NearHolders returns the instances that are to hold the bill of a request
+// which can't be asked again elsewhere, since only self knows its id: self's
+// own partners, to which it has connections. One is in another data centre if
+// any partner is; the rest are spares.
+func NearHolders(self, dataCentre string, m []Member) (hold, spare []Member) {
+	p := Partners(self, m)
+	for i, x := range p {
+		if x.DataCentre != dataCentre {
+			p[0], p[i] = p[i], p[0]
+			break
+		}
+	}
+	n := min(len(p), holders)
+	return p[:n], p[n:]
+}
+
 // spread moves the first member of another data centre to the second place.
 func spread(r []Member) []Member {
 	for i := 1; i < len(r); i++ {
