--- a/cmd/fieldvale-demo/client.go
+++ b/cmd/fieldvale-demo/client.go
@@ -40,8 +40,8 @@
 }
 
 const (
-	maxTries   = 6
-	tryPause   = 150 * time.Millisecond
+	maxTries   = 10
+	tryPause   = 250 * time.Millisecond
 	tryTimeout = 10 * time.Second
 )
 
--- a/cmd/fieldvale-demo/run.go
+++ b/cmd/fieldvale-demo/run.go
@@ -22,6 +22,8 @@
 	// rolloutEvery is between the steps of the demo's roll-out.
 	rolloutEvery  = 1500 * time.Millisecond
 	rolloutWithin = 15 * time.Second
+	// trouble is how long an entry is paused and the store is out.
+	trouble = 1200 * time.Millisecond
 	// settleWithin bounds the wait for the killed instance's bills.
 	settleWithin = 15 * time.Second
 )
@@ -78,7 +80,14 @@
 		return err
 	}
 	d.withdrawnAt = time.Now()
-	d.send(n-2*(n/3), nil)
+	d.send(n-2*(n/3), func() {
+		fmt.Println("demo: pausing", d.s.instances[0].id, "and stopping the store for a while")
+		d.s.pauseEntry(0, trouble)
+		if err := d.s.breakStore(trouble); err != nil {
+			d.broken = append(d.broken, err.Error())
+		}
+	})
+	time.Sleep(trouble)
 	if err := d.s.operator("status"); err != nil {
 		return err
 	}
--- a/cmd/fieldvale-demo/system.go
+++ b/cmd/fieldvale-demo/system.go
@@ -192,7 +192,7 @@
 	if p.StatusCode != http.StatusOK {
 		return errors.Newf("%s: status %d", p.Request.URL, p.StatusCode)
 	}
-	if out == nil {
+	if out == nil || len(b) == 0 {
 		return nil
 	}
 	return json.Unmarshal(b, out)
@@ -262,6 +262,20 @@
 	_ = i.control.Wait()
 }
 
+// pauseEntry freezes an entry for a while, as a machine in trouble would.
+func (s *system) pauseEntry(n int, d time.Duration) {
+	p := s.instances[n].entry.Process
+	_ = p.Signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() { _ = p.Signal(syscall.SIGCONT) })
+}
+
+// breakStore has the platform's store refuse everything for a while.
+func (s *system) breakStore(d time.Duration) error {
+	u := "http://" + s.platform["kv"] + "/standin/fault"
+	time.AfterFunc(d, func() { _ = get(u, nil) })
+	return get(u+"?down=true", nil)
+}
+
 // stop ends the living instances in order and reports one that did not.
 func (s *system) stop() error {
 	var l []*exec.Cmd
--- a/peer/member.go
+++ b/peer/member.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -52,7 +53,7 @@
 func successor(self string, m []Member) Member {
 	h := xxhash.Sum64String(self)
 	return slices.MinFunc(m, func(a, b Member) int {
-		return compare(xxhash.Sum64String(a.ID)-h, xxhash.Sum64String(b.ID)-h)
+		return cmp.Compare(xxhash.Sum64String(a.ID)-h, xxhash.Sum64String(b.ID)-h)
 	})
 }
 
@@ -65,7 +66,7 @@
 		w[x.ID] = xxhash.Sum64String(key + "/" + x.ID)
 	}
 	slices.SortFunc(r, func(a, b Member) int {
-		if c := compare(w[b.ID], w[a.ID]); c != 0 {
+		if c := cmp.Compare(w[b.ID], w[a.ID]); c != 0 {
 			return c
 		}
 		return strings.Compare(a.ID, b.ID)
@@ -140,13 +141,3 @@
 	}
 	return r
 }
-
-func compare(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
--- a/policy/table.go
+++ b/policy/table.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -103,7 +104,7 @@
 			d = append(d, Difference{What: "allow " + g.customer + " " + g.version.String(), From: strconv.FormatBool(o.allow[g]), To: strconv.FormatBool(t.allow[g])})
 		}
 	}
-	slices.SortFunc(d, func(a, b Difference) int { return compareStrings(a.What, b.What) })
+	slices.SortFunc(d, func(a, b Difference) int { return strings.Compare(a.What, b.What) })
 	return d
 }
 
@@ -131,13 +132,3 @@
 	}
 	return r
 }
-
-func compareStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
