--- a/control/membership.go
+++ b/control/membership.go
@@ -198,38 +198,16 @@
 		select {
 		case <-t.C:
 		case <-n.kick.Chan():
-			n.exchangeAll(ctx, n.callers())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// callers are the instances that start exchanges with this one: told at once
-// of what can't wait, they need not find it at their next round.
-func (n *Node) callers() []peer.Member {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	t := n.Clock()
-	var r []peer.Member
-	for _, m := range n.members() {
-		if t.Before(n.calledUntil[m.ID]) {
-			r = append(r, m)
-		}
-	}
-	return r
-}
-
-// callerRounds is for how many rounds an instance that was heard counts as
-// one that starts exchanges.
-const callerRounds = 4
-
 // exchange makes one round with all partners at once.
-func (n *Node) exchange(ctx context.Context) { n.exchangeAll(ctx, n.partners()) }
-
-func (n *Node) exchangeAll(ctx context.Context, l []peer.Member) {
+func (n *Node) exchange(ctx context.Context) {
 	var g sync.WaitGroup
-	for _, m := range l {
+	for _, m := range n.partners() {
 		g.Go(func() { n.exchangeWith(ctx, m) })
 	}
 	g.Wait()
@@ -276,7 +254,6 @@
 	n.mu.Lock()
 	r, news := n.table.Answer(n.Incarnation, m, n.Clock())
 	r.Revision = n.doc.Revision
-	n.calledUntil[m.From] = n.Clock().Add(callerRounds * n.Times.Exchange)
 	var from peer.Member
 	for _, x := range n.known() {
 		if x.ID == m.From {
--- a/control/node.go
+++ b/control/node.go
@@ -102,10 +102,7 @@
 
 	table   *peer.Table
 	cursors map[string]peer.Cursor
-	// calledUntil is, for each instance that starts exchanges with this one,
-	// until when it counts as doing so.
-	calledUntil map[string]time.Time
-	listed      []peer.Member
+	listed  []peer.Member
 	// lastMembers serves until membersUntil.
 	lastMembers  []peer.Member
 	membersUntil time.Time
@@ -148,24 +145,22 @@
 // New returns a node that knows nothing yet.
 func New(p Parts) *Node {
 	n := &Node{
-		Parts:   p,
-		doc:     config.Document{},
-		table:   peer.NewTable(),
-		cursors: map[string]peer.Cursor{},
-
-		calledUntil: map[string]time.Time{},
-		replicas:    map[string]pool.Replica{},
-		local:       map[string]int{},
-		ledgers:     map[string]*flushState{},
-		book:        bill.NewBook(),
-		seenAt:      map[string]time.Time{},
-		pooled:      map[version.ID]*rollout.Pooled{},
-		detectors:   map[version.ID]rollout.Detector{},
-		tripped:     map[version.ID]bool{},
-		claims:      ring.New[claimJob](claimRing),
-		abandons:    ring.New[abandoned](abandonRing),
-		fetches:     ring.New[peer.Member](fetchRing),
-		kick:        ring.New[struct{}](1),
+		Parts:     p,
+		doc:       config.Document{},
+		table:     peer.NewTable(),
+		cursors:   map[string]peer.Cursor{},
+		replicas:  map[string]pool.Replica{},
+		local:     map[string]int{},
+		ledgers:   map[string]*flushState{},
+		book:      bill.NewBook(),
+		seenAt:    map[string]time.Time{},
+		pooled:    map[version.ID]*rollout.Pooled{},
+		detectors: map[version.ID]rollout.Detector{},
+		tripped:   map[version.ID]bool{},
+		claims:    ring.New[claimJob](claimRing),
+		abandons:  ring.New[abandoned](abandonRing),
+		fetches:   ring.New[peer.Member](fetchRing),
+		kick:      ring.New[struct{}](1),
 	}
 	n.beat()
 	return n
