--- a/cmd/fieldvale/policy.go
+++ b/cmd/fieldvale/policy.go
@@ -64,7 +64,7 @@
 	for _, err := range e {
 		fmt.Fprintln(os.Stderr, err)
 	}
-	return errors.Wrapf(errRefused, "%d faults", len(e))
+	return errors.Wrapf(errRefused, "faults: %d", len(e))
 }
 
 type policyCheck struct{ policyDir }
@@ -139,7 +139,7 @@
 force. It starts from the revision that "policy show --out" saved or that the
 last accept from this directory made; if another operator's change came
 between, it is refused with exit code 3 and nothing is changed. It may be
-repeated: the same policy from the same base is accepted once.`
+repeated: a policy that is in force is not accepted again.`
 
 // baseFile holds the revision that a directory started from.
 const baseFile = ".base"
@@ -219,7 +219,7 @@
 	}
 	return r, show(r, func() {
 		if r.RepeatedChange {
-			fmt.Println("the change had been made before")
+			fmt.Println("nothing to change: it is made already")
 		}
 		fmt.Printf("revision %d in force on %d of %d instances\n", r.Revision, len(r.InForce), len(r.InForce)+len(r.NotInForce))
 		for _, i := range r.NotInForce {
--- a/config/change.go
+++ b/config/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -63,13 +64,17 @@
 }
 
 // Apply returns the document after the change and the entry for the audit
-// trail. A change that the document already has returns it unchanged with
-// no entry.
+// trail. A change that the document already has, or that would accept the
+// policy in force, returns it unchanged with no entry.
 func (d Document) Apply(c Change) (Document, *audit.Entry, error) {
 	if d.Has(c.ID) {
 		return d, nil, nil
 	}
 	p := d.Part(c.Team)
+	if c.Action == audit.Accept && len(c.Source.Files) > 0 && maps.Equal(p.Source.Files, c.Source.Files) {
+		// The same policy is in force: to accept it again changes nothing.
+		return d, nil, nil
+	}
 	n, f, t, err := d.apply(p, c)
 	if err != nil {
 		return d, nil, errors.Wrapf(err, "%s for team %s", c.Action, c.Team)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -132,3 +132,16 @@
 		})
 	}
 }
+
+func TestAcceptingThePolicyInForceChangesNothing(t *testing.T) {
+	s := source("t", "m")
+	s.Files = map[string]string{"policy.star": program}
+	d, _, err := Document{}.Apply(Change{ID: "1", Team: "t", Action: audit.Accept, Base: AnyBase, Source: s})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, e, err := d.Apply(Change{ID: "2", Team: "t", Action: audit.Accept, Base: 1, Source: s})
+	if err != nil || e != nil || n.Revision != d.Revision {
+		t.Errorf("revision %d, entry %v, %v; want nothing changed", n.Revision, e, err)
+	}
+}
