--- a/measure/measure.go
+++ b/measure/measure.go
@@ -54,11 +54,3 @@
 	sort.Float64s(v)
 	return v[min(len(v)-1, int(q*float64(len(v))))]
 }
-
-func mean(v []float64) float64 {
-	t := 0.0
-	for _, x := range v {
-		t += x
-	}
-	return t / float64(max(1, len(v)))
-}
