A version that was mended can be rolled out again

A version that was reinstated and rolled out again was stopped at once ('the roll-out of the mended version is tripped').

Ruled out: the document; it lets the second roll-out start.

Change: trips carry the roll-out that they are of and are dropped when it has ended; evidence counts from the roll-out's start.

Limit: a control that starts in the middle of a second roll-out counts what an entry saw of the first.

--- a/control/configuration.go
+++ b/control/configuration.go
@@ -60,6 +60,7 @@
 		return false, nil
 	}
 	n.doc, n.bytes, n.fromPeers = d, b, fromPeers
+	n.forgetTrips()
 	n.view++
 	n.mu.Unlock()
 	n.log("config_adopted", "revision", d.Revision, "from_peers", fromPeers)
--- a/control/facts.go
+++ b/control/facts.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"fieldvale/adapter/codec"
@@ -34,8 +36,9 @@
 func (n *Node) applyTrips(t time.Time) bool {
 	u := false
 	for _, i := range n.table.All(peer.Trip, t) {
-		v, err := version.Parse(i.Key.Name)
-		if err == nil && !n.tripped[v] {
+		_, v, ok := splitName(i.Key.Name)
+		r, under := n.rolloutTo(v)
+		if ok && under && i.Key == tripKey(r) && !n.tripped[v] {
 			n.tripped[v] = true
 			u = true
 		}
@@ -43,6 +46,22 @@
 	return u
 }
 
+// tripKey names the finding that one roll-out's version is bad. A later
+// roll-out of the same version has another start and so another name.
+func tripKey(r rollout.Rollout) peer.Key {
+	return peer.Key{Kind: peer.Trip, Name: joinName(strconv.FormatInt(r.Steps[0].Due.UnixNano(), 10), r.To)}
+}
+
+// forgetTrips drops the trips of roll-outs that have ended: the document has
+// their versions as withdrawn, until an operator reinstates them.
+func (n *Node) forgetTrips() {
+	for v := range n.tripped {
+		if _, ok := n.rolloutTo(v); !ok {
+			delete(n.tripped, v)
+		}
+	}
+}
+
 func (n *Node) applyLeaving(t time.Time) bool {
 	u := false
 	for _, i := range n.table.All(peer.Leaving, t) {
@@ -68,7 +87,7 @@
 // trips those that the pooled evidence shows to be bad.
 func (n *Node) applyEvidence(t time.Time) {
 	for _, i := range n.table.All(peer.Evidence, t) {
-		o, v, ok := splitEvidence(i.Key.Name)
+		o, v, ok := splitName(i.Key.Name)
 		if !ok {
 			continue
 		}
@@ -86,62 +105,67 @@
 	if !ok {
 		p = rollout.NewPooled()
 		n.pooled[v] = p
+	}
+	r, under := n.rolloutTo(v)
+	if under && n.trials[v] != tripKey(r).Name {
+		// What was counted before this roll-out began says nothing of it.
+		n.trials[v] = tripKey(r).Name
+		p.Restart()
 		n.detectors[v] = rollout.NewDetector(n.Rates)
 	}
 	p.Report(origin, e)
+	if !under {
+		return
+	}
 	n.detectors[v] = n.detectors[v].With(p.Total())
-	if n.detectors[v].Tripped() && !n.tripped[v] && n.underRollout(v) {
-		n.trip(v)
+	if n.detectors[v].Tripped() && !n.tripped[v] {
+		n.trip(r)
 	}
 }
 
 // trip stops new work for the version here at once and tells peers; the
 // roll-out's end is written by driveRollouts.
-func (n *Node) trip(v version.ID) {
-	t := n.Clock()
+func (n *Node) trip(r rollout.Rollout) {
+	t, v := n.Clock(), r.To
 	n.tripped[v] = true
 	n.view++
-	n.table.Put(peer.Item{Key: peer.Key{Kind: peer.Trip, Name: v.String()}, Version: uint64(t.UnixNano()), Expires: t.Add(tripLife)}, "", t)
+	n.table.Put(peer.Item{Key: tripKey(r), Version: uint64(t.UnixNano()), Expires: t.Add(tripLife)}, "", t)
 	n.log("version_tripped", "version", v, "good", n.pooled[v].Total().Good, "bad", n.pooled[v].Total().Bad)
 	n.hurry()
 }
 
-func (n *Node) underRollout(v version.ID) bool {
+// rolloutTo returns the roll-out to the version that is under way.
+func (n *Node) rolloutTo(v version.ID) (rollout.Rollout, bool) {
 	for _, t := range n.doc.Teams() {
 		if r, ok := n.doc.Parts[t].Rollout(v.Model); ok && r.To == v && r.State == rollout.Running {
-			return true
+			return r, true
 		}
 	}
-	return false
+	return rollout.Rollout{}, false
 }
 
-// evidenceSeparator stands between origin and version in an item's name; it
-// is in neither.
-const evidenceSeparator = '|'
+// nameSeparator stands between the parts of an item's name; it is in neither.
+const nameSeparator = "|"
 
-func evidenceName(origin string, v version.ID) string {
-	return origin + string(evidenceSeparator) + v.String()
+func joinName(first string, v version.ID) string {
+	return first + nameSeparator + v.String()
 }
 
-func splitEvidence(s string) (string, version.ID, bool) {
-	for i := range s {
-		if s[i] == evidenceSeparator {
-			v, err := version.Parse(s[i+1:])
-			return s[:i], v, err == nil
-		}
-	}
-	return "", version.ID{}, false
+func splitName(s string) (string, version.ID, bool) {
+	f, t, _ := strings.Cut(s, nameSeparator)
+	v, err := version.Parse(t)
+	return f, v, err == nil
 }
 
 // tellEvidence makes the entry's own evidence known, for versions that are
 // under a roll-out.
 func (n *Node) tellEvidence(v version.ID, e rollout.Evidence, t time.Time) {
-	if !n.underRollout(v) {
+	if _, ok := n.rolloutTo(v); !ok {
 		return
 	}
 	o := n.Self.ID + "/" + n.entry.incarnation
 	n.report(o, v, e)
-	k := peer.Key{Kind: peer.Evidence, Name: evidenceName(o, v)}
+	k := peer.Key{Kind: peer.Evidence, Name: joinName(o, v)}
 	old, ok := n.table.Get(k, t)
 	if ok && old.Version == e.Good+e.Bad {
 		return
--- a/control/node.go
+++ b/control/node.go
@@ -119,6 +119,8 @@
 	pooled    map[version.ID]*rollout.Pooled
 	detectors map[version.ID]rollout.Detector
 	tripped   map[version.ID]bool
+	// trials names, for each version, the roll-out that is being judged.
+	trials map[version.ID]string
 
 	claims   *ring.Ring[claimJob]
 	abandons *ring.Ring[abandoned]
@@ -157,6 +159,7 @@
 		pooled:    map[version.ID]*rollout.Pooled{},
 		detectors: map[version.ID]rollout.Detector{},
 		tripped:   map[version.ID]bool{},
+		trials:    map[version.ID]string{},
 		claims:    ring.New[claimJob](claimRing),
 		abandons:  ring.New[abandoned](abandonRing),
 		fetches:   ring.New[peer.Member](fetchRing),
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -48,7 +48,7 @@
 				continue
 			}
 			c := config.TripChange(m, o, n.tripReason(o.To))
-			if !t.Before(n.turn("trip/"+c.ID, n.trippedAt(o.To, t))) {
+			if !t.Before(n.turn("trip/"+c.ID, n.trippedAt(o, t))) {
 				r = append(r, c)
 			}
 		}
@@ -56,10 +56,10 @@
 	return r
 }
 
-func (n *Node) trippedAt(v version.ID, t time.Time) time.Time {
+func (n *Node) trippedAt(r rollout.Rollout, t time.Time) time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	i, ok := n.table.Get(peer.Key{Kind: peer.Trip, Name: v.String()}, t)
+	i, ok := n.table.Get(tripKey(r), t)
 	if !ok {
 		return t
 	}
--- a/faults/named_test.go
+++ b/faults/named_test.go
@@ -278,6 +278,61 @@
 	})
 }
 
+func TestBadVersionIsTrippedAndMayBeTriedAgain(t *testing.T) {
+	scene(t, func(d *day, ctx context.Context) {
+		start := func(id string) {
+			r, err := rollout.New(cheap1, cheap2, []int{5000, rollout.Whole}, time.Now(), time.Hour)
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.must(ctx, config.Change{ID: id, Team: "t", Who: "op", Why: "t", Action: audit.StartRoll, Rollout: r})
+		}
+		state := func() rollout.State {
+			r, _ := d.instance("a1").View.Get().Active.Document().Part("t").Rollout("cheap")
+			return r.State
+		}
+		send := func(from, to int) {
+			for n := from; n < to; n++ {
+				_, _ = d.one(ctx, []string{"a1", "b1", "c1"}[n%3], "chat", n)
+			}
+			time.Sleep(10 * time.Second)
+		}
+		for _, b := range d.engines() {
+			b.SetBad(cheap2, true)
+		}
+		start("first try")
+		send(0, 40)
+		if state() != rollout.Tripped {
+			t.Fatalf("the roll-out of a bad version is %s", state())
+		}
+		for _, b := range d.engines() {
+			b.SetBad(cheap2, false)
+			world.Load(b, cheap2)
+		}
+		d.must(ctx, config.Change{ID: "again", Team: "t", Who: "op", Why: "mended", Action: audit.Reinstate, Version: cheap2})
+		start("second try")
+		d.sessions, d.versions = map[string]string{}, map[string][]version.ID{}
+		send(40, 80)
+		if state() != rollout.Running {
+			t.Fatalf("the roll-out of the mended version is %s", state())
+		}
+		d.hasRun(cheap2, time.Now().Add(-30*time.Second))
+	})
+}
+
+// hasRun checks that the version got work after the given time.
+func (d *day) hasRun(v version.ID, after time.Time) {
+	d.t.Helper()
+	for _, l := range d.runs() {
+		for _, r := range l {
+			if r.Version == v && r.At.After(after) {
+				return
+			}
+		}
+	}
+	d.t.Errorf("%s got no work", v)
+}
+
 func TestWithdrawnBetweenTwoTries(t *testing.T) {
 	scene(t, func(d *day, ctx context.Context) {
 		// Every engine refuses; the view of this one instance loses the
--- a/peer/item.go
+++ b/peer/item.go
@@ -16,7 +16,7 @@
 	Leaving
 	// Evidence: one instance's counts for a version, by "instance/version".
 	Evidence
-	// Trip: a version that was found bad, by its id.
+	// Trip: a roll-out whose version was found bad, by "start/version".
 	Trip
 )
 
--- a/rollout/pooled.go
+++ b/rollout/pooled.go
@@ -24,3 +24,7 @@
 
 // Total returns the evidence of all origins.
 func (p *Pooled) Total() Evidence { return p.total }
+
+// Restart forgets the total and keeps what each origin has reported, so that
+// only what comes after counts.
+func (p *Pooled) Restart() { p.total = Evidence{} }
--- a/standin/world/backend.go
+++ b/standin/world/backend.go
@@ -348,3 +348,6 @@
 
 // Order gives the backend server an order to unload a version.
 func Order(b *Backend, v version.ID, fence uint64) error { return b.unload(v, fence) }
+
+// Load loads a version again, as its platform would.
+func Load(b *Backend, v version.ID) { b.Set(func(b *Backend) { b.loaded[v] = true }) }
