--- a/cmd/fieldvale-demo/system.go
+++ b/cmd/fieldvale-demo/system.go
@@ -28,7 +28,9 @@
 	startWithin = 20 * time.Second
 	// stopWithin bounds the wait for a process to stop in order.
 	stopWithin = 20 * time.Second
-	pollEvery  = 50 * time.Millisecond
+	// listenWithin bounds the wait for an instance's listeners.
+	listenWithin = 5 * time.Second
+	pollEvery    = 50 * time.Millisecond
 )
 
 // instance is one entry with its control.
@@ -38,6 +40,7 @@
 	control *exec.Cmd
 	url     string
 	admin   string
+	metrics string
 	dead    bool
 }
 
@@ -116,16 +119,46 @@
 	return l.Addr().String(), nil
 }
 
+// startTries bounds the starts of one instance: a port that was free may be
+// taken by the time it is used.
+const startTries = 5
+
 func (s *system) startInstance(n int) error {
+	var err error
+	for range startTries {
+		var i *instance
+		if i, err = s.tryInstance(n); err == nil {
+			s.instances = append(s.instances, i)
+			return nil
+		}
+	}
+	return err
+}
+
+// listening waits until both processes of the instance serve.
+func (i *instance) listening() error {
+	d := time.Now().Add(listenWithin)
+	for time.Now().Before(d) {
+		if get(i.url+"/healthz", nil) == nil && get("http://"+i.metrics+"/healthz", nil) == nil {
+			return nil
+		}
+		time.Sleep(pollEvery)
+	}
+	_ = i.entry.Process.Kill()
+	_ = i.control.Process.Kill()
+	return errors.Newf("%s does not listen", i.id)
+}
+
+func (s *system) tryInstance(n int) (*instance, error) {
 	var a [6]string
 	for i := range a {
 		p, err := freePort()
 		if err != nil {
-			return err
+			return nil, err
 		}
 		a[i] = p
 	}
-	i := &instance{id: fmt.Sprintf("entry-%c1", 'a'+n), url: "http://" + a[0], admin: "http://" + a[4]}
+	i := &instance{id: fmt.Sprintf("entry-%c1", 'a'+n), url: "http://" + a[0], admin: "http://" + a[4], metrics: a[5]}
 	dc := fmt.Sprintf("dc-%c", 'a'+n)
 	entry := fmt.Sprintf("[entry]\nid = %s\ndata_centre = %s\nlisten = %s\nmetrics_listen = %s\ncontrol = %s\nfleet_key = %s\ndrain = 500ms\n\n[platform]\nrating = %s\n",
 		i.id, dc, a[0], a[1], a[2], fleetKey, s.platform["rating"])
@@ -133,14 +166,16 @@
 		i.id, dc, a[3], a[3], a[2], a[4], a[5], fleetKey, s.platform["kv"], s.platform["list"], catalog.HashKey(platformKey))
 	var err error
 	if i.control, err = s.process("fieldvale-control", i.id, control); err != nil {
-		return err
+		return nil, err
 	}
 	if i.entry, err = s.process("fieldvale-entry", i.id, entry); err != nil {
-		return err
+		return nil, err
+	}
+	if err := i.listening(); err != nil {
+		return nil, err
 	}
-	s.instances = append(s.instances, i)
 	s.backends = append(s.backends, list.Instance{ID: i.id, Addr: a[3], DataCentre: dc, Kind: "fieldvale"})
-	return nil
+	return i, nil
 }
 
 // process starts one of fieldvale's own with its settings and log in files.
