Ready means that an instance can answer and bill; first bills wait for peers

An entry was ready before its control had read the list, the loads or met a peer; and an entry that knew no other instance yet took itself for a fleet of one and counted its bills alone.

Ruled out: the settling of orphans (it settled the 27 records that were held) and its time (30 s of waiting changed nothing).

Change: ready once the control has read list and loads and swapped with a peer, or after 10 s; a record waits for a holder for 15 s also where no other instance was ever known. The demo fails below 95 answers of 100. Ports of processes are picked below those of outgoing connections: TestDemo and a process test failed once each because a port was taken meanwhile.

--- a/adapter/rpc/local.go
+++ b/adapter/rpc/local.go
@@ -37,7 +37,7 @@
 }
 
 func updateToWire(u control.Update) *fieldvalev1.SyncResponse {
-	w := &fieldvalev1.SyncResponse{Control: u.Control, Document: u.Document, ViewVersion: u.View}
+	w := &fieldvalev1.SyncResponse{Control: u.Control, Document: u.Document, ViewVersion: u.View, Settled: u.Settled}
 	if !u.Fresh {
 		return w
 	}
@@ -102,7 +102,7 @@
 }
 
 func updateFromWire(w *fieldvalev1.SyncResponse) control.Update {
-	u := control.Update{Control: w.Control, Document: w.Document, View: w.ViewVersion, Fresh: w.View != nil}
+	u := control.Update{Control: w.Control, Document: w.Document, View: w.ViewVersion, Fresh: w.View != nil, Settled: w.Settled}
 	if !u.Fresh {
 		return u
 	}
--- a/cmd/fieldvale-demo/run.go
+++ b/cmd/fieldvale-demo/run.go
@@ -24,8 +24,12 @@
 	rolloutWithin = 15 * time.Second
 	// trouble is how long an entry is paused and the store is out.
 	trouble = 1200 * time.Millisecond
+	// maxShown bounds the requests without an answer that are printed.
+	maxShown = 10
+	// leastAnswered is how many of 100 requests must be answered.
+	leastAnswered = 95
 	// settleWithin bounds the wait for the killed instance's bills.
-	settleWithin = 15 * time.Second
+	settleWithin = 30 * time.Second
 )
 
 type runCommand struct {
@@ -267,15 +271,17 @@
 	d.table()
 	sent, ok, no, gone := len(d.results), d.count(answered), d.count(refused), d.count(lost)
 	two, wrong, bill := d.doubled(), d.misrouted(), d.s.billed()
+	shown := 0
 	for _, r := range d.results {
-		if r.state == lost {
-			fmt.Printf("demo: lost %s: %v\n", r.request.ID, r.last)
+		if r.state != answered && shown < maxShown {
+			shown++
+			fmt.Printf("demo: not answered: %s: %v\n", r.request.ID, r.last)
 		}
 	}
 	for _, b := range d.broken {
 		fmt.Println("demo: broken:", b)
 	}
-	good := gone == 0 && two == 0 && wrong == 0 && bill == ok && len(d.broken) == 0 && ok > 0
+	good := gone == 0 && two == 0 && wrong == 0 && bill == ok && len(d.broken) == 0 && ok >= leastAnswered*sent/100
 	fmt.Printf("demo: sent=%d answered=%d refused=%d lost=%d doubled=%d misrouted=%d billed=%d ok=%t\n", sent, ok, no, gone, two, wrong, bill, good)
 	if !good {
 		return errBroken
--- a/cmd/fieldvale-demo/system.go
+++ b/cmd/fieldvale-demo/system.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 
 	"fieldvale/catalog"
 	"fieldvale/standin/list"
+	"fieldvale/standin/serve"
 )
 
 const (
@@ -109,16 +109,6 @@
 	return nil
 }
 
-// freePort finds a port that is free now.
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 // startTries bounds the starts of one instance: a port that was free may be
 // taken by the time it is used.
 const startTries = 5
@@ -152,7 +142,7 @@
 func (s *system) tryInstance(n int) (*instance, error) {
 	var a [6]string
 	for i := range a {
-		p, err := freePort()
+		p, err := serve.FreePort()
 		if err != nil {
 			return nil, err
 		}
--- a/control/membership.go
+++ b/control/membership.go
@@ -245,6 +245,7 @@
 	}
 	c, news := n.table.Learn(m.ID, c, s, r, n.Clock())
 	n.cursors[m.ID] = c
+	n.exchanged = true
 	n.mu.Unlock()
 	n.learnt(m, r.Revision, news)
 }
@@ -279,6 +280,7 @@
 	}
 	n.mu.Lock()
 	n.view++
+	n.membersUntil = time.Time{}
 	n.mu.Unlock()
 	if n.applyFacts() {
 		n.hurry()
--- a/control/node.go
+++ b/control/node.go
@@ -127,6 +127,12 @@
 	fetches  *ring.Ring[peer.Member]
 	kick     *ring.Ring[struct{}]
 	stopping bool
+	// settledBy is when the node counts as settled whatever it has reached;
+	// the others say what it has.
+	settledBy time.Time
+	listRead  bool
+	loadsRead bool
+	exchanged bool
 }
 
 // entryState is what the entry beside the node last said.
@@ -165,10 +171,22 @@
 		fetches:   ring.New[peer.Member](fetchRing),
 		kick:      ring.New[struct{}](1),
 	}
+	n.settledBy = n.Clock().Add(settleWithin)
 	n.beat()
 	return n
 }
 
+// settleWithin is the longest that a new node keeps its entry from being
+// ready because it has not reached the list, a backend server or a peer.
+const settleWithin = 10 * time.Second
+
+// settled reports whether the node has read the list and the loads and has
+// swapped with a peer, if there is one.
+func (n *Node) settled() bool {
+	alone := len(n.known()) == 1
+	return n.listRead && n.loadsRead && (n.exchanged || alone) || !n.Clock().Before(n.settledBy)
+}
+
 // Run does the node's duties until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	g, x := errgroup.WithContext(ctx)
--- a/control/replicas.go
+++ b/control/replicas.go
@@ -29,8 +29,14 @@
 		return
 	}
 	n.mu.Lock()
-	defer n.mu.Unlock()
+	first := !n.listRead
 	n.takeList(l)
+	n.listRead = true
+	n.mu.Unlock()
+	if first {
+		n.hurry()
+		n.readLoads(ctx)
+	}
 }
 
 func (n *Node) takeList(l platform.List) {
@@ -89,6 +95,9 @@
 		})
 	}
 	_ = g.Wait()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loadsRead = n.listRead
 }
 
 func (n *Node) readLoad(ctx context.Context, r pool.Replica) {
--- a/control/sync.go
+++ b/control/sync.go
@@ -41,6 +41,9 @@
 	Members  []peer.Member
 	Tripped  []version.ID
 	StoreOK  bool
+	// Settled says that the control has reached what it can: the entry may
+	// be ready.
+	Settled bool
 }
 
 // Sync swaps the entry's report for what is new to it.
@@ -63,7 +66,7 @@
 }
 
 func (n *Node) update(r Report) Update {
-	u := Update{Control: n.Incarnation, View: n.view}
+	u := Update{Control: n.Incarnation, View: n.view, Settled: n.settled()}
 	if n.doc.Revision > r.Revision {
 		u.Document = n.bytes
 	}
--- a/entry/biller.go
+++ b/entry/biller.go
@@ -15,7 +15,10 @@
 	// holdTimeout bounds how long a caller waits for its bill to be held.
 	holdTimeout = 250 * time.Millisecond
 	// offerEvery is between offers of the records that nobody holds yet.
-	offerEvery = time.Second
+	offerEvery = 250 * time.Millisecond
+	// aloneAfter is how long a fleet of one waits for another instance to
+	// show before it counts its bills by itself.
+	aloneAfter = 15 * time.Second
 	// sparesAtOnce is how many spare holders are asked together.
 	sparesAtOnce = 2
 	// maxPending bounds those records.
@@ -52,10 +55,17 @@
 
 // pendingRecord is counted in any case once nobody could know its request.
 type pendingRecord struct {
-	record  bill.Record
+	record bill.Record
+	// alone is when it is counted if no other instance was ever known.
+	alone   time.Time
 	expires time.Time
 }
 
+// due reports whether the record is to be counted without a holder's word.
+func (p pendingRecord) due(peers bool, now time.Time) bool {
+	return !now.Before(p.expires) || !peers && !now.Before(p.alone)
+}
+
 // NewBiller returns a biller for the incarnation of the instance self.
 func NewBiller(h Holder, v *Current, self, incarnation string) *Biller {
 	return &Biller{holder: h, view: v, self: self, offering: make(chan struct{}, 1), ledger: bill.NewLedger(incarnation)}
@@ -94,15 +104,11 @@
 	b.Alone.Add(1)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.peers {
-		b.countAlone(r)
-		return
-	}
 	if len(b.pending) >= maxPending {
 		b.countAlone(b.pending[0].record)
 		b.pending = b.pending[1:]
 	}
-	b.pending = append(b.pending, pendingRecord{record: r, expires: time.Now().Add(bill.Window)})
+	b.pending = append(b.pending, pendingRecord{record: r, alone: time.Now().Add(aloneAfter), expires: time.Now().Add(bill.Window)})
 }
 
 func (b *Biller) record(id string, l bill.Line, a bill.Amount) bill.Record {
@@ -233,10 +239,7 @@
 		if b.offer(ctx, p.record) {
 			continue
 		}
-		if !time.Now().Before(p.expires) {
-			b.mu.Lock()
-			b.countAlone(p.record)
-			b.mu.Unlock()
+		if b.countIfDue(p) {
 			continue
 		}
 		keep = append(keep, l[i:]...)
@@ -247,6 +250,23 @@
 	b.pending = append(keep, b.pending...)
 }
 
+func (b *Biller) countIfDue(p pendingRecord) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !p.due(b.peers, time.Now()) {
+		return false
+	}
+	b.countAlone(p.record)
+	return true
+}
+
+// hasPeers reports whether another instance was ever known.
+func (b *Biller) hasPeers() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.peers
+}
+
 // countAlone counts a record without a holder's word.
 func (b *Biller) countAlone(r bill.Record) {
 	b.ledger = b.ledger.With(r)
@@ -258,8 +278,8 @@
 func (b *Biller) Settle(ctx context.Context) {
 	for ctx.Err() == nil {
 		b.offerPending(ctx)
-		if b.Pending() == 0 {
-			return
+		if b.Pending() == 0 || !b.hasPeers() {
+			break
 		}
 		select {
 		case <-time.After(offerEvery):
--- a/entry/view.go
+++ b/entry/view.go
@@ -67,6 +67,10 @@
 // IsTripped reports whether the version was found bad.
 func (v *View) IsTripped(x version.ID) bool { return v.Tripped[x] }
 
+// Serves reports whether there is a configuration and a backend server, so
+// that requests can be answered.
+func (v *View) Serves() bool { return v.Active != nil && len(v.Replicas) > 0 }
+
 // mayRun reports whether new work of the caller may go to the version now.
 func (v *View) mayRun(c config.Caller, x version.ID) bool {
 	return v.Active.MayRun(c, x) && !v.IsTripped(x)
--- a/process/entry.go
+++ b/process/entry.go
@@ -110,12 +110,12 @@
 	g, x := errgroup.WithContext(x)
 	g.Go(func() error { return e.caller.Serve(l, t) })
 	g.Go(func() error {
-		return ignoreClosed(x, e.metrics.Serve(m, func() bool { return e.view.Get().Active != nil }))
+		return ignoreClosed(x, e.metrics.Serve(m, func() bool { return e.view.Get().Serves() }))
 	})
 	g.Go(func() error { return e.router.Run(x) })
 	g.Go(func() error {
 		e.link.Run(x, e.settings.Sync, func() bool { return ctx.Err() != nil }, func() {
-			e.caller.SetReady(ctx.Err() == nil && e.view.Get().Active != nil)
+			e.caller.SetReady(ctx.Err() == nil && e.link.Ready())
 		})
 		return nil
 	})
--- a/process/link.go
+++ b/process/link.go
@@ -29,6 +29,9 @@
 	mu      sync.Mutex
 	seen    control.Update
 	failing bool
+	// settled stays once the control has said so: an entry does not become
+	// unready because its control starts anew.
+	settled bool
 }
 
 // NewLink returns a link of the entry's incarnation.
@@ -77,10 +80,18 @@
 		l.failing = false
 		l.log("control_back")
 	}
+	l.settled = l.settled || u.Settled
 	l.apply(u)
 	return true
 }
 
+// Ready reports whether requests can be answered and billed.
+func (l *Link) Ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.settled && l.view.Get().Serves()
+}
+
 func (l *Link) revision() uint64 {
 	if a := l.view.Get().Active; a != nil {
 		return a.Revision()
--- a/standin/serve/serve.go
+++ b/standin/serve/serve.go
@@ -3,7 +3,9 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -34,6 +36,29 @@
 
 func (quiet) Printf(string, ...any) {}
 
+// Ports below those that the system gives to outgoing connections, so that
+// none takes a port between its choice and its use.
+const (
+	lowestPort  = 10_000
+	highestPort = 30_000
+	portTries   = 100
+)
+
+// FreePort returns a loopback address that nobody listens on, for a process
+// that is told its port by its settings.
+func FreePort() (string, error) {
+	var last error
+	for range portTries {
+		a := net.JoinHostPort("127.0.0.1", strconv.Itoa(lowestPort+rand.IntN(highestPort-lowestPort)))
+		l, err := net.Listen("tcp", a)
+		if err == nil {
+			return a, l.Close()
+		}
+		last = err
+	}
+	return "", errors.Wrap(last, "serve.FreePort")
+}
+
 // JSON answers with v.
 func JSON(c *fasthttp.RequestCtx, v any) {
 	b, err := json.Marshal(v)
