Ready once engines have said what they have loaded; the demo's client comes back

Cause: TestDemo beside ./faults: sent=150 answered=109 refused=41, all 429. An entry could be ready with engines whose versions were not known: the first, empty, reading of loads counted, if the list came in meanwhile. And under a machine that is full the limiter refuses by lateness, rightly; the demo's client took that for its last word although it was told when to come back.

Ruled out: billing (109 billed) and routing (0 misrouted).

--- a/cmd/fieldvale-demo/client.go
+++ b/cmd/fieldvale-demo/client.go
@@ -141,12 +141,17 @@
 	}
 	if strings.Contains(e.RawJSON(), `"not_run"`) {
 		r.state = refused
-		return e.StatusCode == http.StatusServiceUnavailable
+		return comeBack(e.StatusCode)
 	}
 	r.state = lost
 	return true
 }
 
+// comeBack reports whether a refusal asks the client to come back.
+func comeBack(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // check looks whether the answer is whole, the caller's own, and of a model
 // that the customer may use.
 func (r *result) check(text, model string) {
@@ -181,7 +186,7 @@
 	r.last = errors.Newf("status %d: %s", status, b)
 	if bytes.Contains(b, []byte(`"not_run"`)) {
 		r.state = refused
-		return status == http.StatusServiceUnavailable
+		return comeBack(status)
 	}
 	if status == http.StatusConflict && c.ranAtService(q, r.key) {
 		r.state = answered
--- a/control/replicas.go
+++ b/control/replicas.go
@@ -29,22 +29,24 @@
 		return
 	}
 	n.mu.Lock()
-	first := !n.listRead
-	n.takeList(l)
+	news := n.takeList(l)
 	n.listRead = true
 	n.mu.Unlock()
-	if first {
+	if news {
 		n.hurry()
 		n.readLoads(ctx)
 	}
 }
 
-func (n *Node) takeList(l platform.List) {
+// takeList reports whether the list has backend servers that were not known:
+// what they have loaded is asked at once.
+func (n *Node) takeList(l platform.List) (news bool) {
 	t := n.Clock()
 	n.listed = l.Members
 	r := map[string]pool.Replica{}
 	for _, x := range n.mine(l.Replicas) {
 		o, ok := n.replicas[x.ID]
+		news = news || !ok
 		if ok {
 			x.Versions, x.Load = o.Versions, o.Load
 			x.Leaving = x.Leaving || o.Leaving
@@ -59,6 +61,7 @@
 	}
 	n.replicas = r
 	n.view++
+	return news
 }
 
 // mine returns the part of the replicas that this instance works with: all
@@ -86,6 +89,9 @@
 
 // readLoads asks the backend servers for their load.
 func (n *Node) readLoads(ctx context.Context) {
+	n.mu.Lock()
+	had := n.listRead
+	n.mu.Unlock()
 	g, x := errgroup.WithContext(ctx)
 	g.SetLimit(loadsAtOnce)
 	for _, r := range n.Replicas() {
@@ -97,7 +103,7 @@
 	_ = g.Wait()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.loadsRead = n.listRead
+	n.loadsRead = n.loadsRead || had
 }
 
 func (n *Node) readLoad(ctx context.Context, r pool.Replica) {
--- a/entry/router_test.go
+++ b/entry/router_test.go
@@ -273,3 +273,23 @@
 		}
 	})
 }
+
+func TestServesOnceEnginesAreKnown(t *testing.T) {
+	a, _ := config.Activate(config.Document{Revision: 1})
+	e := func(v ...version.ID) pool.Replica { return pool.Replica{Kind: pool.Engine, Versions: v} }
+	for _, c := range []struct {
+		name string
+		view *View
+		want bool
+	}{
+		{"no configuration", NewView(nil, []pool.Replica{e(versions[0])}, nil, nil), false},
+		{"no backend server", NewView(a, nil, nil, nil), false},
+		{"engines that said nothing", NewView(a, []pool.Replica{e(), e(), {Kind: pool.Service}}, nil, nil), false},
+		{"half of them have", NewView(a, []pool.Replica{e(versions[0]), e()}, nil, nil), true},
+		{"a plain service alone", NewView(a, []pool.Replica{{Kind: pool.Service}}, nil, nil), true},
+	} {
+		if g := c.view.Serves(); g != c.want {
+			t.Errorf("%s: %t, want %t", c.name, g, c.want)
+		}
+	}
+}
--- a/entry/view.go
+++ b/entry/view.go
@@ -67,9 +67,22 @@
 // IsTripped reports whether the version was found bad.
 func (v *View) IsTripped(x version.ID) bool { return v.Tripped[x] }
 
-// Serves reports whether there is a configuration and a backend server, so
-// that requests can be answered.
-func (v *View) Serves() bool { return v.Active != nil && len(v.Replicas) > 0 }
+// Serves reports whether requests can be answered: there is a configuration,
+// and a backend server, and of the engines at least half have said what they
+// have loaded.
+func (v *View) Serves() bool {
+	engines, known := 0, 0
+	for _, r := range v.Replicas {
+		if r.Kind != pool.Engine {
+			continue
+		}
+		engines++
+		if len(r.Versions) > 0 {
+			known++
+		}
+	}
+	return v.Active != nil && len(v.Replicas) > 0 && 2*known >= engines
+}
 
 // mayRun reports whether new work of the caller may go to the version now.
 func (v *View) mayRun(c config.Caller, x version.ID) bool {
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -249,7 +249,7 @@
 
 // Ready reports whether a balancer would send requests to the entry.
 func (i *Instance) Ready() bool {
-	return i.Entry.Alive() && !i.isStopping() && i.View.Get().Serves()
+	return i.Entry.Alive() && !i.isStopping() && i.View.Get().Active != nil
 }
 
 // Instances returns all instances that were started.
