--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	./$(BIN)/fieldvale-demo up
 
 test: build lint
-	go test ./...
+	go test -count=1 ./...
 
 lint:
 	@l="$$(gofmt -l $$(git ls-files '*.go'))"; test -z "$$l" || { echo "gofmt would change: $$l"; exit 1; }
