Ready once a peer that can hold bills is known

Cause: TestDemo failed once in three runs; its output was not kept. The likely cause, not shown: with 150 requests the kill comes within the first second, when an entry may have swapped with a peer and not have it as a member yet, so that its first bills are pending and die with it (PROOFS, not proved).

Change: settled means that a member beside itself is known, not only that an exchange succeeded.

Before: 1 failure in 3 runs alone. After: 2 runs without one; too few to say that it is gone.

--- a/control/membership.go
+++ b/control/membership.go
@@ -245,7 +245,6 @@
 	}
 	c, news := n.table.Learn(m.ID, c, s, r, n.Clock())
 	n.cursors[m.ID] = c
-	n.exchanged = true
 	n.mu.Unlock()
 	n.learnt(m, r.Revision, news)
 }
--- a/control/node.go
+++ b/control/node.go
@@ -132,7 +132,6 @@
 	settledBy time.Time
 	listRead  bool
 	loadsRead bool
-	exchanged bool
 }
 
 // entryState is what the entry beside the node last said.
@@ -181,10 +180,10 @@
 const settleWithin = 10 * time.Second
 
 // settled reports whether the node has read the list and the loads and has
-// swapped with a peer, if there is one.
+// heard of a peer that can hold bills, if there is one.
 func (n *Node) settled() bool {
-	alone := len(n.known()) == 1
-	return n.listRead && n.loadsRead && (n.exchanged || alone) || !n.Clock().Before(n.settledBy)
+	met := len(n.members()) > 1 || len(n.known()) == 1
+	return n.listRead && n.loadsRead && met || !n.Clock().Before(n.settledBy)
 }
 
 // Run does the node's duties until ctx ends.
