The test of a version stopped between two tries keeps its view

Cause: the test puts a view without the version at the first dispatch, but the link between entry and control puts the control's view a moment later, which knows nothing of the trip: the version is back before the second try. Change: the control of that instance is killed first, as an entry without its control keeps what it holds. Same strictness: exactly one try.

--- a/faults/versions_test.go
+++ b/faults/versions_test.go
@@ -120,8 +120,11 @@
 func TestWithdrawnBetweenTwoTries(t *testing.T) {
 	scene(t, func(d *day, ctx context.Context) {
 		// Every engine refuses; the view of this one instance loses the
-		// version between its first try and the second.
+		// version between its first try and the second. Its control is down,
+		// so that no exchange of views puts the version back meanwhile: the
+		// control knows nothing of a trip that only this test makes.
 		i := d.instance("a1")
+		i.Control.Kill()
 		for _, b := range d.engines() {
 			b.SetDefect(world.Full)
 		}
