--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -30,6 +30,9 @@
 	// may reach a service, fleet-wide.
 	RepeatPart  float64
 	RepeatBurst float64
+	// AcceptConfidence is a smaller model's opinion of its own answer, out of
+	// 100, from which the answer is passed on.
+	AcceptConfidence float64
 }
 
 // Values that are used where the file has none.
@@ -39,6 +42,8 @@
 	defaultNodeStop    = 8 * time.Second
 	defaultRepeatPart  = 0.1
 	defaultRepeatBurst = 10
+	// defaultConfidence: docs/MEASURES.md has the figures of other values.
+	defaultConfidence = 50
 )
 
 // NodeFileVariable names the environment variable with the path of the
@@ -50,13 +55,13 @@
 
 // LoadNode reads and checks a node's file.
 func LoadNode(path string) (Node, []error) {
-	n := Node{Level: defaultLevel, MemoryMB: defaultMemoryMB, HonourFor: defaultHonourFor, RepeatPart: defaultRepeatPart, RepeatBurst: defaultRepeatBurst}
+	n := Node{Level: defaultLevel, MemoryMB: defaultMemoryMB, HonourFor: defaultHonourFor, RepeatPart: defaultRepeatPart, RepeatBurst: defaultRepeatBurst, AcceptConfidence: defaultConfidence}
 	f, err := load(path)
 	if err != nil {
 		return n, []error{err}
 	}
 	found := false
-	f.Each([]string{"node", "limits", "keys", "repeats"}, func(s *inifile.Section) {
+	f.Each([]string{"node", "limits", "keys", "repeats", "models"}, func(s *inifile.Section) {
 		switch s.Kind {
 		case "node":
 			found = true
@@ -67,6 +72,11 @@
 			}
 		case "keys":
 			n.HonourFor = s.Span("honour_for", defaultHonourFor)
+		case "models":
+			n.AcceptConfidence = s.Fraction("accept_confidence", defaultConfidence)
+			if n.AcceptConfidence < 0 || n.AcceptConfidence > 100 {
+				s.Fail("accept_confidence", "is not from 0 to 100")
+			}
 		case "repeats":
 			n.RepeatPart = s.Fraction("part", defaultRepeatPart)
 			n.RepeatBurst = s.Fraction("burst", defaultRepeatBurst)
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -86,8 +86,8 @@
 	n.releases = platform.NewReleases(n.store)
 	n.router = entry.NewRouter(entry.Ports{
 		View: n.view, Clock: n.clock, Self: s.ID, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Events: n.events(),
-		Upstream: platform.NewUpstream(n.pool, n.clock),
-		Repeats:  admission.Repeats{Part: repeatMargin * s.RepeatPart, Burst: max(1, fleetShare*s.RepeatBurst)},
+		Upstream: platform.NewUpstream(n.pool, n.clock), AcceptConfidence: s.AcceptConfidence,
+		Repeats: admission.Repeats{Part: repeatMargin * s.RepeatPart, Burst: max(1, fleetShare*s.RepeatBurst)},
 	})
 	n.ingress = platform.NewIngress(platform.Ports{Router: n.router, View: n.view, Lease: n.lease, Clock: n.clock, Answered: n.answered(), Refused: n.refused()})
 	return n
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -97,7 +97,7 @@
 		w.f.Confidence = c
 	}
 	last := len(w.q.Route.Models) - 1
-	if !ok || w.model < 0 || w.model >= last || w.started || c >= acceptConfidence {
+	if !ok || w.model < 0 || w.model >= last || w.started || c >= w.r.acceptConfidence {
 		return nil
 	}
 	if w.f.Runs >= w.q.Route.MaxAttempts || !w.budget() {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -18,10 +18,6 @@
 	// maxRefusals bounds how many replicas may turn a request away before the
 	// client is told to come back.
 	maxRefusals = 3
-	// acceptConfidence is the model's opinion of its answer, out of 100, from
-	// which the answer of a smaller model is passed on. Trial figures of the
-	// Shared Memory's quiet day: 50 gave 0.825, 80 gave 0.805, 95 gave 0.770.
-	acceptConfidence = 50
 	// refusedRetry is when a client should come back that no replica took.
 	refusedRetry = 250 * time.Millisecond
 	// hangFactor times the route's target is how long a request that may be
--- a/entry/router.go
+++ b/entry/router.go
@@ -52,6 +52,9 @@
 	// budgets bound the repeats of opaque requests by service.
 	budgets map[string]*admission.RetryBudget
 	repeats admission.Repeats
+	// acceptConfidence is a smaller model's opinion of its own answer, out of
+	// 100, from which the answer is passed on.
+	acceptConfidence float64
 }
 
 // Ports are what a router works through.
@@ -67,6 +70,9 @@
 	// another replica.
 	Upstream Upstream
 	Repeats  admission.Repeats
+	// AcceptConfidence is a smaller model's opinion of its own answer, out of
+	// 100, from which the answer is passed on.
+	AcceptConfidence float64
 	// Self is the instance's id.
 	Self string
 	// Rand seeds the choice of replicas.
@@ -88,6 +94,7 @@
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
 		upstream: p.Upstream, releases: newReleases(), budgets: map[string]*admission.RetryBudget{}, repeats: p.Repeats,
+		acceptConfidence: p.AcceptConfidence,
 	}
 }
 
