Prompts are placed by keepers that know the fleet's work

Change: one instance a group of replicas, chosen by rendezvous hashing among those announced in the store, holds the ledger of prompts sent and not yet read, and of parts kept; the others ask it by a datagram, 25 ms at most, and choose by themselves if it is silent. How fast a model reads is learnt.

--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -16,6 +16,8 @@
 	Listen  string
 	Ready   string
 	Metrics string
+	// Peers is where datagrams of other instances come in.
+	Peers string
 	// Store is the address of the platform's store.
 	Store string
 	Level string
@@ -94,6 +96,7 @@
 	n.Listen = address(s, "listen")
 	n.Ready = address(s, "ready_listen")
 	n.Metrics = address(s, "metrics_listen")
+	n.Peers = address(s, "peers_listen")
 	n.Store = address(s, "store")
 	n.StopWithin = s.Span("stop_within", defaultNodeStop)
 	n.Level = readLevel(s)
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"fieldvale/adapter/datagram"
 	"fieldvale/adapter/exchange"
 	"fieldvale/adapter/logging"
 	"fieldvale/adapter/metrics"
@@ -21,9 +22,12 @@
 	"fieldvale/entry"
 	"fieldvale/lease"
 	"fieldvale/mirror"
+	"fieldvale/peer"
+	"fieldvale/placement"
 	"fieldvale/platform"
 	"fieldvale/rollout"
 	"fieldvale/state"
+	"fieldvale/store"
 )
 
 const (
@@ -54,6 +58,9 @@
 	// gcPercent trades memory, which is priced, against processor time.
 	gcPercent     = 60
 	commitTimeout = 2 * time.Second
+	// announceFor is how long an instance that is gone is still listed;
+	// a silent keeper is passed over long before. It is renewed at a third.
+	announceFor = 12 * time.Second
 )
 
 // node is one instance on the platform.
@@ -73,6 +80,8 @@
 	releases *platform.Releases
 	trips    chan rollout.Release
 	pool     *exchange.Pool
+	placer   *placement.Node
+	socket   *datagram.Socket
 	stopping chan struct{}
 }
 
@@ -81,11 +90,12 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB) * (1 << 20)))
 	n := &node{s: s, path: path, log: l, clock: time.Now, metrics: metrics.New(), view: entry.NewCurrent(), trips: make(chan rollout.Release, 8), pool: exchange.New(), stopping: make(chan struct{})}
 	n.lease = lease.New(time.Duration(honourPart*float64(s.HonourFor)), n.clock())
-	n.state = state.New(n.view, n.lease, n.clock, n.event)
+	n.placer = placement.NewNode(s.ID, rand.Uint64()>>16, n, n.clock, n.event)
+	n.state = state.New(n.view, n.lease, n.clock, n.event, n.placer.SetMembers)
 	n.store = platform.NewStore(exchange.New(), s.Store)
 	n.releases = platform.NewReleases(n.store)
 	n.router = entry.NewRouter(entry.Ports{
-		View: n.view, Clock: n.clock, Self: s.ID, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Events: n.events(),
+		View: n.view, Clock: n.clock, Self: s.ID, Placer: n.placer, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Events: n.events(),
 		Upstream: platform.NewUpstream(n.pool, n.clock), AcceptConfidence: s.AcceptConfidence,
 		Repeats: admission.Repeats{Part: repeatMargin * s.RepeatPart, Burst: max(1, fleetShare*s.RepeatBurst)},
 	})
@@ -172,7 +182,11 @@
 	if err != nil {
 		return errors.Wrap(err, "node.run")
 	}
-	n.event("started", "listen", front.Addr(), "ready", ready.Addr(), "metrics", m.Addr(), "store", n.s.Store)
+	n.socket, err = datagram.Listen(n.s.Peers)
+	if err != nil {
+		return errors.Wrap(err, "node.run")
+	}
+	n.event("started", "peers", n.s.Peers, "listen", front.Addr(), "ready", ready.Addr(), "metrics", m.Addr(), "store", n.s.Store)
 	x, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, x := errgroup.WithContext(x)
@@ -183,6 +197,8 @@
 	for _, p := range platform.Prefixes {
 		g.Go(func() error { return mirror.New(n.store, p, watchWait, n.clock, on).Run(x) })
 	}
+	g.Go(func() error { return n.socket.Serve(x, n.placer.Receive) })
+	g.Go(func() error { return n.announce(x) })
 	g.Go(func() error { return n.duties(x, hup) })
 	g.Go(func() error {
 		select {
@@ -292,3 +308,42 @@
 	}
 	return nil
 }
+
+// Send implements placement.Transport.
+func (n *node) Send(addr string, b []byte) error { return n.socket.Send(addr, b) }
+
+// announce keeps the instance on the fleet's list.
+func (n *node) announce(ctx context.Context) error {
+	v, err := platform.EncodeMember(peer.Member{ID: n.s.ID, Addr: n.s.Peers, DataCentre: n.s.DataCentre})
+	if err != nil {
+		return errors.Wrap(err, "node.announce")
+	}
+	var a store.Announced
+	for ctx.Err() == nil {
+		a, err = n.renew(ctx, a, v)
+		if err != nil {
+			n.event("announce_failed", "error", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(announceFor / 3):
+		}
+	}
+	return nil
+}
+
+func (n *node) renew(ctx context.Context, a store.Announced, value []byte) (store.Announced, error) {
+	x, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if a.Lease != 0 {
+		b, err := n.store.Renew(x, a, announceFor)
+		if !errors.Is(err, store.ErrLapsed) {
+			return b, err
+		}
+	}
+	b, err := n.store.Announce(x, platform.MemberKey(n.s.ID), value, announceFor)
+	if err != nil {
+		return store.Announced{}, err
+	}
+	return b, nil
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -23,8 +23,8 @@
 // attempt is one dispatch of an opaque request.
 type attempt struct {
 	w       *forwarding
+	placed  *placed
 	replica *pool.Replica
-	cost    float64
 	sent    time.Time
 	// read says that the replica has read the prompt.
 	read bool
@@ -196,7 +196,7 @@
 	if a.w.f.FirstAt.IsZero() {
 		a.w.f.FirstAt = a.w.r.clock()
 	}
-	a.w.r.backends.read(a.replica.ID, a.cost)
+	a.w.read(a.placed, a.sent)
 }
 
 // begin hands the head on once.
@@ -232,13 +232,10 @@
 func (a *attempt) done(err error) {
 	w := a.w
 	r := w.r
-	cost := a.cost
-	if a.read {
-		cost = 0
-	}
+	w.unplace(a.placed)
 	failed := err != nil && !a.served && !errors.Is(err, errCaller)
 	bad := a.ran && !a.served && (failed || w.f.Status >= 500)
-	r.backends.doneOpaque(a.replica.ID, cost, bad, r.clock())
+	r.backends.doneOpaque(a.replica.ID, bad, r.clock())
 	if failed && !errors.Is(err, errEscalate) || bad {
 		r.events.attempt(w.q.ID, a.replica.ID, orFailure(err, w.f.Status))
 	}
--- a/entry/backends.go
+++ b/entry/backends.go
@@ -10,9 +10,9 @@
 	"fieldvale/pool"
 )
 
-// placement is the rule by which replicas are chosen; docs/MEASURES.md has
+// sessionRule is the rule by which replicas are chosen; docs/MEASURES.md has
 // what it was measured against.
-type placement = pool.Affine[pool.TwoChoices]
+type sessionRule = pool.Affine[pool.TwoChoices]
 
 // affinityBound is how far above the mean load a session's replica may be.
 const affinityBound = 1.5
@@ -21,7 +21,7 @@
 type backends struct {
 	mu      sync.Mutex
 	state   map[string]*backend
-	chooser *pool.Chooser[placement]
+	chooser *pool.Chooser[sessionRule]
 	homes   *pool.Chooser[pool.Homes]
 	scratch []pool.Candidate
 }
@@ -40,7 +40,7 @@
 func newBackends(s rand.Source) *backends {
 	return &backends{
 		state:   map[string]*backend{},
-		chooser: pool.NewChooser(placement{Bound: affinityBound}, s),
+		chooser: pool.NewChooser(sessionRule{Bound: affinityBound}, s),
 		homes:   pool.NewChooser(pool.Homes{Slack: homeSlack}, s),
 	}
 }
@@ -147,11 +147,38 @@
 		return nil
 	}
 	c := b.scratch[i].Replica
-	s := b.of(c.ID)
+	b.add(c, cost, now)
+	return c
+}
+
+func (b *backends) add(r *pool.Replica, cost float64, now time.Time) {
+	s := b.of(r.ID)
 	s.running++
 	s.pending += cost
 	s.breaker.Tried(now)
-	return c
+}
+
+// candidates returns the replicas that may be chosen now. Breakers have no
+// say when they leave none.
+func (b *backends) candidates(r []*pool.Replica, tried []string, now time.Time) []*pool.Replica {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gather(r, tried, func(x *backend) bool { return x.breaker.Allows(now) })
+	if len(b.scratch) == 0 {
+		b.gather(r, tried, func(*backend) bool { return true })
+	}
+	l := make([]*pool.Replica, len(b.scratch))
+	for i, c := range b.scratch {
+		l[i] = c.Replica
+	}
+	return l
+}
+
+// put counts a request at a replica that was chosen elsewhere.
+func (b *backends) put(r *pool.Replica, cost float64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.add(r, cost, now)
 }
 
 // gather makes the candidates anew.
@@ -172,13 +199,12 @@
 	b.of(id).pending -= cost
 }
 
-// doneOpaque gives the replica back with what is left of the cost.
-func (b *backends) doneOpaque(id string, cost float64, bad bool, now time.Time) {
+// doneOpaque gives the replica back and learns from the result.
+func (b *backends) doneOpaque(id string, bad bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(id)
 	s.running--
-	s.pending -= cost
 	if bad {
 		s.breaker.Failed(now)
 		return
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -116,10 +116,11 @@
 
 // attempt sends the request to one replica and passes its answer on.
 func (w *forwarding) attempt(ctx context.Context) error {
-	b, cost := w.take()
-	if b == nil {
+	p := w.take(ctx)
+	if p == nil {
 		return errors.CombineErrors(errGiveUp, w.cause)
 	}
+	b := p.replica
 	d := Dispatch{Request: w.q, After: w.after, Deadline: w.q.until(), Priority: w.q.priority()}
 	if w.model >= 0 {
 		d.Model = w.q.Route.Models[w.model]
@@ -127,21 +128,20 @@
 	w.f.Sends++
 	w.f.Replica, w.f.Release, w.f.Model = b.ID, b.Release, d.Model
 	w.tried = append(w.tried, b.ID)
-	a := &attempt{w: w, replica: b, cost: cost, sent: w.r.clock()}
+	a := &attempt{w: w, placed: p, replica: b, sent: w.r.clock()}
 	err := a.exchange(ctx, d)
 	a.done(err)
 	return err
 }
 
 // take chooses a replica among those that the release allows.
-func (w *forwarding) take() (*pool.Replica, float64) {
+func (w *forwarding) take(ctx context.Context) *placed {
 	v := w.r.view.Get()
 	l := v.byService[w.f.Service]
 	if rel, ok := v.Releases[w.f.Service]; ok {
 		l = w.ofRelease(l, rel)
 	}
-	cost := w.cost()
-	return w.r.backends.takeOpaque(l, w.affinity(), w.tried, cost, w.r.clock()), cost
+	return w.place(ctx, l)
 }
 
 // ofRelease returns the replicas that the request may go to while its service
@@ -163,15 +163,6 @@
 	return n
 }
 
-// affinity names what the request would find kept: parts are kept by model.
-func (w *forwarding) affinity() string {
-	k := w.q.Prompt.SharedKey()
-	if k == "" {
-		return ""
-	}
-	return w.modelName() + "/" + k
-}
-
 func (w *forwarding) modelName() string {
 	if w.model >= 0 {
 		return w.q.Route.Models[w.model]
@@ -179,27 +170,6 @@
 	return w.q.Prompt.Model
 }
 
-// readSpeed is the tokens that the smallest model reads in a millisecond, and
-// modelSlowdown how much slower each larger size is; rough, and only used to
-// compare replicas with each other.
-const (
-	readSpeed     = 150.0
-	modelSlowdown = 3.0
-)
-
-// cost estimates the replica's time for the request's prompt in milliseconds.
-func (w *forwarding) cost() float64 {
-	n := float64(w.q.Prompt.In - w.q.Prompt.SharedTokens())
-	if w.q.Prompt.IsNone() {
-		return 1
-	}
-	c := max(1, n/readSpeed)
-	for range max(0, w.model) {
-		c *= modelSlowdown
-	}
-	return c
-}
-
 // failed is the last word on the request.
 func (w *forwarding) failed(ctx context.Context, err error) *Failure {
 	f := &Failure{Code: Refused, Run: outcome.NotRun, RetryAt: w.retryAt, Message: "no replica took the request", Cause: err}
--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fieldvale/outcome"
+	"fieldvale/placement"
 	"fieldvale/pool"
 	"fieldvale/prompt"
 	"fieldvale/route"
@@ -109,6 +110,14 @@
 	Send(ctx context.Context, r *pool.Replica, d Dispatch) (Reply, error)
 }
 
+// Placer chooses replicas for prompts with the knowledge of the fleet. It
+// fails if that can't be had now.
+type Placer interface {
+	Choose(ctx context.Context, group string, a placement.Ask) (placement.Choice, placement.Ticket, bool)
+	// Read says that the prompt was read, or came to nothing.
+	Read(t placement.Ticket)
+}
+
 // ForwardSink takes an answer for the client.
 type ForwardSink interface {
 	// Head is called once, before the rest.
--- a/entry/router.go
+++ b/entry/router.go
@@ -48,6 +48,8 @@
 	events   *Events
 
 	upstream Upstream
+	placer   Placer
+	speeds   *speeds
 	releases *releases
 	// budgets bound the repeats of opaque requests by service.
 	budgets map[string]*admission.RetryBudget
@@ -66,6 +68,8 @@
 	Rater    Rater
 	Biller   *Biller
 	Clock    Clock
+	// Placer may be nil; then prompts are placed by this instance's own work.
+	Placer Placer
 	// Upstream sends opaque requests; Repeats bounds how often they go to
 	// another replica.
 	Upstream Upstream
@@ -93,7 +97,7 @@
 		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
-		upstream: p.Upstream, releases: newReleases(), budgets: map[string]*admission.RetryBudget{}, repeats: p.Repeats,
+		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), releases: newReleases(), budgets: map[string]*admission.RetryBudget{}, repeats: p.Repeats,
 		acceptConfidence: p.AcceptConfidence,
 	}
 }
--- /dev/null
+++ b/placement/ledger.go
@@ -0,0 +1,158 @@
+// Package placement chooses replicas for prompts with the knowledge of the
+// whole fleet. Instances that choose by their own work alone meet on the same
+// replicas by chance, since each sees a small part of the load. So the
+// replicas of a service are put into groups, and one instance, the group's
+// keeper, holds the ledger of the work that all instances have sent there and
+// not yet seen read. It costs one exchange of datagrams a prompt, whatever the
+// size of the fleet. Nothing is lost with a keeper: the next one starts with
+// an empty ledger, and an instance that gets no answer chooses by itself.
+package placement
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// keptFor is how long a part of a prompt is taken to be kept by the
+	// replica that read it last; engines drop what is unused the longest.
+	keptFor = 20 * time.Second
+	// forgetFactor times a prompt's cost, and forgetMargin on top, is how
+	// long the ledger holds work of which nobody says that it was read.
+	forgetFactor = 4
+	forgetMargin = 2 * time.Second
+	// rereadWeight times the shared part is what reading it again counts on
+	// top of its time: it takes that time from other prompts, too.
+	rereadWeight = 1
+	// maxKept bounds the parts remembered; at 64 bytes each some 4 MB.
+	maxKept = 1 << 16
+)
+
+// Ask is the question where a prompt should go.
+type Ask struct {
+	// Key names what the prompt shares with others, with its model; empty
+	// for nothing.
+	Key string
+	// Replicas are the candidates, the preferred first.
+	Replicas []string
+	// Read is the replica's time for what nobody shares, in milliseconds,
+	// and Shared for the rest, which a replica that keeps it need not read.
+	Read   float64
+	Shared float64
+}
+
+// Choice is the answer.
+type Choice struct {
+	// Index is into the candidates.
+	Index int
+	// Wait is the work before the prompt, in milliseconds.
+	Wait float64
+	// Cost is the prompt's own time there, in milliseconds.
+	Cost float64
+	// Ticket names the work in the ledger.
+	Ticket uint64
+}
+
+// work is a prompt that a replica is to read.
+type work struct {
+	replica  string
+	cost     float64
+	forgetAt time.Time
+}
+
+type keptPart struct {
+	key     string
+	replica string
+}
+
+// Ledger is what a keeper knows. It is safe for concurrent use.
+type Ledger struct {
+	mu      sync.Mutex
+	pending map[string]float64
+	open    map[uint64]work
+	kept    map[keptPart]time.Time
+	next    uint64
+	sweepAt time.Time
+}
+
+// NewLedger returns an empty ledger. start makes its tickets differ from
+// those of an earlier life.
+func NewLedger(start uint64) *Ledger {
+	return &Ledger{pending: map[string]float64{}, open: map[uint64]work{}, kept: map[keptPart]time.Time{}, next: start}
+}
+
+// Choose places a prompt where it will be read first, and notes it there.
+func (l *Ledger) Choose(a Ask, now time.Time) Choice {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sweep(now)
+	best, score := Choice{Index: -1}, 0.0
+	for i, r := range a.Replicas {
+		c := Choice{Index: i, Wait: l.pending[r], Cost: a.Read}
+		s := c.Wait + c.Cost
+		if !l.keeps(a.Key, r, now) {
+			c.Cost += a.Shared
+			s += (1 + rereadWeight) * a.Shared
+		}
+		if best.Index < 0 || s < score {
+			best, score = c, s
+		}
+	}
+	if best.Index < 0 {
+		return best
+	}
+	r := a.Replicas[best.Index]
+	l.next++
+	best.Ticket = l.next
+	l.open[best.Ticket] = work{replica: r, cost: best.Cost, forgetAt: now.Add(forgetFactor*span(best.Wait+best.Cost) + forgetMargin)}
+	l.pending[r] += best.Cost
+	if a.Key != "" && len(l.kept) < maxKept {
+		l.kept[keptPart{a.Key, r}] = now.Add(keptFor)
+	}
+	return best
+}
+
+func (l *Ledger) keeps(key, replica string, now time.Time) bool {
+	return key != "" && now.Before(l.kept[keptPart{key, replica}])
+}
+
+// Read says that the work was read, or came to nothing.
+func (l *Ledger) Read(ticket uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.close(ticket)
+}
+
+func (l *Ledger) close(ticket uint64) {
+	w, ok := l.open[ticket]
+	if !ok {
+		return
+	}
+	delete(l.open, ticket)
+	l.pending[w.replica] -= w.cost
+	if l.pending[w.replica] < 1e-6 {
+		delete(l.pending, w.replica)
+	}
+}
+
+// sweepEvery bounds how often what is over is looked for.
+const sweepEvery = 500 * time.Millisecond
+
+func (l *Ledger) sweep(now time.Time) {
+	if now.Before(l.sweepAt) {
+		return
+	}
+	l.sweepAt = now.Add(sweepEvery)
+	for t, w := range l.open {
+		if now.After(w.forgetAt) {
+			l.close(t)
+		}
+	}
+	for k, t := range l.kept {
+		if now.After(t) {
+			delete(l.kept, k)
+		}
+	}
+}
+
+func span(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/pool/homes.go
+++ b/pool/homes.go
@@ -1,7 +1,9 @@
 package pool
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -70,3 +72,23 @@
 	}
 	return first, second
 }
+
+// Prefer returns the replicas in the order of rendezvous hashing for the key,
+// the same at each instance.
+func Prefer(key string, l []*Replica) []*Replica {
+	h := xxhash.Sum64String(key)
+	type weighed struct {
+		w uint64
+		r *Replica
+	}
+	x := make([]weighed, len(l))
+	for i, r := range l {
+		x[i] = weighed{mix(h, xxhash.Sum64String(r.ID)), r}
+	}
+	slices.SortFunc(x, func(a, b weighed) int { return cmp.Compare(b.w, a.w) })
+	o := make([]*Replica, len(l))
+	for i := range x {
+		o[i] = x[i].r
+	}
+	return o
+}
--- a/state/state.go
+++ b/state/state.go
@@ -5,12 +5,15 @@
 
 import (
 	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"fieldvale/discovery"
 	"fieldvale/entry"
 	"fieldvale/lease"
+	"fieldvale/peer"
 	"fieldvale/pool"
 	"fieldvale/rollout"
 	"fieldvale/route"
@@ -27,6 +30,10 @@
 	Known   map[string]bool
 	Orders  []rollout.Release
 	Records []Record
+	// Members are instances of the fleet that announce themselves, Left the
+	// ids of those whose announcement is over.
+	Members []peer.Member
+	Left    []string
 }
 
 // Record is what the store holds of a release.
@@ -63,12 +70,16 @@
 	table    *route.Table
 	replicas *discovery.Set
 	releases map[string]*release
+	members  map[string]peer.Member
 	lost     bool
+	// onMembers is told of each change of the fleet.
+	onMembers func([]peer.Member)
 }
 
 // New returns an empty state that puts what it knows into v.
-func New(v *entry.Current, l *lease.Lease, clock func() time.Time, log func(event string, fields ...any)) *State {
-	return &State{view: v, lease: l, clock: clock, log: log, replicas: discovery.NewSet(), releases: map[string]*release{}}
+// onMembers is told of each change of the fleet.
+func New(v *entry.Current, l *lease.Lease, clock func() time.Time, log func(event string, fields ...any), onMembers func([]peer.Member)) *State {
+	return &State{view: v, lease: l, clock: clock, log: log, replicas: discovery.NewSet(), releases: map[string]*release{}, members: map[string]peer.Member{}, onMembers: onMembers}
 }
 
 // Apply takes news in.
@@ -81,6 +92,7 @@
 		s.log("config_in_force", "version", c.Table.Version, "routes", c.Table.Routes())
 	}
 	s.applyReplicas(c, now)
+	s.applyMembers(c)
 	for _, o := range c.Orders {
 		s.order(o, now)
 	}
@@ -107,6 +119,25 @@
 	s.settle(now)
 }
 
+// applyMembers takes the fleet's changes in. Instances whose announcement
+// lapsed while the store was away are kept until they fail to answer: only
+// keepers are chosen among them, and a silent keeper is passed over.
+func (s *State) applyMembers(c Change) {
+	if len(c.Members)+len(c.Left) == 0 && c.Known == nil {
+		return
+	}
+	if c.Known != nil {
+		clear(s.members)
+	}
+	for _, m := range c.Members {
+		s.members[m.ID] = m
+	}
+	for _, id := range c.Left {
+		delete(s.members, id)
+	}
+	s.onMembers(slices.SortedFunc(maps.Values(s.members), func(a, b peer.Member) int { return strings.Compare(a.ID, b.ID) }))
+}
+
 func (s *State) settle(now time.Time) {
 	for _, id := range s.replicas.Settle(now) {
 		s.log("replica_gone", "replica", id, "reason", "its entry did not return with the store")
