Replicas that can't be reached are passed over at once

Cause: when replicas crash, a connection to them is refused; three such refusals ended the request with a 503 while sound replicas were free, each drew on the budget of repeats although nothing arrived, and the breaker took a refused connection for a success. Ruled out: overload (replicas idle). Change: a replica that is not connected to opens its breaker at once, costs no budget, and up to 8 of them are passed over.

--- a/admission/breaker.go
+++ b/admission/breaker.go
@@ -42,6 +42,11 @@
 	if b.failures < breakAfter {
 		return
 	}
+	b.Open(now)
+}
+
+// Open stops requests at once, for a backend server that can't be reached.
+func (b *Breaker) Open(now time.Time) {
 	b.stop = min(longestStop, max(firstBreak, 2*b.stop))
 	b.retryAt = now.Add(b.stop)
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -235,7 +235,7 @@
 	w.unplace(a.placed)
 	failed := err != nil && !a.served && !errors.Is(err, errCaller)
 	bad := a.ran && !a.served && (failed || w.f.Status >= 500)
-	r.backends.doneOpaque(a.replica.ID, bad, r.clock())
+	r.backends.doneOpaque(a.replica.ID, bad, isUnreached(err), r.clock())
 	if failed && !errors.Is(err, errEscalate) || bad {
 		r.events.attempt(w.q.ID, a.replica.ID, orFailure(err, w.f.Status))
 	}
--- a/entry/backends.go
+++ b/entry/backends.go
@@ -200,11 +200,15 @@
 }
 
 // doneOpaque gives the replica back and learns from the result.
-func (b *backends) doneOpaque(id string, bad bool, now time.Time) {
+func (b *backends) doneOpaque(id string, bad, unreached bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(id)
 	s.running--
+	if unreached {
+		s.breaker.Open(now)
+		return
+	}
 	if bad {
 		s.breaker.Failed(now)
 		return
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -18,6 +18,9 @@
 	// maxRefusals bounds how many replicas may turn a request away before the
 	// client is told to come back.
 	maxRefusals = 3
+	// maxUnreached bounds how many replicas that can't be connected to are
+	// tried; those reset at once or take a dial's time.
+	maxUnreached = 8
 	// refusedRetry is when a client should come back that no replica took.
 	refusedRetry = 250 * time.Millisecond
 	// hangFactor times the route's target is how long a request that may be
@@ -34,6 +37,8 @@
 
 	tried    []string
 	refusals int
+	// unreached counts replicas that could not be connected to.
+	unreached int
 	// model is an index into the route's models; below 0 the client's stays.
 	model int
 	// started says that the client has some of the answer.
@@ -97,6 +102,10 @@
 	}
 	w.cause = err
 	k := outcome.Of(err)
+	if isUnreached(err) {
+		w.unreached++
+		return w.unreached >= maxUnreached
+	}
 	if k == outcome.NotRun {
 		w.refusals++
 		return w.refusals >= maxRefusals || !w.budget()
@@ -110,6 +119,13 @@
 	return !w.budget()
 }
 
+// isUnreached reports whether the replica was not connected to: nothing
+// arrived there, so that no repeat is counted.
+func isUnreached(err error) bool {
+	o, ok := asOutcome(err)
+	return ok && o.Kind == outcome.NotRun && o.Status == 0
+}
+
 func (w *forwarding) budget() bool {
 	return w.r.opaqueBudget(w.f.Service).Retry()
 }
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -32,6 +32,7 @@
 //	budget N                  repeats allowed
 //	reply STATUS [confidence=N] [e1 e2 ...] [cut|hang]
 //	refuse                    the replica says that it did not run it
+//	unreached                 the replica can't be connected to
 //	reset                     the connection is reset after the request
 //	want sends=M1,M2 after=... client=... run=...
 func TestForwardScripts(t *testing.T) {
@@ -112,6 +113,8 @@
 		s.budget, _ = strconv.ParseFloat(args[0], 64)
 	case "refuse":
 		s.replies = append(s.replies, scriptedReply{err: outcome.New(outcome.NotRun, "refused", "r", errors.New("full")).WithStatus(503)})
+	case "unreached":
+		s.replies = append(s.replies, scriptedReply{err: outcome.New(outcome.NotRun, "dial", "r", errors.New("connection refused"))})
 	case "reset":
 		s.replies = append(s.replies, scriptedReply{err: outcome.New(outcome.Unknown, "read", "r", io.ErrUnexpectedEOF)})
 	case "reply":
