A larger model is asked only where it answers in time

Change: at a doubtful answer the keeper places the larger model's prompt; if its first event would come too late for what there is to gain, the middle model is asked, or the answer stands. Estimates are compared with what came.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -53,7 +53,7 @@
 	if !reply.Head().IsSuccess() {
 		return a.keepFailure(reply)
 	}
-	if err := a.doubt(reply); err != nil {
+	if err := a.doubt(ctx, reply); err != nil {
 		return err
 	}
 	if a.w.q.Route.Kind == route.Stream {
@@ -89,8 +89,8 @@
 }
 
 // doubt drops the answer of a small model that does not trust it itself, as
-// long as a larger one may be asked.
-func (a *attempt) doubt(reply Reply) error {
+// long as a larger one may be asked and would answer in time.
+func (a *attempt) doubt(ctx context.Context, reply Reply) error {
 	w := a.w
 	c, ok := reply.Confidence()
 	if ok {
@@ -100,11 +100,9 @@
 	if !ok || w.model < 0 || w.model >= last || w.started || c >= w.r.acceptConfidence {
 		return nil
 	}
-	if w.f.Runs >= w.q.Route.MaxAttempts || !w.budget() {
+	if w.f.Runs >= w.q.Route.MaxAttempts || !w.escalate(ctx, c) {
 		return nil
 	}
-	w.model = last
-	w.tried = nil
 	a.served = true
 	return errEscalate
 }
--- a/entry/backends.go
+++ b/entry/backends.go
@@ -215,3 +215,10 @@
 	}
 	s.breaker.Succeeded()
 }
+
+// release takes back a choice that nothing came of.
+func (b *backends) release(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(id).running--
+}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -39,6 +39,8 @@
 	refusals int
 	// unreached counts replicas that could not be connected to.
 	unreached int
+	// next is the replica for the next attempt, if it is chosen already.
+	next *placed
 	// model is an index into the route's models; below 0 the client's stays.
 	model int
 	// started says that the client has some of the answer.
@@ -132,7 +134,11 @@
 
 // attempt sends the request to one replica and passes its answer on.
 func (w *forwarding) attempt(ctx context.Context) error {
-	p := w.take(ctx)
+	p := w.next
+	w.next = nil
+	if p == nil {
+		p = w.take(ctx)
+	}
 	if p == nil {
 		return errors.CombineErrors(errGiveUp, w.cause)
 	}
--- a/entry/place.go
+++ b/entry/place.go
@@ -24,6 +24,9 @@
 	// first event shows how fast the prompt is read.
 	idle   bool
 	tokens float64
+	// ready is the estimate of the time to the first event, in milliseconds;
+	// 0 if there is none.
+	ready float64
 }
 
 // maxCandidates bounds the replicas among which a keeper chooses.
@@ -52,7 +55,7 @@
 	if !ok {
 		return w.placeHere(l, key, own)
 	}
-	p := &placed{replica: c[x.Index], ticket: t, cost: x.Cost, open: true, idle: x.Wait < 1, tokens: x.Cost / speed}
+	p := &placed{replica: c[x.Index], ticket: t, cost: x.Cost, open: true, idle: x.Wait < 1, tokens: x.Cost / speed, ready: x.Wait + x.Cost}
 	w.r.backends.put(p.replica, p.cost, now)
 	return p
 }
@@ -116,6 +119,7 @@
 	if p.idle && p.tokens > 0 {
 		w.r.speeds.saw(w.speedKey(), w.r.clock().Sub(sent), p.tokens)
 	}
+	w.r.delays.saw(w.f.Service, p.ready, w.r.clock().Sub(sent))
 	w.unplace(p)
 }
 
--- a/entry/router.go
+++ b/entry/router.go
@@ -50,6 +50,7 @@
 	upstream Upstream
 	placer   Placer
 	speeds   *speeds
+	delays   *delays
 	releases *releases
 	// budgets bound the repeats of opaque requests by service.
 	budgets map[string]*admission.RetryBudget
@@ -97,7 +98,7 @@
 		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
-		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), releases: newReleases(), budgets: map[string]*admission.RetryBudget{}, repeats: p.Repeats,
+		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), delays: newDelays(), releases: newReleases(), budgets: map[string]*admission.RetryBudget{}, repeats: p.Repeats,
 		acceptConfidence: p.AcceptConfidence,
 	}
 }
