Few instances watch the store, the rest follow them

Change: two instances, or one in twelve, watch; the others ask them by a datagram what changed, and are told how old that knowledge is. An answer confirms the moment of the question less that age, never its arrival. One that gets no answer asks the next, then the store; one that watches and is turned away by the store follows the other watchers. Test: relay/relay_test.go plays cuts, delays and outages; with ages left out it fails at once.

--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -25,6 +25,7 @@
 	"fieldvale/peer"
 	"fieldvale/placement"
 	"fieldvale/platform"
+	"fieldvale/relay"
 	"fieldvale/rollout"
 	"fieldvale/state"
 	"fieldvale/store"
@@ -82,6 +83,8 @@
 	pool     *exchange.Pool
 	placer   *placement.Node
 	socket   *datagram.Socket
+	relay    *relay.Node
+	changes  *relay.Log
 	stopping chan struct{}
 }
 
@@ -90,9 +93,14 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB) * (1 << 20)))
 	n := &node{s: s, path: path, log: l, clock: time.Now, metrics: metrics.New(), view: entry.NewCurrent(), trips: make(chan rollout.Release, 8), pool: exchange.New(), stopping: make(chan struct{})}
 	n.lease = lease.New(time.Duration(honourPart*float64(s.HonourFor)), n.clock())
-	n.placer = placement.NewNode(s.ID, rand.Uint64()>>16, n, n.clock, n.event)
-	n.state = state.New(n.view, n.lease, n.clock, n.event, n.placer.SetMembers)
+	n.placer = placement.NewNode(s.ID, rand.Uint64()>>16, tagged{n, tagPlacement}, n.clock, n.event)
 	n.store = platform.NewStore(exchange.New(), s.Store)
+	n.changes = relay.NewLog()
+	n.relay = relay.NewNode(s.ID, rand.Uint64()>>16, n.changes, n.store, tagged{n, tagRelay}, n.clock, n.event)
+	n.state = state.New(n.view, n.lease, n.clock, n.event, func(m []peer.Member) {
+		n.placer.SetMembers(m)
+		n.relay.SetMembers(m)
+	})
 	n.releases = platform.NewReleases(n.store)
 	n.router = entry.NewRouter(entry.Ports{
 		View: n.view, Clock: n.clock, Self: s.ID, Placer: n.placer, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Events: n.events(),
@@ -193,11 +201,11 @@
 	g.Go(func() error { return n.ingress.Serve(front) })
 	g.Go(func() error { return closed(x, n.serveReady(ready)) })
 	g.Go(func() error { return closed(x, n.metrics.Serve(m, n.ready)) })
-	on := platform.NewListener(n.state, n.event)
+	on := relay.Tee{Log: n.changes, On: platform.NewListener(n.state, n.event)}
 	for _, p := range platform.Prefixes {
-		g.Go(func() error { return mirror.New(n.store, p, watchWait, n.clock, on).Run(x) })
+		g.Go(func() error { return mirror.New(n.relay, p, watchWait, n.clock, on).Run(x) })
 	}
-	g.Go(func() error { return n.socket.Serve(x, n.placer.Receive) })
+	g.Go(func() error { return n.socket.Serve(x, n.receive) })
 	g.Go(func() error { return n.announce(x) })
 	g.Go(func() error { return n.duties(x, hup) })
 	g.Go(func() error {
@@ -309,8 +317,34 @@
 	return nil
 }
 
-// Send implements placement.Transport.
-func (n *node) Send(addr string, b []byte) error { return n.socket.Send(addr, b) }
+// Tags tell what a datagram between instances is for.
+const (
+	tagPlacement = 'p'
+	tagRelay     = 'r'
+)
+
+// tagged sends datagrams for one purpose over the shared socket.
+type tagged struct {
+	n   *node
+	tag byte
+}
+
+// Send implements placement.Transport and relay.Transport.
+func (t tagged) Send(addr string, b []byte) error {
+	return t.n.socket.Send(addr, append([]byte{t.tag}, b...))
+}
+
+func (n *node) receive(from string, b []byte) {
+	if len(b) == 0 {
+		return
+	}
+	switch b[0] {
+	case tagPlacement:
+		n.placer.Receive(from, b[1:])
+	case tagRelay:
+		n.relay.Receive(from, b[1:])
+	}
+}
 
 // announce keeps the instance on the fleet's list.
 func (n *node) announce(ctx context.Context) error {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -151,16 +151,20 @@
 	if len(c.Items) > 0 {
 		m.on.Changed(Update{Items: c.Items, Revision: c.Revision})
 	}
-	m.on.Confirmed(m.asOf(sent, len(c.Items) == 0))
+	m.on.Confirmed(m.asOf(sent, c))
 	return nil
 }
 
 // asOf is the moment for which an answer speaks. One that waited to the end
 // in vain speaks for the end of the wait; any other only for its start, since
 // the answer may have been long under way.
-func (m *Mirror) asOf(sent time.Time, empty bool) time.Time {
-	if e := sent.Add(m.wait); empty && !m.clock().Before(e) {
-		return e
+func (m *Mirror) asOf(sent time.Time, c store.Changes) time.Time {
+	w := m.wait
+	if c.Waited > 0 {
+		w = min(w, c.Waited)
 	}
-	return sent
+	if e := sent.Add(w); len(c.Items) == 0 && !m.clock().Before(e) {
+		return e.Add(-c.Age)
+	}
+	return sent.Add(-c.Age)
 }
--- /dev/null
+++ b/relay/log.go
@@ -0,0 +1,112 @@
+// Package relay passes the store's changes on between instances, so that few
+// of them have to watch the store. An instance that follows another one asks
+// it as it would ask the store, and is told how old that instance's own
+// knowledge is: ages add up, and arrivals prove nothing.
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"fieldvale/store"
+)
+
+// maxLog bounds the items kept for followers; a follower that is further
+// behind reads the store whole.
+const maxLog = 512
+
+// Log is what an instance has seen of the store's recent changes. It is safe
+// for concurrent use.
+type Log struct {
+	mu    sync.Mutex
+	items []store.Item
+	// floor is the revision from which on items are complete; below 0 there
+	// are none yet.
+	floor    int64
+	revision int64
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+	// confirmed is when the revision was last known to be the newest.
+	confirmed time.Time
+	lost      bool
+}
+
+// NewLog returns a log that knows nothing.
+func NewLog() *Log { return &Log{floor: -1, changed: make(chan struct{})} }
+
+// Reset starts the log anew after the store was read whole.
+func (l *Log) Reset(revision int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.items, l.floor, l.revision = nil, revision, revision
+	l.wake()
+}
+
+// Add appends changes up to the revision.
+func (l *Log) Add(items []store.Item, revision int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.items = append(l.items, items...)
+	l.revision = max(l.revision, revision)
+	if n := len(l.items) - maxLog; n > 0 {
+		l.floor = l.items[n-1].Revision
+		l.items = append([]store.Item(nil), l.items[n:]...)
+	}
+	l.wake()
+}
+
+// Confirm says that nothing newer than what was added existed at asOf.
+func (l *Log) Confirm(asOf time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if asOf.After(l.confirmed) {
+		l.confirmed = asOf
+	}
+}
+
+// SetLost says whether the instance is out of touch with what it follows.
+func (l *Log) SetLost(lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost = lost
+	l.wake()
+}
+
+func (l *Log) wake() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// since returns what changed after the revision and how old that knowledge
+// is at now; ok is false if the log can't tell.
+func (l *Log) since(after int64, now time.Time) (c store.Changes, wait <-chan struct{}, s status) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.Revision = l.revision
+	c.Age = now.Sub(l.confirmed)
+	switch {
+	case l.floor < 0 || l.confirmed.IsZero() || l.lost:
+		return c, l.changed, lostTouch
+	case after < l.floor:
+		return c, l.changed, forgotten
+	}
+	for _, i := range l.items {
+		if i.Revision > after {
+			c.Items = append(c.Items, i)
+		}
+	}
+	return c, l.changed, known
+}
+
+// status is how an instance answers a follower.
+type status int
+
+const (
+	known status = iota
+	// forgotten: the follower is too far behind.
+	forgotten
+	// lostTouch: the instance itself can't tell what is newest.
+	lostTouch
+	// tooLarge: the changes do not fit a datagram.
+	tooLarge
+)
--- /dev/null
+++ b/relay/node.go
@@ -0,0 +1,350 @@
+package relay
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/peer"
+	"fieldvale/store"
+)
+
+const (
+	// followWait is how long one question to an instance waits for a change;
+	// it adds to the age of what a follower knows.
+	followWait = 400 * time.Millisecond
+	// answerSlack is how much longer an answer may take before another
+	// instance, or the store, is asked.
+	answerSlack = 150 * time.Millisecond
+	// maxAge is the oldest knowledge that a follower takes; an instance that
+	// watches a sound store never has older.
+	maxAge = 2500 * time.Millisecond
+	// avoidFor is how long an instance that could not tell is passed over.
+	avoidFor = 2 * time.Second
+	// maxDatagram bounds an answer, in bytes; larger changes are read from
+	// the store.
+	maxDatagram = 40 << 10
+	// followersEach is how many followers a watching instance has in a large
+	// fleet, and minWatchers how many watch in any.
+	followersEach = 12
+	minWatchers   = 2
+	// watchersKey ranks the instances that watch.
+	watchersKey = "watch"
+)
+
+// Transport sends datagrams to other instances. One may be lost.
+type Transport interface {
+	Send(addr string, b []byte) error
+}
+
+// Node follows other instances and is followed.
+type Node struct {
+	self  string
+	log   *Log
+	store store.Feed
+	net   Transport
+	clock func() time.Time
+	event func(event string, fields ...any)
+
+	mu      sync.Mutex
+	members []peer.Member
+	avoid   map[string]time.Time
+	next    uint64
+	waiting map[uint64]chan answer
+	source  string
+}
+
+var _ store.Feed = (*Node)(nil)
+
+// NewNode returns the instance with that id. l is what it tells others.
+func NewNode(self string, start uint64, l *Log, s store.Feed, net Transport, clock func() time.Time, event func(event string, fields ...any)) *Node {
+	return &Node{self: self, log: l, store: s, net: net, clock: clock, event: event, avoid: map[string]time.Time{}, next: start, waiting: map[uint64]chan answer{}}
+}
+
+// SetMembers replaces the list of the fleet's instances.
+func (n *Node) SetMembers(m []peer.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members = m
+}
+
+// Watchers returns the instances that watch the store, of the given fleet:
+// the same ones at each instance.
+func Watchers(m []peer.Member) []peer.Member {
+	k := max(minWatchers, (len(m)+followersEach-1)/followersEach)
+	r := peer.Rank(watchersKey, m)
+	return r[:min(k, len(r))]
+}
+
+// Read implements store.Feed. The store is read whole at the store.
+func (n *Node) Read(ctx context.Context, prefix, after string) (store.Page, error) {
+	return n.store.Read(ctx, prefix, after)
+}
+
+// Changes implements store.Feed. An instance that watches asks the store and
+// falls back on others; any other one the other way round.
+func (n *Node) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
+	sources, watches := n.sources()
+	if watches {
+		c, err := n.store.Changes(ctx, prefix, after, wait)
+		if err == nil || errors.Is(err, store.ErrCompacted) || ctx.Err() != nil {
+			n.from("store")
+			return c, err
+		}
+		if c, ok := n.follow(ctx, sources, after); ok {
+			return c, nil
+		}
+		return c, err
+	}
+	if c, ok := n.follow(ctx, sources, after); ok {
+		return c, nil
+	}
+	n.from("store")
+	return n.store.Changes(ctx, prefix, after, wait)
+}
+
+// sources returns the instances to follow, the preferred first, and whether
+// this one watches the store.
+func (n *Node) sources() (l []peer.Member, watches bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock()
+	for _, m := range Watchers(n.members) {
+		if m.ID == n.self {
+			watches = true
+			continue
+		}
+		if !now.Before(n.avoid[m.ID]) {
+			l = append(l, m)
+		}
+	}
+	if len(n.members) < minWatchers {
+		watches = true
+	}
+	return peer.Rank(n.self, l), watches
+}
+
+// follow asks one instance after another.
+func (n *Node) follow(ctx context.Context, sources []peer.Member, after int64) (store.Changes, bool) {
+	for _, m := range sources {
+		a, ok := n.ask(ctx, m, after)
+		if ok && a.Status == known && a.age() <= maxAge {
+			n.from(m.ID)
+			return a.changes(), true
+		}
+		if ctx.Err() != nil {
+			return store.Changes{}, false
+		}
+		if !ok || a.Status == lostTouch || a.Status == known {
+			n.pass(m)
+		}
+	}
+	return store.Changes{}, false
+}
+
+// from logs whom the instance follows when that changes.
+func (n *Node) from(source string) {
+	n.mu.Lock()
+	was := n.source
+	n.source = source
+	n.mu.Unlock()
+	if was != source {
+		n.event("following", "source", source, "before", was)
+	}
+}
+
+func (n *Node) pass(m peer.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.avoid[m.ID] = n.clock().Add(avoidFor)
+}
+
+// question asks for what changed after a revision, answer is what is said
+// to it. Ages and waits are milliseconds.
+type question struct {
+	ID    uint64 `json:"id"`
+	After int64  `json:"after"`
+	Wait  int64  `json:"wait"`
+}
+
+type answer struct {
+	ID       uint64     `json:"id"`
+	Status   status     `json:"status"`
+	Revision int64      `json:"rev"`
+	Age      int64      `json:"age"`
+	Items    []wireItem `json:"items,omitempty"`
+}
+
+type wireItem struct {
+	Key      string `json:"k"`
+	Value    []byte `json:"v,omitempty"`
+	Revision int64  `json:"r"`
+	Deleted  bool   `json:"d,omitempty"`
+}
+
+func (a answer) age() time.Duration { return time.Duration(a.Age) * time.Millisecond }
+
+func (a answer) changes() store.Changes {
+	c := store.Changes{Revision: a.Revision, Age: a.age(), Waited: followWait}
+	for _, i := range a.Items {
+		c.Items = append(c.Items, store.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
+	}
+	return c
+}
+
+// message is one of the two.
+type message struct {
+	Question *question `json:"q,omitempty"`
+	Answer   *answer   `json:"a,omitempty"`
+}
+
+func (n *Node) ask(ctx context.Context, m peer.Member, after int64) (answer, bool) {
+	c := make(chan answer, 1)
+	n.mu.Lock()
+	n.next++
+	id := n.next
+	n.waiting[id] = c
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		delete(n.waiting, id)
+		n.mu.Unlock()
+	}()
+	if err := n.send(m.Addr, message{Question: &question{ID: id, After: after, Wait: followWait.Milliseconds()}}); err != nil {
+		return answer{}, false
+	}
+	t := time.NewTimer(followWait + answerSlack)
+	defer t.Stop()
+	select {
+	case a := <-c:
+		return a, true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return answer{}, false
+}
+
+func (n *Node) send(addr string, m message) error {
+	b, err := encode(m)
+	if err != nil {
+		return err
+	}
+	return n.net.Send(addr, b)
+}
+
+// Receive takes a datagram in; from is where an answer goes.
+func (n *Node) Receive(from string, b []byte) {
+	m, err := decode(b)
+	if err != nil {
+		n.event("datagram_unreadable", "from", from, "error", err)
+		return
+	}
+	if m.Question != nil {
+		go n.answer(from, *m.Question)
+	}
+	if m.Answer == nil {
+		return
+	}
+	n.mu.Lock()
+	c := n.waiting[m.Answer.ID]
+	n.mu.Unlock()
+	if c == nil {
+		return
+	}
+	select {
+	case c <- *m.Answer:
+	default:
+	}
+}
+
+// answer waits until there is something to say.
+func (n *Node) answer(to string, q question) {
+	t := time.NewTimer(min(followWait, time.Duration(q.Wait)*time.Millisecond))
+	defer t.Stop()
+	for {
+		c, changed, s := n.log.since(q.After, n.clock())
+		if s != known || len(c.Items) > 0 {
+			n.reply(to, q.ID, c, s)
+			return
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			c, _, s = n.log.since(q.After, n.clock())
+			n.reply(to, q.ID, c, s)
+			return
+		}
+	}
+}
+
+func (n *Node) reply(to string, id uint64, c store.Changes, s status) {
+	a := answer{ID: id, Status: s, Revision: c.Revision, Age: c.Age.Milliseconds() + 1}
+	for _, i := range c.Items {
+		a.Items = append(a.Items, wireItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
+	}
+	b, err := encode(message{Answer: &a})
+	if err == nil && len(b) > maxDatagram {
+		b, err = encode(message{Answer: &answer{ID: id, Status: tooLarge}})
+	}
+	if err == nil {
+		err = n.net.Send(to, b)
+	}
+	if err != nil {
+		n.event("answer_unsent", "to", to, "error", err)
+	}
+}
+
+// encode returns the message compressed: configurations are repetitive.
+func encode(m message) ([]byte, error) {
+	j, err := json.Marshal(m)
+	if err != nil {
+		return nil, errors.Wrap(err, "relay.encode")
+	}
+	if len(j) < compressFrom {
+		return append([]byte{plain}, j...), nil
+	}
+	var b bytes.Buffer
+	b.WriteByte(deflated)
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "relay.encode")
+	}
+	if _, err := w.Write(j); err != nil {
+		return nil, errors.Wrap(err, "relay.encode")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "relay.encode")
+	}
+	return b.Bytes(), nil
+}
+
+const (
+	plain    = 0
+	deflated = 1
+	// compressFrom is the least message worth compressing, in bytes.
+	compressFrom = 1 << 10
+	// maxMessage bounds a message once it is inflated, in bytes.
+	maxMessage = 4 << 20
+)
+
+func decode(b []byte) (message, error) {
+	var m message
+	if len(b) == 0 {
+		return m, errors.New("relay.decode: empty")
+	}
+	j := b[1:]
+	if b[0] == deflated {
+		var err error
+		j, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(j)), maxMessage))
+		if err != nil {
+			return m, errors.Wrap(err, "relay.decode")
+		}
+	}
+	return m, errors.Wrap(json.Unmarshal(j, &m), "relay.decode")
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,267 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"fieldvale/mirror"
+	"fieldvale/peer"
+	"fieldvale/standin/seed"
+	"fieldvale/store"
+)
+
+var _ = seed.Fix()
+
+// fakeStore is a feed whose history is kept whole.
+type fakeStore struct {
+	mu    sync.Mutex
+	items []store.Item
+	down  bool
+	calls int
+}
+
+var errDown = errors.New("down")
+
+func (f *fakeStore) put(key, value string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := int64(len(f.items) + 1)
+	f.items = append(f.items, store.Item{Key: key, Value: []byte(value), Revision: r})
+	return r
+}
+
+func (f *fakeStore) Read(context.Context, string, string) (store.Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.down {
+		return store.Page{}, errDown
+	}
+	return store.Page{Items: append([]store.Item(nil), f.items...), Revision: int64(len(f.items))}, nil
+}
+
+func (f *fakeStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (store.Changes, error) {
+	f.mu.Lock()
+	f.calls++
+	f.mu.Unlock()
+	for end := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
+		f.mu.Lock()
+		n := int64(len(f.items))
+		l := append([]store.Item(nil), f.items[min(after, n):]...)
+		d := f.down
+		f.mu.Unlock()
+		switch {
+		case d:
+			return store.Changes{}, errDown
+		case ctx.Err() != nil:
+			return store.Changes{}, ctx.Err()
+		case len(l) > 0 || !time.Now().Before(end):
+			return store.Changes{Items: l, Revision: n}, nil
+		}
+	}
+}
+
+// network delivers datagrams after a delay; cut holds the ways that are cut.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*Node
+	cut   map[string]bool
+	delay time.Duration
+}
+
+type way struct {
+	n    *network
+	from string
+}
+
+func (w way) Send(to string, b []byte) error {
+	w.n.mu.Lock()
+	defer w.n.mu.Unlock()
+	x := w.n.nodes[to]
+	if x == nil || w.n.cut[w.from+">"+to] {
+		return nil
+	}
+	time.AfterFunc(w.n.delay, func() { x.Receive(w.from, b) })
+	return nil
+}
+
+// listener notes what a follower learns.
+type listener struct {
+	mu        sync.Mutex
+	revision  int64
+	confirmed time.Time
+	lost      bool
+}
+
+func (l *listener) Changed(u mirror.Update) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.revision = u.Revision
+}
+
+func (l *listener) Confirmed(t time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t.After(l.confirmed) {
+		l.confirmed = t
+	}
+}
+
+func (l *listener) Lost(error) { l.set(true) }
+func (l *listener) Regained()  { l.set(false) }
+
+func (l *listener) set(b bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost = b
+}
+
+func (l *listener) state() (int64, time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision, l.confirmed, l.lost
+}
+
+type fleet struct {
+	net    *network
+	stores map[string]*fakeStore
+	on     map[string]*listener
+}
+
+// start runs n instances; each has its own way to the store, so that the
+// store can turn single ones away.
+func start(ctx context.Context, g *sync.WaitGroup, n int, shared *fakeStore) *fleet {
+	f := &fleet{net: &network{nodes: map[string]*Node{}, cut: map[string]bool{}, delay: time.Millisecond}, stores: map[string]*fakeStore{}, on: map[string]*listener{}}
+	var m []peer.Member
+	for i := range n {
+		id := fmt.Sprint("n", i)
+		m = append(m, peer.Member{ID: id, Addr: id})
+	}
+	for _, x := range m {
+		l, on := NewLog(), &listener{}
+		r := NewNode(x.ID, 1, l, shared, way{f.net, x.ID}, time.Now, func(string, ...any) {})
+		r.SetMembers(m)
+		f.net.mu.Lock()
+		f.net.nodes[x.ID] = r
+		f.net.mu.Unlock()
+		f.on[x.ID] = on
+		g.Go(func() { _ = mirror.New(r, "", 1500*time.Millisecond, time.Now, Tee{Log: l, On: on}).Run(ctx) })
+	}
+	return f
+}
+
+func TestChangesReachAllAndAgesAddUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		s := &fakeStore{}
+		s.put("a", "1")
+		f := start(ctx, &g, 7, s)
+		time.Sleep(5 * time.Second)
+		calls := s.calls
+		r := s.put("a", "2")
+		time.Sleep(100 * time.Millisecond)
+		for id, on := range f.on {
+			if got, _, _ := on.state(); got != r {
+				t.Errorf("%s is at revision %d 100 ms after revision %d", id, got, r)
+			}
+		}
+		time.Sleep(15 * time.Second)
+		// Two watch, ten calls each in 15 s.
+		if n := s.calls - calls; n > 30 {
+			t.Errorf("%d calls of the store in 15 s of an idle fleet, want about 20", n)
+		}
+		for id, on := range f.on {
+			if _, c, _ := on.state(); time.Since(c) > 3*time.Second || time.Since(c) < 0 {
+				t.Errorf("%s was confirmed %s ago", id, time.Since(c))
+			}
+		}
+		cancel()
+		g.Wait()
+		time.Sleep(time.Second)
+	})
+}
+
+// An instance never takes knowledge for newer than it is, whatever is cut or
+// down meanwhile: a change that was made before the moment of a confirmation
+// is in force by then.
+func TestConfirmationsAreTrue(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 5, 25).Draw(rt, "steps")
+		waits := rapid.SliceOfN(rapid.IntRange(1, 3000), 25, 25).Draw(rt, "waits")
+		who := rapid.SliceOfN(rapid.IntRange(0, 4), 50, 50).Draw(rt, "who")
+		synctest.Test(t, func(t *testing.T) { playRelay(t, rt, steps, waits, who) })
+	})
+}
+
+func playRelay(t *testing.T, rt *rapid.T, steps, waits, who []int) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var g sync.WaitGroup
+	s := &fakeStore{}
+	s.put("a", "0")
+	f := start(ctx, &g, 5, s)
+	made := map[int64]time.Time{}
+	for i, x := range steps {
+		time.Sleep(time.Duration(waits[i]) * time.Millisecond)
+		f.disturb(x, who[2*i], who[2*i+1], s, made)
+		for id, on := range f.on {
+			r, c, _ := on.state()
+			for v, at := range made {
+				if v > r && at.Before(c) {
+					rt.Errorf("%s is at revision %d and confirmed for %s after revision %d was made", id, r, c.Sub(at), v)
+				}
+			}
+		}
+	}
+	cancel()
+	g.Wait()
+	time.Sleep(time.Second)
+}
+
+func (f *fleet) disturb(step, a, b int, s *fakeStore, made map[int64]time.Time) {
+	w := fmt.Sprintf("n%d>n%d", a, b)
+	switch step {
+	case 0, 1:
+		r := s.put("a", "x")
+		made[r] = time.Now()
+	case 2:
+		s.mu.Lock()
+		s.down = !s.down
+		s.mu.Unlock()
+	case 3, 4:
+		f.net.mu.Lock()
+		f.net.cut[w] = !f.net.cut[w]
+		f.net.mu.Unlock()
+	case 5:
+		f.net.mu.Lock()
+		f.net.delay = time.Duration(1+100*a) * time.Millisecond
+		f.net.mu.Unlock()
+	}
+}
+
+func TestDatagramsSurviveCompression(t *testing.T) {
+	a := answer{ID: 7, Revision: 9}
+	for i := range 100 {
+		a.Items = append(a.Items, wireItem{Key: fmt.Sprint("key", i), Value: make([]byte, 200), Revision: int64(i)})
+	}
+	b, err := encode(message{Answer: &a})
+	if err != nil || len(b) > 4<<10 {
+		t.Fatalf("%d bytes, %v", len(b), err)
+	}
+	m, err := decode(b)
+	if err != nil || len(m.Answer.Items) != 100 || m.Answer.Items[99].Key != "key99" {
+		t.Fatalf("%v, %v", m.Answer, err)
+	}
+	for _, x := range [][]byte{nil, {deflated, 1, 2}, {plain}} {
+		if _, err := decode(x); err == nil {
+			t.Errorf("%v was read", x)
+		}
+	}
+}
--- a/store/feed.go
+++ b/store/feed.go
@@ -34,6 +34,11 @@
 type Changes struct {
 	Items    []Item
 	Revision int64
+	// Age is how old the answer was when it was given; 0 from the store.
+	Age time.Duration
+	// Waited is how long the one who answered waits for a change, if that is
+	// less than was asked for.
+	Waited time.Duration
 }
 
 // Feed tells of keys and of their changes.
