Instances follow only those that know from the store itself

Cause: the store turned both watching instances away; each then followed the other, so their answers stayed "known" with growing ages up to 2.5 s, and all the others believed them beyond the bound of 2 s. Change: only an instance that the store itself told answers others. The second tier of the ranking stands in when the first can't tell; an instance whose own way to the store is cut asks any. Waits and the oldest knowledge that is taken follow from the setting apply_within.

--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -20,7 +20,9 @@
 	Peers string
 	// Store is the address of the platform's store.
 	Store string
-	Level string
+	// ApplyWithin is how soon a change in the store must be in force.
+	ApplyWithin time.Duration
+	Level       string
 	// StopWithin is the longest that a planned stop takes.
 	StopWithin time.Duration
 	// MemoryMB is the instance's memory in MB.
@@ -41,6 +43,7 @@
 const (
 	defaultMemoryMB    = 256
 	defaultHonourFor   = 5 * time.Second
+	defaultApplyWithin = 2 * time.Second
 	defaultNodeStop    = 8 * time.Second
 	defaultRepeatPart  = 0.1
 	defaultRepeatBurst = 10
@@ -98,6 +101,7 @@
 	n.Metrics = address(s, "metrics_listen")
 	n.Peers = address(s, "peers_listen")
 	n.Store = address(s, "store")
+	n.ApplyWithin = s.Span("apply_within", defaultApplyWithin)
 	n.StopWithin = s.Span("stop_within", defaultNodeStop)
 	n.Level = readLevel(s)
 }
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -32,10 +32,6 @@
 )
 
 const (
-	// watchWait is how long one call waits for changes, and so the longest
-	// between two confirmations of an idle configuration; with honourPart it
-	// stays well within the time for which a key is honoured.
-	watchWait = 1500 * time.Millisecond
 	// honourPart of the time for which a key may be honoured is how long a
 	// confirmation holds; the rest covers the way of a request to its replica
 	// and clocks that run unlike.
@@ -96,7 +92,8 @@
 	n.placer = placement.NewNode(s.ID, rand.Uint64()>>16, tagged{n, tagPlacement}, n.clock, n.event)
 	n.store = platform.NewStore(exchange.New(), s.Store)
 	n.changes = relay.NewLog()
-	n.relay = relay.NewNode(s.ID, rand.Uint64()>>16, n.changes, n.store, tagged{n, tagRelay}, n.clock, n.event)
+	times := relay.TimesFor(s.ApplyWithin)
+	n.relay = relay.NewNode(s.ID, rand.Uint64()>>16, n.changes, n.store, tagged{n, tagRelay}, n.clock, n.event, times)
 	n.state = state.New(n.view, n.lease, n.clock, n.event, func(m []peer.Member) {
 		n.placer.SetMembers(m)
 		n.relay.SetMembers(m)
@@ -203,7 +200,7 @@
 	g.Go(func() error { return closed(x, n.metrics.Serve(m, n.ready)) })
 	on := relay.Tee{Log: n.changes, On: platform.NewListener(n.state, n.event)}
 	for _, p := range platform.Prefixes {
-		g.Go(func() error { return mirror.New(n.relay, p, watchWait, n.clock, on).Run(x) })
+		g.Go(func() error { return mirror.New(n.relay, p, relay.TimesFor(n.s.ApplyWithin).Watch, n.clock, on).Run(x) })
 	}
 	g.Go(func() error { return n.socket.Serve(x, n.receive) })
 	g.Go(func() error { return n.announce(x) })
--- a/relay/log.go
+++ b/relay/log.go
@@ -28,7 +28,10 @@
 	changed chan struct{}
 	// confirmed is when the revision was last known to be the newest.
 	confirmed time.Time
-	lost      bool
+	// direct says that the store itself told the instance; lost that the
+	// instance is out of touch.
+	direct bool
+	lost   bool
 }
 
 // NewLog returns a log that knows nothing.
@@ -72,6 +75,17 @@
 	l.wake()
 }
 
+// SetDirect says whether the instance knows from the store itself.
+func (l *Log) SetDirect(direct bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.direct == direct {
+		return
+	}
+	l.direct = direct
+	l.wake()
+}
+
 func (l *Log) wake() {
 	close(l.changed)
 	l.changed = make(chan struct{})
@@ -85,7 +99,7 @@
 	c.Revision = l.revision
 	c.Age = now.Sub(l.confirmed)
 	switch {
-	case l.floor < 0 || l.confirmed.IsZero() || l.lost:
+	case l.floor < 0 || l.confirmed.IsZero() || l.lost || !l.direct:
 		return c, l.changed, lostTouch
 	case after < l.floor:
 		return c, l.changed, forgotten
--- a/relay/node.go
+++ b/relay/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,25 +16,47 @@
 	"fieldvale/store"
 )
 
+// Times are how fresh knowledge has to be.
+type Times struct {
+	// Watch is how long one call of the store waits for a change, Follow how
+	// long a question to another instance does.
+	Watch  time.Duration
+	Follow time.Duration
+	// MaxAge is the oldest knowledge that is taken from another instance. One
+	// that watches a sound store never has older: twice Watch, since an
+	// answer that brings a change proves nothing later than its question.
+	MaxAge time.Duration
+}
+
+// TimesFor returns the times with which a change is in force within the bound
+// also at an instance whose source loses the store without notice: it asks
+// the store itself once MaxAge and one question are over.
+func TimesFor(within time.Duration) Times {
+	return Times{Watch: within * 3 / 10, Follow: within * 15 / 100, MaxAge: within * 65 / 100}
+}
+
 const (
-	// followWait is how long one question to an instance waits for a change;
-	// it adds to the age of what a follower knows.
-	followWait = 400 * time.Millisecond
 	// answerSlack is how much longer an answer may take before another
 	// instance, or the store, is asked.
 	answerSlack = 150 * time.Millisecond
-	// maxAge is the oldest knowledge that a follower takes; an instance that
-	// watches a sound store never has older.
-	maxAge = 2500 * time.Millisecond
-	// avoidFor is how long an instance that could not tell is passed over.
+	// avoidFor is how long an instance that could not tell, or a store that
+	// could not be reached while others could tell, is passed over.
 	avoidFor = 2 * time.Second
+	// askAgain is how long an instance is passed over that answered without
+	// knowing: it may have to watch the store itself any moment.
+	askAgain = 200 * time.Millisecond
 	// maxDatagram bounds an answer, in bytes; larger changes are read from
 	// the store.
 	maxDatagram = 40 << 10
 	// followersEach is how many followers a watching instance has in a large
 	// fleet, and minWatchers how many watch in any.
-	followersEach = 12
+	followersEach = 40
 	minWatchers   = 2
+	// otherSources is how many instances that do not watch by their rank are
+	// asked when those that do can't tell: one of them may have had to.
+	otherSources = 4
+	// tiers are the watchers and those that stand in for them.
+	tiers = 2
 	// watchersKey ranks the instances that watch.
 	watchersKey = "watch"
 )
@@ -51,6 +74,7 @@
 	net   Transport
 	clock func() time.Time
 	event func(event string, fields ...any)
+	times Times
 
 	mu      sync.Mutex
 	members []peer.Member
@@ -58,13 +82,15 @@
 	next    uint64
 	waiting map[uint64]chan answer
 	source  string
+	// storeAt is when the store is asked again after it failed.
+	storeAt time.Time
 }
 
 var _ store.Feed = (*Node)(nil)
 
 // NewNode returns the instance with that id. l is what it tells others.
-func NewNode(self string, start uint64, l *Log, s store.Feed, net Transport, clock func() time.Time, event func(event string, fields ...any)) *Node {
-	return &Node{self: self, log: l, store: s, net: net, clock: clock, event: event, avoid: map[string]time.Time{}, next: start, waiting: map[uint64]chan answer{}}
+func NewNode(self string, start uint64, l *Log, s store.Feed, net Transport, clock func() time.Time, event func(event string, fields ...any), t Times) *Node {
+	return &Node{times: t, self: self, log: l, store: s, net: net, clock: clock, event: event, avoid: map[string]time.Time{}, next: start, waiting: map[uint64]chan answer{}}
 }
 
 // SetMembers replaces the list of the fleet's instances.
@@ -77,9 +103,13 @@
 // Watchers returns the instances that watch the store, of the given fleet:
 // the same ones at each instance.
 func Watchers(m []peer.Member) []peer.Member {
-	k := max(minWatchers, (len(m)+followersEach-1)/followersEach)
 	r := peer.Rank(watchersKey, m)
-	return r[:min(k, len(r))]
+	return r[:min(watchers(len(m)), len(r))]
+}
+
+// watchers is how many of so many instances watch.
+func watchers(members int) int {
+	return max(minWatchers, (members+followersEach-1)/followersEach)
 }
 
 // Read implements store.Feed. The store is read whole at the store.
@@ -87,62 +117,91 @@
 	return n.store.Read(ctx, prefix, after)
 }
 
-// Changes implements store.Feed. An instance that watches asks the store and
-// falls back on others; any other one the other way round.
+// Changes implements store.Feed. The fleet's instances are ranked; the first
+// ones watch the store, the next ones stand in for them. An instance asks
+// those ranked before its own tier and, if none of them can tell, the store.
+// Where its own way to the store is cut, it asks all tiers.
 func (n *Node) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
-	sources, watches := n.sources()
-	if watches {
-		c, err := n.store.Changes(ctx, prefix, after, wait)
-		if err == nil || errors.Is(err, store.ErrCompacted) || ctx.Err() != nil {
-			n.from("store")
-			return c, err
-		}
-		if c, ok := n.follow(ctx, sources, after); ok {
+	before, rest := n.sources()
+	if c, ok := n.follow(ctx, before, after); ok {
+		return c, nil
+	}
+	if n.clock().Before(n.storeAt) {
+		if c, ok := n.follow(ctx, rest, after); ok {
 			return c, nil
 		}
+	}
+	c, err := n.watch(ctx, prefix, after, wait)
+	if err == nil || errors.Is(err, store.ErrCompacted) || ctx.Err() != nil {
 		return c, err
 	}
-	if c, ok := n.follow(ctx, sources, after); ok {
-		return c, nil
+	if f, ok := n.follow(ctx, rest, after); ok {
+		n.storeAt = n.clock().Add(avoidFor)
+		return f, nil
 	}
+	return c, err
+}
+
+// watch asks the store. Only what it says may be told to others: instances
+// that follow each other would all be wrong together.
+func (n *Node) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
 	n.from("store")
-	return n.store.Changes(ctx, prefix, after, wait)
+	c, err := n.store.Changes(ctx, prefix, after, wait)
+	n.log.SetDirect(err == nil)
+	return c, err
 }
 
-// sources returns the instances to follow, the preferred first, and whether
-// this one watches the store.
-func (n *Node) sources() (l []peer.Member, watches bool) {
+// sources returns the instances that are asked before the store, and those
+// that are asked if the store can't be.
+func (n *Node) sources() (before, rest []peer.Member) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.clock()
-	for _, m := range Watchers(n.members) {
-		if m.ID == n.self {
-			watches = true
-			continue
-		}
-		if !now.Before(n.avoid[m.ID]) {
-			l = append(l, m)
+	r := peer.Rank(watchersKey, n.members)
+	k := watchers(len(r))
+	for tier := range tiers {
+		t := r[min(tier*k, len(r)):min((tier+1)*k, len(r))]
+		if slices.ContainsFunc(t, func(m peer.Member) bool { return m.ID == n.self }) {
+			rest = r[tier*k:]
+			break
 		}
+		before = append(before, peer.Rank(n.self, n.usable(t))...)
+		rest = r[min((tier+1)*k, len(r)):]
 	}
-	if len(n.members) < minWatchers {
-		watches = true
+	rest = n.usable(rest)
+	return before, rest[:min(len(rest), otherSources)]
+}
+
+// usable leaves out this instance and those passed over.
+func (n *Node) usable(m []peer.Member) []peer.Member {
+	now := n.clock()
+	var l []peer.Member
+	for _, x := range m {
+		if x.ID != n.self && !now.Before(n.avoid[x.ID]) {
+			l = append(l, x)
+		}
 	}
-	return peer.Rank(n.self, l), watches
+	return l
 }
 
 // follow asks one instance after another.
 func (n *Node) follow(ctx context.Context, sources []peer.Member, after int64) (store.Changes, bool) {
 	for _, m := range sources {
 		a, ok := n.ask(ctx, m, after)
-		if ok && a.Status == known && a.age() <= maxAge {
+		if ok && a.Status == known && a.age() <= n.times.MaxAge {
 			n.from(m.ID)
-			return a.changes(), true
+			n.log.SetDirect(false)
+			c := a.changes()
+			c.Waited = n.times.Follow
+			return c, true
 		}
 		if ctx.Err() != nil {
 			return store.Changes{}, false
 		}
-		if !ok || a.Status == lostTouch || a.Status == known {
-			n.pass(m)
+		switch {
+		case !ok:
+			n.pass(m, avoidFor)
+		case a.Status == lostTouch || a.Status == known:
+			n.pass(m, askAgain)
 		}
 	}
 	return store.Changes{}, false
@@ -159,10 +218,10 @@
 	}
 }
 
-func (n *Node) pass(m peer.Member) {
+func (n *Node) pass(m peer.Member, d time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.avoid[m.ID] = n.clock().Add(avoidFor)
+	n.avoid[m.ID] = n.clock().Add(d)
 }
 
 // question asks for what changed after a revision, answer is what is said
@@ -191,7 +250,7 @@
 func (a answer) age() time.Duration { return time.Duration(a.Age) * time.Millisecond }
 
 func (a answer) changes() store.Changes {
-	c := store.Changes{Revision: a.Revision, Age: a.age(), Waited: followWait}
+	c := store.Changes{Revision: a.Revision, Age: a.age()}
 	for _, i := range a.Items {
 		c.Items = append(c.Items, store.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
 	}
@@ -216,10 +275,10 @@
 		delete(n.waiting, id)
 		n.mu.Unlock()
 	}()
-	if err := n.send(m.Addr, message{Question: &question{ID: id, After: after, Wait: followWait.Milliseconds()}}); err != nil {
+	if err := n.send(m.Addr, message{Question: &question{ID: id, After: after, Wait: n.times.Follow.Milliseconds()}}); err != nil {
 		return answer{}, false
 	}
-	t := time.NewTimer(followWait + answerSlack)
+	t := time.NewTimer(n.times.Follow + answerSlack)
 	defer t.Stop()
 	select {
 	case a := <-c:
@@ -265,7 +324,7 @@
 
 // answer waits until there is something to say.
 func (n *Node) answer(to string, q question) {
-	t := time.NewTimer(min(followWait, time.Duration(q.Wait)*time.Millisecond))
+	t := time.NewTimer(min(n.times.Follow, time.Duration(q.Wait)*time.Millisecond))
 	defer t.Stop()
 	for {
 		c, changed, s := n.log.since(q.After, n.clock())
