--- a/entry/backends.go
+++ b/entry/backends.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +36,24 @@
 	// pending is the estimated milliseconds of prompts sent and not yet read.
 	pending float64
 	breaker admission.Breaker
+	// service is the plain service of the replica, empty for others.
+	service string
+}
+
+// usual is the rate of failures of the service's replicas: the middle one of
+// all, so that one bad replica does not excuse itself.
+func (b *backends) usual(x *backend) float64 {
+	var l []float64
+	for _, s := range b.state {
+		if s.service == x.service && s != x {
+			l = append(l, s.breaker.Rate())
+		}
+	}
+	if len(l) == 0 {
+		return 0
+	}
+	slices.Sort(l)
+	return l[len(l)/2]
 }
 
 func newBackends(s rand.Source) *backends {
@@ -96,7 +115,7 @@
 		s.breaker.Succeeded()
 		return
 	}
-	s.breaker.Failed(now)
+	s.breaker.Failed(now, b.usual(s))
 }
 
 func isRefusal(err error) bool {
@@ -153,6 +172,7 @@
 
 func (b *backends) add(r *pool.Replica, cost float64, now time.Time) {
 	s := b.of(r.ID)
+	s.service = r.Service
 	s.running++
 	s.pending += cost
 	s.breaker.Tried(now)
@@ -210,7 +230,7 @@
 		return
 	}
 	if bad {
-		s.breaker.Failed(now)
+		s.breaker.Failed(now, b.usual(s))
 		return
 	}
 	s.breaker.Succeeded()
