Releases are recorded by turns; readiness goes before the lease does

Cause: on the grown deployments a third of 85 instances raced for each record of a release. Instances write in the order of their rank now, 250 ms apart, and stop being ready when 0.6 of the lease is used, so that clients are elsewhere before keys can't be honoured.

--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -55,6 +56,9 @@
 	// gcPercent trades memory, which is priced, against processor time.
 	gcPercent     = 60
 	commitTimeout = 2 * time.Second
+	// turnLength is how long one instance has to write what is due before the
+	// next one does: some store calls, and well below the phases of a release.
+	turnLength = 250 * time.Millisecond
 	// announceFor is how long an instance that is gone is still listed;
 	// a silent keeper is passed over long before. It is renewed at a third.
 	announceFor = 12 * time.Second
@@ -269,14 +273,23 @@
 	}
 }
 
-// advance takes the releases on that are due. Instances that find the same
-// one due at the same time race for the record; a part of them waits a tick.
+// advance takes the releases on that are due. The instances take turns by
+// rank, so that one of them writes and the next only if it did not.
 func (n *node) advance(ctx context.Context) {
-	for _, c := range n.state.Due(n.clock()) {
-		if rand.IntN(3) == 0 {
-			n.record(ctx, c)
-		}
+	for _, c := range n.state.Due(n.clock(), n.turn) {
+		n.record(ctx, c)
+	}
+}
+
+// turn is how long this instance lets those ranked before it write a record
+// of the service's release.
+func (n *node) turn(service string) time.Duration {
+	m := peer.Rank("release/"+service, n.placer.Members())
+	i := slices.IndexFunc(m, func(x peer.Member) bool { return x.ID == n.s.ID })
+	if i < 0 {
+		i = len(m)
 	}
+	return time.Duration(i) * turnLength
 }
 
 func (n *node) record(ctx context.Context, c state.Record) {
--- a/cmd/fieldvale-node/node_test.go
+++ b/cmd/fieldvale-node/node_test.go
@@ -273,7 +273,9 @@
 			return func(c net.Conn, _ sitetest.Seen) { _, _ = io.WriteString(c, "nonsense\r\n\r\n") }
 		}, 200, 2},
 		{"a success without a stamp", "/again/", func(*sitetest.Replica) func(net.Conn, sitetest.Seen) {
-			return func(c net.Conn, _ sitetest.Seen) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") }
+			return func(c net.Conn, _ sitetest.Seen) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
 		}, 200, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/entry/backends.go
+++ b/entry/backends.go
@@ -152,6 +152,21 @@
 	return r
 }
 
+// forgetAbove is how many replicas are known before those are forgotten that
+// have nothing running: replicas come and go for as long as the process runs.
+const forgetAbove = 2000
+
+func (b *backends) forget() {
+	if len(b.state) <= forgetAbove {
+		return
+	}
+	for id, s := range b.state {
+		if s.running == 0 {
+			delete(b.state, id)
+		}
+	}
+}
+
 // takeOpaque chooses a replica for an opaque request and counts it there; nil
 // if none is left. Breakers have no say when they leave none.
 func (b *backends) takeOpaque(r []*pool.Replica, affinity string, tried []string, cost float64, now time.Time) *pool.Replica {
@@ -171,6 +186,7 @@
 }
 
 func (b *backends) add(r *pool.Replica, cost float64, now time.Time) {
+	b.forget()
 	s := b.of(r.ID)
 	s.service = r.Service
 	s.running++
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -57,3 +57,9 @@
 	a, ok := l.Age(now)
 	return ok && a < l.length
 }
+
+// Fresh reports whether less than the given part of the lease is used up.
+func (l *Lease) Fresh(now time.Time, part float64) bool {
+	a, ok := l.Age(now)
+	return ok && a < time.Duration(part*float64(l.length))
+}
--- a/state/state.go
+++ b/state/state.go
@@ -215,30 +215,38 @@
 	s.log("store_back")
 }
 
+// freshPart of the lease may be used up at an instance that is ready. New
+// connections go elsewhere before keys can't be honoured here: the platform
+// takes two seconds to notice.
+const freshPart = 0.6
+
 // Ready reports whether requests can be answered: there is a configuration
 // that was confirmed a short while ago, and a replica.
 func (s *State) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table != nil && len(s.replicas.Replicas()) > 0 && s.lease.Holds(s.clock())
+	return s.table != nil && len(s.replicas.Replicas()) > 0 && s.lease.Fresh(s.clock(), freshPart)
 }
 
 // Due returns the releases of which something is to be recorded by now: those
 // that no record tells of yet, and those whose phase has lasted, each one
-// phase further.
-func (s *State) Due(now time.Time) []Record {
+// phase further. turn is how much longer this instance waits for each service.
+func (s *State) Due(now time.Time, turn func(service string) time.Duration) []Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var l []Record
-	for _, r := range s.releases {
+	for service, r := range s.releases {
 		c := r.current()
 		if r.order.Order == 0 || c.State != rollout.Running || s.lost {
 			continue
 		}
+		lasted := now.Sub(r.since) - turn(service)
 		switch {
 		case r.record.Release.Order != r.order.Order:
-			l = append(l, Record{Release: c, Version: r.record.Version})
-		case now.Sub(r.since) >= c.PhaseLength():
+			if lasted >= 0 {
+				l = append(l, Record{Release: c, Version: r.record.Version})
+			}
+		case lasted >= c.PhaseLength():
 			l = append(l, Record{Release: c.Next(), Version: r.record.Version})
 		}
 	}
