--- a/entry/router.go
+++ b/entry/router.go
@@ -52,6 +52,7 @@
 	speeds   *speeds
 	delays   *delays
 	releases *releases
+	recent   *recent
 	// budgets bound the repeats of opaque requests by service.
 	budgets map[string]*admission.RetryBudget
 	repeats admission.Repeats
@@ -98,7 +99,7 @@
 		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
-		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), delays: newDelays(), releases: newReleases(), budgets: map[string]*admission.RetryBudget{}, repeats: p.Repeats,
+		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), delays: newDelays(), releases: newReleases(), recent: newRecent(), budgets: map[string]*admission.RetryBudget{}, repeats: p.Repeats,
 		acceptConfidence: p.AcceptConfidence,
 	}
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -11,9 +11,12 @@
 	"fieldvale/store"
 )
 
-// maxLog bounds the items kept for followers; a follower that is further
-// behind reads the store whole.
-const maxLog = 512
+// maxLog bounds the items kept for followers, and maxLogBytes their values; a
+// follower that is further behind reads the store whole.
+const (
+	maxLog      = 512
+	maxLogBytes = 3 << 20
+)
 
 // Log is what an instance has seen of the store's recent changes. It is safe
 // for concurrent use.
@@ -45,17 +48,38 @@
 	l.wake()
 }
 
-// Add appends changes up to the revision.
+// Add appends changes up to the revision. Of each key the newest item is
+// kept: a follower has no use for those before.
 func (l *Log) Add(items []store.Item, revision int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.items = append(l.items, items...)
+	changed := map[string]bool{}
+	for _, i := range items {
+		changed[i.Key] = true
+	}
+	n := make([]store.Item, 0, len(l.items)+len(items))
+	for _, i := range l.items {
+		if !changed[i.Key] {
+			n = append(n, i)
+		}
+	}
+	l.items = append(n, items...)
 	l.revision = max(l.revision, revision)
-	if n := len(l.items) - maxLog; n > 0 {
-		l.floor = l.items[n-1].Revision
+	l.trim()
+	l.wake()
+}
+
+// trim drops the oldest items beyond the bounds.
+func (l *Log) trim() {
+	n, size := len(l.items), 0
+	for n > 0 && len(l.items)-n < maxLog && size+len(l.items[n-1].Value) <= maxLogBytes {
+		n--
+		size += len(l.items[n].Value)
+	}
+	if n > 0 {
+		l.floor = max(l.floor, l.items[n-1].Revision)
 		l.items = append([]store.Item(nil), l.items[n:]...)
 	}
-	l.wake()
 }
 
 // Confirm says that nothing newer than what was added existed at asOf.
--- a/relay/node.go
+++ b/relay/node.go
@@ -45,9 +45,10 @@
 	// askAgain is how long an instance is passed over that answered without
 	// knowing: it may have to watch the store itself any moment.
 	askAgain = 200 * time.Millisecond
-	// maxDatagram bounds an answer, in bytes; larger changes are read from
-	// the store.
-	maxDatagram = 40 << 10
+	// maxValues bounds the values in an answer, in bytes: they have to fit a
+	// datagram, and to be encoded for each follower. Larger changes are read
+	// from the store.
+	maxValues = 24 << 10
 	// followersEach is how many followers a watching instance has in a large
 	// fleet, and minWatchers how many watch in any.
 	followersEach = 40
@@ -123,11 +124,12 @@
 // Where its own way to the store is cut, it asks all tiers.
 func (n *Node) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
 	before, rest := n.sources()
-	if c, ok := n.follow(ctx, before, after); ok {
+	c, s := n.follow(ctx, before, after)
+	if s == known {
 		return c, nil
 	}
-	if n.clock().Before(n.storeAt) {
-		if c, ok := n.follow(ctx, rest, after); ok {
+	if s == lostTouch && n.clock().Before(n.storeAt) {
+		if c, s := n.follow(ctx, rest, after); s == known {
 			return c, nil
 		}
 	}
@@ -135,7 +137,7 @@
 	if err == nil || errors.Is(err, store.ErrCompacted) || ctx.Err() != nil {
 		return c, err
 	}
-	if f, ok := n.follow(ctx, rest, after); ok {
+	if f, s := n.follow(ctx, rest, after); s == known {
 		n.storeAt = n.clock().Add(avoidFor)
 		return f, nil
 	}
@@ -183,8 +185,9 @@
 	return l
 }
 
-// follow asks one instance after another.
-func (n *Node) follow(ctx context.Context, sources []peer.Member, after int64) (store.Changes, bool) {
+// follow asks one instance after another. It gives up at one that knows of
+// changes which only the store can tell.
+func (n *Node) follow(ctx context.Context, sources []peer.Member, after int64) (store.Changes, status) {
 	for _, m := range sources {
 		a, ok := n.ask(ctx, m, after)
 		if ok && a.Status == known && a.age() <= n.times.MaxAge {
@@ -192,19 +195,21 @@
 			n.log.SetDirect(false)
 			c := a.changes()
 			c.Waited = n.times.Follow
-			return c, true
+			return c, known
 		}
 		if ctx.Err() != nil {
-			return store.Changes{}, false
+			return store.Changes{}, lostTouch
 		}
 		switch {
 		case !ok:
 			n.pass(m, avoidFor)
+		case a.Status == tooLarge || a.Status == forgotten:
+			return store.Changes{}, a.Status
 		case a.Status == lostTouch || a.Status == known:
 			n.pass(m, askAgain)
 		}
 	}
-	return store.Changes{}, false
+	return store.Changes{}, lostTouch
 }
 
 // from logs whom the instance follows when that changes.
@@ -344,13 +349,13 @@
 
 func (n *Node) reply(to string, id uint64, c store.Changes, s status) {
 	a := answer{ID: id, Status: s, Revision: c.Revision, Age: c.Age.Milliseconds() + 1}
+	if size(c.Items) > maxValues {
+		c.Items, a.Status = nil, tooLarge
+	}
 	for _, i := range c.Items {
 		a.Items = append(a.Items, wireItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
 	}
 	b, err := encode(message{Answer: &a})
-	if err == nil && len(b) > maxDatagram {
-		b, err = encode(message{Answer: &answer{ID: id, Status: tooLarge}})
-	}
 	if err == nil {
 		err = n.net.Send(to, b)
 	}
@@ -359,6 +364,14 @@
 	}
 }
 
+func size(l []store.Item) int {
+	n := 0
+	for _, i := range l {
+		n += len(i.Value) + len(i.Key)
+	}
+	return n
+}
+
 // encode returns the message compressed: configurations are repetitive.
 func encode(m message) ([]byte, error) {
 	j, err := json.Marshal(m)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -319,6 +319,52 @@
 	}
 }
 
+// A change that no datagram holds is read from the store by each instance.
+func TestLargeChangesReachAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		s := &fakeStore{}
+		s.put("a", "1")
+		f := start(ctx, &g, 7, s)
+		time.Sleep(5 * time.Second)
+		r := s.put("a", string(make([]byte, 500_000)))
+		time.Sleep(100 * time.Millisecond)
+		for id, on := range f.on {
+			if got, _, _ := on.state(); got != r {
+				t.Errorf("%s is at revision %d 100 ms after revision %d", id, got, r)
+			}
+		}
+		cancel()
+		g.Wait()
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// The log keeps a bounded size, whatever is written.
+func TestLogIsBounded(t *testing.T) {
+	l := NewLog()
+	l.Reset(0)
+	for i := range int64(2000) {
+		l.Add([]store.Item{{Key: "config", Value: make([]byte, 400_000), Revision: 2*i + 1}, {Key: fmt.Sprint(i), Value: make([]byte, 10_000), Revision: 2*i + 2}}, 2*i+2)
+	}
+	n := 0
+	for _, i := range l.items {
+		n += len(i.Value)
+	}
+	if n > maxLogBytes || len(l.items) > maxLog {
+		t.Errorf("%d bytes in %d items", n, len(l.items))
+	}
+	l.SetDirect(true)
+	l.Confirm(time.Now())
+	if _, _, s := l.since(10, time.Now()); s != forgotten {
+		t.Errorf("a follower far behind is told %d, want %d", s, forgotten)
+	}
+	if c, _, s := l.since(4000, time.Now()); s != known || len(c.Items) != 0 {
+		t.Errorf("a follower that is up to date is told %d with %d items", s, len(c.Items))
+	}
+}
+
 func TestDatagramsSurviveCompression(t *testing.T) {
 	a := answer{ID: 7, Revision: 9}
 	for i := range 100 {
