Repeats are held against requests in a sliding window, with a reserve

A replica that said nothing was left after twice the route's target only. A silent replica is left after six times what its work says, 1.5 s at least. Logs say why no further attempt was made.

--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -37,12 +37,9 @@
 	// confirmation holds; the rest covers the way of a request to its replica
 	// and clocks that run unlike.
 	honourPart = 0.9
-	// fleetShare is this instance's part of what is allowed fleet-wide on top
-	// of a part of the requests, as long as the fleet's size is not known.
-	fleetShare = 1.0 / 12
-	// repeatMargin keeps the repeats below the bound, since requests are
-	// counted in other windows than they are earned in.
-	repeatMargin = 0.8
+	// repeatMargin keeps the repeats below the bound, since each instance
+	// counts in windows of its own.
+	repeatMargin = 0.9
 	// tickEvery is how often timed duties are looked at.
 	tickEvery = 100 * time.Millisecond
 	// leaveDelay is how long a stopping instance takes new connections after
@@ -106,7 +103,7 @@
 	n.router = entry.NewRouter(entry.Ports{
 		View: n.view, Clock: n.clock, Self: s.ID, Placer: n.placer, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Events: n.events(),
 		Upstream: platform.NewUpstream(n.pool, n.clock), AcceptConfidence: s.AcceptConfidence,
-		Repeats: admission.Repeats{Part: repeatMargin * s.RepeatPart, Burst: max(1, fleetShare*s.RepeatBurst)},
+		Repeats: admission.Repeats{Part: repeatMargin * s.RepeatPart, Burst: repeatMargin * s.RepeatBurst},
 	})
 	n.ingress = platform.NewIngress(platform.Ports{Router: n.router, View: n.view, Lease: n.lease, Clock: n.clock, Answered: n.answered(), Refused: n.refused()})
 	return n
@@ -148,7 +145,7 @@
 		age, _ := n.lease.Age(n.clock())
 		n.event("routed", "request", q.ID, "route", q.Route.Name, "customer", q.Tenant.Name, "config", q.Table.Version, "config_age", age,
 			"service", f.Service, "replica", f.Replica, "release", f.Release, "model", f.Model, "confidence", f.Confidence,
-			"sends", f.Sends, "runs", f.Runs, "events", f.Events, "status", f.Status, "code", code, "run", f.Run, "cause", causeText(f.Cause),
+			"sends", f.Sends, "runs", f.Runs, "events", f.Events, "status", f.Status, "code", code, "run", f.Run, "cause", causeText(f.Cause), "stopped", f.Stopped,
 			"first", since(f.FirstAt, q.Arrived), "took", f.EndedAt.Sub(q.Arrived), "allowed", q.Deadline.Sub(q.Arrived))
 	}
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -81,13 +81,24 @@
 	if !q.Route.Repeats() || a.w.f.Runs+1 >= q.Route.MaxAttempts || q.Route.Target <= 0 {
 		return x, func() {}, func() { cancel(nil) }
 	}
-	t := time.AfterFunc(hangFactor*q.Route.Target, func() { cancel(errHung) })
+	t := time.AfterFunc(a.patience(), func() { cancel(errHung) })
 	return x, func() { t.Stop() }, func() {
 		t.Stop()
 		cancel(nil)
 	}
 }
 
+// patience is how long the replica may take to its first word: several times
+// what its work before the prompt says, where that is known.
+func (a *attempt) patience() time.Duration {
+	most := hangFactor * a.w.q.Route.Target
+	if a.placed == nil || a.placed.ready == 0 {
+		return most
+	}
+	e := a.w.r.delays.expect(a.w.f.Service, a.placed.ready)
+	return min(most, max(minPatience, patienceFactor*e))
+}
+
 // doubt drops the answer of a small model that does not trust it itself, as
 // long as a larger one may be asked and would answer in time.
 func (a *attempt) doubt(ctx context.Context, reply Reply) error {
--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -18,6 +18,9 @@
 	// instead of all too late.
 	wrongPart    = 0.9
 	doubtfulPart = 0.45
+	// escalateReserve is the part of the allowed repeats that larger models
+	// leave for requests that failed.
+	escalateReserve = 0.25
 	// middleFrom is the confidence from which the next larger model is likely
 	// enough to do when the largest has no time.
 	middleFrom = 25
@@ -38,7 +41,7 @@
 	from, tried := w.model, w.tried
 	w.model, w.tried = model, nil
 	p := w.take(ctx)
-	if p != nil && w.inTime(p, confidence) && w.budget() {
+	if p != nil && w.inTime(p, confidence) && w.r.mayRepeat(w.f.Service, escalateReserve) {
 		w.next = p
 		return true
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -26,6 +26,11 @@
 	// hangFactor times the route's target is how long a request that may be
 	// repeated waits for a replica's first word before another is asked.
 	hangFactor = 2
+	// patienceFactor times the expected time to a prompt's first event, and
+	// minPatience at least, is how long a replica may be silent; the slowest
+	// of a hundred sound ones take four times as long as expected.
+	patienceFactor = 6
+	minPatience    = 1500 * time.Millisecond
 )
 
 // forwarding is one opaque request on its way.
@@ -71,7 +76,7 @@
 	if len(q.Route.Models) > 0 && (q.Prompt.Model == prompt.AnyModel || q.Prompt.Model == "") {
 		w.model = 0
 	}
-	r.opaqueBudget(w.f.Service).Request()
+	r.received(w.f.Service)
 	err := w.run(x)
 	w.f.EndedAt = r.clock()
 	if err == nil {
@@ -106,19 +111,26 @@
 	k := outcome.Of(err)
 	if isUnreached(err) {
 		w.unreached++
-		return w.unreached >= maxUnreached
+		return w.ends(w.unreached >= maxUnreached, "replicas out of reach")
 	}
 	if k == outcome.NotRun {
 		w.refusals++
-		return w.refusals >= maxRefusals || !w.budget()
+		return w.ends(w.refusals >= maxRefusals, "replicas refused") || w.ends(!w.budget(), "no budget")
 	}
 	if k == outcome.Unknown {
 		w.unknown = true
 	}
-	if !w.q.Route.Repeats() || w.f.Runs >= w.q.Route.MaxAttempts {
-		return true
+	return w.ends(!w.q.Route.Repeats(), "may run once") ||
+		w.ends(w.f.Runs >= w.q.Route.MaxAttempts, "attempts used") ||
+		w.ends(!w.budget(), "no budget")
+}
+
+// ends notes why no further attempt is made, if that is so.
+func (w *forwarding) ends(over bool, why string) bool {
+	if over {
+		w.f.Stopped = why
 	}
-	return !w.budget()
+	return over
 }
 
 // isUnreached reports whether the replica was not connected to: nothing
@@ -128,8 +140,9 @@
 	return ok && o.Kind == outcome.NotRun && o.Status == 0
 }
 
+// budget takes a repeat after a failure.
 func (w *forwarding) budget() bool {
-	return w.r.opaqueBudget(w.f.Service).Retry()
+	return w.r.mayRepeat(w.f.Service, 0)
 }
 
 // attempt sends the request to one replica and passes its answer on.
--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -144,6 +144,8 @@
 	Run        outcome.Kind
 	Code       Code
 	Cause      error
-	FirstAt    time.Time
-	EndedAt    time.Time
+	// Stopped says why no further attempt was made after a failed one.
+	Stopped string
+	FirstAt time.Time
+	EndedAt time.Time
 }
--- a/entry/router.go
+++ b/entry/router.go
@@ -53,8 +53,8 @@
 	delays   *delays
 	releases *releases
 	recent   *recent
-	// budgets bound the repeats of opaque requests by service.
-	budgets map[string]*admission.RetryBudget
+	// windows bound the repeats of opaque requests by service.
+	windows map[string]*admission.Window
 	repeats admission.Repeats
 	// acceptConfidence is a smaller model's opinion of its own answer, out of
 	// 100, from which the answer is passed on.
@@ -99,41 +99,41 @@
 		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
-		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), delays: newDelays(), releases: newReleases(), recent: newRecent(), budgets: map[string]*admission.RetryBudget{}, repeats: p.Repeats,
+		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), delays: newDelays(), releases: newReleases(), recent: newRecent(), windows: map[string]*admission.Window{}, repeats: p.Repeats,
 		acceptConfidence: p.AcceptConfidence,
 	}
 }
 
-// opaqueBudget returns the bound on a service's repeats.
-func (r *Router) opaqueBudget(service string) sharedBudget {
+// received counts an opaque request for the bound on its service's repeats.
+func (r *Router) received(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b, ok := r.budgets[service]
-	if !ok {
-		b = admission.NewRetryBudgetOf(r.repeats)
-		r.budgets[service] = b
-	}
-	return sharedBudget{mu: &r.mu, b: b}
+	r.window(service).Request(r.clock())
 }
 
-// sharedBudget is a budget behind the router's lock.
-type sharedBudget struct {
-	mu *sync.Mutex
-	b  *admission.RetryBudget
-}
+// unknownFleet is how many instances there are taken to be as long as their
+// list is not known; more than are usual where few of them are.
+const unknownFleet = 12
 
-// Request earns what one request allows.
-func (s sharedBudget) Request() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.b.Request()
+// mayRepeat takes one repeat of a service's request if there is one left.
+// reserve is the part that is to be left for repeats after failures.
+func (r *Router) mayRepeat(service string, reserve float64) bool {
+	n := len(r.view.Get().Members)
+	if n == 0 {
+		n = unknownFleet
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.window(service).Repeat(r.clock(), 1/float64(n), reserve)
 }
 
-// Retry takes one repeat and reports whether there was one left.
-func (s sharedBudget) Retry() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Retry()
+func (r *Router) window(service string) *admission.Window {
+	w, ok := r.windows[service]
+	if !ok {
+		w = admission.NewWindow(r.repeats)
+		r.windows[service] = w
+	}
+	return w
 }
 
 // Run is the router's duties; it returns when ctx ends.
--- a/state/state.go
+++ b/state/state.go
@@ -135,7 +135,11 @@
 	for _, id := range c.Left {
 		delete(s.members, id)
 	}
-	s.onMembers(slices.SortedFunc(maps.Values(s.members), func(a, b peer.Member) int { return strings.Compare(a.ID, b.ID) }))
+	s.onMembers(s.memberList())
+}
+
+func (s *State) memberList() []peer.Member {
+	return slices.SortedFunc(maps.Values(s.members), func(a, b peer.Member) int { return strings.Compare(a.ID, b.ID) })
 }
 
 func (s *State) settle(now time.Time) {
@@ -179,7 +183,7 @@
 			m[k] = r.current()
 		}
 	}
-	s.view.Put(entry.NewView(nil, s.replicas.Replicas(), nil, nil).WithRoutes(s.table, m))
+	s.view.Put(entry.NewView(nil, s.replicas.Replicas(), s.memberList(), nil).WithRoutes(s.table, m))
 }
 
 // Tick does what is due by the time alone.
