--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -19,6 +19,7 @@
 	"fieldvale/adapter/logging"
 	"fieldvale/adapter/metrics"
 	"fieldvale/adapter/settings"
+	"fieldvale/adapter/socket"
 	"fieldvale/admission"
 	"fieldvale/entry"
 	"fieldvale/lease"
@@ -176,15 +177,15 @@
 
 // run serves until ctx ends and then stops in order.
 func (n *node) run(ctx context.Context, hup <-chan os.Signal) error {
-	front, err := net.Listen("tcp", n.s.Listen)
+	front, err := socket.Open(n.s.Listen)
 	if err != nil {
 		return errors.Wrap(err, "node.run")
 	}
-	ready, err := net.Listen("tcp", n.s.Ready)
+	ready, err := socket.Open(n.s.Ready)
 	if err != nil {
 		return errors.Wrap(err, "node.run")
 	}
-	m, err := net.Listen("tcp", n.s.Metrics)
+	m, err := socket.Open(n.s.Metrics)
 	if err != nil {
 		return errors.Wrap(err, "node.run")
 	}
--- a/cmd/fieldvale-node/node_test.go
+++ b/cmd/fieldvale-node/node_test.go
@@ -18,6 +18,7 @@
 
 	"fieldvale/adapter/logging"
 	"fieldvale/adapter/settings"
+	"fieldvale/adapter/socket"
 	"fieldvale/platform/sitetest"
 )
 
@@ -49,14 +50,14 @@
 	return s.b.String()
 }
 
-// freePort returns an address that was free a moment ago.
+// freePort returns an address that is kept for the node.
 func freePort(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := socket.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(func() { socket.Release(a) })
+	return a
 }
 
 func newSite(t *testing.T) *site {
--- a/process/control.go
+++ b/process/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/http"
 	"time"
 
@@ -19,6 +18,7 @@
 	"fieldvale/adapter/platform"
 	"fieldvale/adapter/rpc"
 	"fieldvale/adapter/settings"
+	"fieldvale/adapter/socket"
 	"fieldvale/control"
 	"fieldvale/peer"
 )
@@ -95,7 +95,7 @@
 			return err
 		}
 	}
-	m, err := net.Listen("tcp", c.settings.Metrics)
+	m, err := socket.Open(c.settings.Metrics)
 	if err != nil {
 		return errors.Wrap(err, "process.Control")
 	}
@@ -120,7 +120,7 @@
 
 // serveHTTP serves one listener in g until ctx ends.
 func serveHTTP(ctx context.Context, g *errgroup.Group, l listener) error {
-	n, err := net.Listen("tcp", l.addr)
+	n, err := socket.Open(l.addr)
 	if err != nil {
 		return errors.Wrap(err, "process.Control")
 	}
--- a/process/entry.go
+++ b/process/entry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"time"
 
 	"github.com/apex/log"
@@ -21,6 +20,7 @@
 	"fieldvale/adapter/platform"
 	"fieldvale/adapter/rpc"
 	"fieldvale/adapter/settings"
+	"fieldvale/adapter/socket"
 	"fieldvale/claim"
 	"fieldvale/entry"
 )
@@ -92,11 +92,11 @@
 // Run serves until ctx ends and then stops in order: no more new requests,
 // all that run are answered, the last bills are handed over.
 func (e *Entry) Run(ctx context.Context) error {
-	l, err := net.Listen("tcp", e.settings.Listen)
+	l, err := socket.Open(e.settings.Listen)
 	if err != nil {
 		return errors.Wrap(err, "process.Entry")
 	}
-	m, err := net.Listen("tcp", e.settings.Metrics)
+	m, err := socket.Open(e.settings.Metrics)
 	if err != nil {
 		return errors.Wrap(err, "process.Entry")
 	}
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -28,6 +28,7 @@
 	"fieldvale/adapter/policyfile"
 	"fieldvale/adapter/rpc"
 	"fieldvale/adapter/settings"
+	"fieldvale/adapter/socket"
 	"fieldvale/catalog"
 	"fieldvale/control"
 	fieldvalev1 "fieldvale/gen/fieldvale/v1"
@@ -50,13 +51,16 @@
 	engine  *engine.Engine
 	stop    map[string]context.CancelFunc
 	done    map[string]chan error
+	// why is the last error of what is waited for.
+	why string
 }
 
 func port(t *testing.T) string {
-	a, err := serve.FreePort()
+	a, err := socket.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { socket.Release(a) })
 	return a
 }
 
@@ -176,7 +180,14 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	r.t.Fatalf("%s: not in 30 s", what)
+	for name, d := range r.done {
+		select {
+		case err := <-d:
+			r.t.Errorf("%s has ended: %v", name, err)
+		default:
+		}
+	}
+	r.t.Fatalf("%s: not in 30 s; last: %s", what, r.why)
 }
 
 func (r *rig) get(url string) (int, string) {
@@ -212,7 +223,13 @@
 func (r *rig) up() {
 	r.startControl()
 	r.startEntry()
-	r.until("accept", func() bool { return r.accept("root") == nil })
+	var err error
+	r.until("accept", func() bool {
+		if err = r.accept("root"); err != nil {
+			r.why = err.Error()
+		}
+		return err == nil
+	})
 	r.until("ready", r.ready)
 	r.until("engine known", func() bool { s, _ := r.chat(false); return s == 200 })
 }
