A dead owner's record that lost against another is not counted

Cause of the known red TestDemo (billed one too many): an entry is killed when one of two holders has its record; the caller repeats at another entry within a second, which is first at the other holder and counts, by the rule that the lower owner wins; the dead one's holder then settles its record as well. Ruled out: the stand-in's count (each run was one). Change: a holder notes the rival of a lower owner until that one takes its record back, and settles the dead owner's record as void then. Test: TestRequestOfADeadOwnerIsCountedOnce; by the rule before, its second case counts two.

--- a/Makefile
+++ b/Makefile
@@ -18,9 +18,11 @@
 	./$(BIN)/fieldvale-demo up
 
 test: build lint
-	go test -count=1 -skip "^($(KNOWN_RED))$$" ./...
+	go test -count=1 $(if $(KNOWN_RED),-skip "^($(KNOWN_RED))$$") ./...
+ifneq ($(KNOWN_RED),)
 	@cat KNOWN-RED.txt
-	@go test -count=1 -run "^($(KNOWN_RED))$$" ./cmd/fieldvale-demo || echo "known red: failed, see KNOWN-RED.txt"
+	@go test -count=1 -run "^($(KNOWN_RED))$$" ./... || echo "known red: failed, see KNOWN-RED.txt"
+endif
 
 lint:
 	@l="$$(gofmt -l $$(git ls-files '*.go'))"; test -z "$$l" || { echo "gofmt would change: $$l"; exit 1; }
--- a/bill/bill_test.go
+++ b/bill/bill_test.go
@@ -100,3 +100,48 @@
 		t.Errorf("holds %d after the store has them all", b.Len())
 	}
 }
+
+// An owner dies after one of two holders has its record; the caller repeats
+// the request elsewhere within a moment. Whatever the names of the owners,
+// and whichever holders the second owner reaches, the request is counted once.
+func TestRequestOfADeadOwnerIsCountedOnce(t *testing.T) {
+	for _, c := range []struct {
+		name, dead, alive string
+		// reached are the holders that the second owner reaches: 0 has the
+		// dead one's record.
+		reached []int
+	}{
+		{"the dead one is lower", "a", "b", []int{0, 1}},
+		{"the dead one is higher", "b", "a", []int{0, 1}},
+		{"lower, only its holder is reached", "a", "b", []int{0}},
+		{"higher, only its holder is reached", "b", "a", []int{0}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			books := []*bill.Book{bill.NewBook(), bill.NewBook()}
+			dead, alive := record(c.dead, "id", 1), record(c.alive, "id", 1)
+			books[0].Hold(dead, noon)
+			var w []bill.Word
+			for _, i := range c.reached {
+				w = append(w, books[i].Hold(alive, noon.Add(100*time.Millisecond)))
+			}
+			counted := 0
+			if bill.Void(alive, w) {
+				for _, i := range c.reached {
+					books[i].Release(alive)
+				}
+			} else {
+				counted++
+			}
+			for _, b := range books {
+				for _, h := range b.Held()[c.dead] {
+					if !h.Beaten {
+						counted++
+					}
+				}
+			}
+			if counted != 1 {
+				t.Errorf("counted %d times, want once", counted)
+			}
+		})
+	}
+}
--- a/bill/book.go
+++ b/bill/book.go
@@ -48,6 +48,10 @@
 
 type held struct {
 	record Record
+	// rival is a record of an owner with a lower name that came for the same
+	// request while this one was under way, and was not taken back: where it
+	// was the first at another holder it is counted, by the rule of Void.
+	rival *Record
 	// settled is when the record can't be under way any more.
 	settled time.Time
 	expires time.Time
@@ -76,7 +80,11 @@
 		if h.record.Owner == r.Owner && h.record.Seq == r.Seq {
 			return Word{}
 		}
-		return Word{Repeat: true, Owner: h.record.Owner, Settled: !now.Before(h.settled)}
+		settled := !now.Before(h.settled)
+		if !settled && r.Owner < h.record.Owner {
+			h.rival = &r
+		}
+		return Word{Repeat: true, Owner: h.record.Owner, Settled: settled}
 	}
 	b.makeRoom()
 	b.byID[k] = &held{record: r, settled: now.Add(underWay), expires: now.Add(Window)}
@@ -87,8 +95,16 @@
 // Release forgets a record that its owner has found to be a repeat.
 func (b *Book) Release(r Record) {
 	k := requestKey{r.Line.Team, r.Line.Customer, r.RequestID}
-	if h, ok := b.byID[k]; ok && h.record.Owner == r.Owner && h.record.Seq == r.Seq {
+	h, ok := b.byID[k]
+	if !ok {
+		return
+	}
+	if h.record.Owner == r.Owner && h.record.Seq == r.Seq {
 		delete(b.byID, k)
+		return
+	}
+	if h.rival != nil && h.rival.Owner == r.Owner && h.rival.Seq == r.Seq {
+		h.rival = nil
 	}
 }
 
@@ -130,11 +146,19 @@
 	b.order = n
 }
 
+// HeldRecord is a record as its holder would settle it.
+type HeldRecord struct {
+	Record
+	// Beaten says that another owner's record bills the request, so that this
+	// one must not be counted.
+	Beaten bool
+}
+
 // Held returns the held records by owner.
-func (b *Book) Held() map[string][]Record {
-	r := map[string][]Record{}
+func (b *Book) Held() map[string][]HeldRecord {
+	r := map[string][]HeldRecord{}
 	for _, h := range b.byID {
-		r[h.record.Owner] = append(r[h.record.Owner], h.record)
+		r[h.record.Owner] = append(r[h.record.Owner], HeldRecord{Record: h.record, Beaten: h.rival != nil})
 	}
 	return r
 }
--- a/control/bills.go
+++ b/control/bills.go
@@ -167,7 +167,7 @@
 
 // orphans returns the held records whose owner has not been heard for
 // Times.Orphan. It also takes in what heartbeats say of flushes.
-func (n *Node) orphans() map[string][]bill.Record {
+func (n *Node) orphans() map[string][]bill.HeldRecord {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	t := n.Clock()
@@ -178,7 +178,7 @@
 		n.seenAt[h.EntryIncarnation] = t
 		n.book.Flushed(bill.Ledger{Owner: h.EntryIncarnation, Upto: h.LedgerUpto})
 	}
-	r := map[string][]bill.Record{}
+	r := map[string][]bill.HeldRecord{}
 	for o, l := range n.book.Held() {
 		s, ok := n.seenAt[o]
 		if !ok {
@@ -194,7 +194,7 @@
 }
 
 // forgetSeen drops the owners of which nothing is held any more.
-func (n *Node) forgetSeen(orphans map[string][]bill.Record) {
+func (n *Node) forgetSeen(orphans map[string][]bill.HeldRecord) {
 	for o, s := range n.seenAt {
 		if _, ok := orphans[o]; !ok && n.Clock().After(s.Add(bill.Window)) {
 			delete(n.seenAt, o)
@@ -205,16 +205,21 @@
 // settleOrphan adds the records that the store's ledger lacks. Records stay
 // held until their window ends and are looked at again, for the owner's own
 // control may still write a ledger without them.
-func (n *Node) settleOrphan(ctx context.Context, owner string, r []bill.Record) error {
+func (n *Node) settleOrphan(ctx context.Context, owner string, r []bill.HeldRecord) error {
 	added := 0
 	var l bill.Ledger
 	ok, err := n.mergeLedger(ctx, owner, func(s bill.Ledger) (bill.Ledger, bool) {
 		l, added = s, 0
 		for _, x := range r {
-			if !l.Settled(x.Seq) {
-				l = l.With(x)
-				added++
+			if l.Settled(x.Seq) {
+				continue
 			}
+			added++
+			if x.Beaten {
+				l = l.WithVoid(x.Seq)
+				continue
+			}
+			l = l.With(x.Record)
 		}
 		return l, added > 0
 	})
