Logs tell a client that left from time that ran out

Found by the incidents inc-44c5 and inc-f0b9: between 18 s and 28 s over a hundred requests ended as backend_failed with an i/o timeout each and no word why nothing more was tried; most of them were clients that had left.

--- a/cmd/fieldvale-node/node_test.go
+++ b/cmd/fieldvale-node/node_test.go
@@ -358,6 +358,7 @@
 	case <-time.After(patience):
 		t.Error("the replica still works for a client that left")
 	}
+	s.eventually("the log says why", func() bool { return strings.Contains(s.logs.String(), `stopped="the client left"`) })
 }
 
 func TestNodeFollowsChanges(t *testing.T) {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -104,10 +104,16 @@
 	if errors.Is(err, errEscalate) {
 		return false
 	}
-	if errors.Is(err, errCaller) || errors.Is(err, errGiveUp) || ctx.Err() != nil {
-		return true
+	if errors.Is(err, errGiveUp) {
+		return w.ends(true, "no replica left")
+	}
+	if errors.Is(err, errCaller) || errors.Is(ctx.Err(), context.Canceled) {
+		return w.ends(true, "the client left")
 	}
 	w.cause = err
+	if ctx.Err() != nil {
+		return w.ends(true, "out of time")
+	}
 	k := outcome.Of(err)
 	if isUnreached(err) {
 		w.unreached++
