--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -57,6 +57,11 @@
 	// turnLength is how long one instance has to write what is due before the
 	// next one does: some store calls, and well below the phases of a release.
 	turnLength = 250 * time.Millisecond
+	// tellEvery is between reports of what was seen of releases under way;
+	// it adds to the seconds in which a bad one must be stopped.
+	tellEvery = 400 * time.Millisecond
+	// judges is how many instances are told; the second one stands in.
+	judges = 2
 	// announceFor is how long an instance that is gone is still listed;
 	// a silent keeper is passed over long before. It is renewed at a third.
 	announceFor = 12 * time.Second
@@ -119,8 +124,9 @@
 		Attempt: func(request, replica string, err error) {
 			n.event("attempt_failed", "request", request, "replica", replica, "error", err)
 		},
-		BadRelease: func(r rollout.Release, seen, before rollout.Evidence) {
-			n.event("release_bad", "service", r.Service, "release", r.Target, "bad", seen.Bad, "good", seen.Good, "bad_before", before.Bad, "good_before", before.Good)
+		BadRelease: func(r rollout.Release, t rollout.Tally) {
+			n.event("release_bad", "service", r.Service, "release", r.Target, "bad", t.New.Bad, "good", t.New.Good, "bad_before", t.Old.Bad, "good_before", t.Old.Good,
+				"slow", t.NewPace.Bad, "fast", t.NewPace.Good, "slow_before", t.OldPace.Bad, "fast_before", t.OldPace.Good)
 			select {
 			case n.trips <- r:
 			default:
@@ -254,6 +260,8 @@
 func (n *node) duties(ctx context.Context, hup <-chan os.Signal) error {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
+	tell := time.NewTicker(tellEvery)
+	defer tell.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -261,6 +269,8 @@
 		case <-t.C:
 			n.state.Tick()
 			n.advance(ctx)
+		case <-tell.C:
+			n.tell()
 		case r := <-n.trips:
 			if c, ok := n.state.Tripped(r); ok {
 				n.record(ctx, c)
@@ -279,10 +289,16 @@
 	}
 }
 
+// ranked returns the fleet's instances in the order of their duty for the
+// service's release.
+func (n *node) ranked(service string) []peer.Member {
+	return peer.Rank("release/"+service, n.placer.Members())
+}
+
 // turn is how long this instance lets those ranked before it write a record
 // of the service's release.
 func (n *node) turn(service string) time.Duration {
-	m := peer.Rank("release/"+service, n.placer.Members())
+	m := n.ranked(service)
 	i := slices.IndexFunc(m, func(x peer.Member) bool { return x.ID == n.s.ID })
 	if i < 0 {
 		i = len(m)
@@ -329,6 +345,7 @@
 const (
 	tagPlacement = 'p'
 	tagRelay     = 'r'
+	tagTally     = 't'
 )
 
 // tagged sends datagrams for one purpose over the shared socket.
@@ -351,6 +368,8 @@
 		n.placer.Receive(from, b[1:])
 	case tagRelay:
 		n.relay.Receive(from, b[1:])
+	case tagTally:
+		n.receiveTally(from, b[1:])
 	}
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -8,9 +8,7 @@
 
 	"fieldvale/outcome"
 	"fieldvale/pool"
-	"fieldvale/rollout"
 	"fieldvale/route"
-	"fieldvale/version"
 )
 
 // errEscalate says that the answer was dropped in favour of a larger model's.
@@ -30,6 +28,10 @@
 	read bool
 	// served says that the answer was whole and a success.
 	served bool
+	// escalated says that its answer was dropped for a larger model's.
+	escalated bool
+	// events is how many were passed on.
+	events int
 	// ran says that the replica worked on the request.
 	ran bool
 }
@@ -114,7 +116,7 @@
 	if w.f.Runs >= w.q.Route.MaxAttempts || !w.escalate(ctx, c) {
 		return nil
 	}
-	a.served = true
+	a.served, a.escalated = true, true
 	return errEscalate
 }
 
@@ -230,6 +232,7 @@
 		return callerGone(err)
 	}
 	a.w.f.Events++
+	a.events++
 	if e.ID != "" {
 		a.w.after = e.ID
 	}
@@ -260,22 +263,3 @@
 	}
 	return errors.Newf("status %d", status)
 }
-
-// judge counts the outcome for the release that ran it.
-func (a *attempt) judge(bad bool) {
-	r := a.w.r
-	id := version.New(a.w.f.Service, a.replica.Release)
-	switch {
-	case bad:
-		r.evidence.bad(id)
-	case a.served:
-		r.evidence.good(id)
-	default:
-		return
-	}
-	rel, ok := r.view.Get().Releases[a.w.f.Service]
-	if !ok || rel.State != rollout.Running {
-		return
-	}
-	r.releases.weigh(rel, a.replica.Release, bad, r.evidence, r.events)
-}
--- a/entry/events.go
+++ b/entry/events.go
@@ -16,13 +16,13 @@
 	// again is told that the request may have run.
 	Unrecorded func(c claim.Claim, err error)
 	// BadRelease is a release that this instance found to be bad, with what
-	// it saw of it and of the release before.
-	BadRelease func(r rollout.Release, seen, before rollout.Evidence)
+	// it and those that report to it saw.
+	BadRelease func(r rollout.Release, seen rollout.Tally)
 }
 
-func (e *Events) badRelease(r rollout.Release, seen, before rollout.Evidence) {
+func (e *Events) badRelease(r rollout.Release, seen rollout.Tally) {
 	if e.BadRelease != nil {
-		e.BadRelease(r, seen, before)
+		e.BadRelease(r, seen)
 	}
 }
 
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -11,7 +11,6 @@
 	"fieldvale/pool"
 	"fieldvale/prompt"
 	"fieldvale/rollout"
-	"fieldvale/version"
 )
 
 const (
@@ -251,10 +250,5 @@
 	return r.releases.tripped(rel)
 }
 
-// ReleaseEvidence returns what this instance saw of a service's release.
-func (r *Router) ReleaseEvidence(service, release string) rollout.Evidence {
-	return r.evidence.of(version.New(service, release))
-}
-
 // isEnd reports whether a stream ended as it should.
 func isEnd(err error) bool { return errors.Is(err, io.EOF) }
--- a/entry/releases.go
+++ b/entry/releases.go
@@ -7,41 +7,39 @@
 	"fieldvale/version"
 )
 
-// releaseRates are what the test of a release tells apart. A release under
-// test with a third of its answers bad must be stopped; one in twenty may be
-// the replicas' usual trouble, or more if the old release shows more.
-var releaseRates = rollout.Rates{Good: 0.05, Bad: 0.3, FalseAlarm: 1e-4}
-
-// maxBaseRate bounds how much trouble of the old release excuses the new one.
-const maxBaseRate = 0.25
-
-// minBaseline is how many outcomes of the old release say what is usual.
-const minBaseline = 20
-
-// releases finds a service's new release turning bad, from this instance's
-// own answers.
+// releases judges services' new releases by this instance's own answers, and
+// by what other instances tell it of theirs.
 type releases struct {
-	mu   sync.Mutex
-	test map[string]*releaseTest
+	mu    sync.Mutex
+	trial map[string]*trial
 }
 
-type releaseTest struct {
-	order    int64
-	detector rollout.Detector
-	seen     rollout.Evidence
-	old      rollout.Evidence
-	bad      bool
+// trial is one release's.
+type trial struct {
+	rel   rollout.Release
+	judge *rollout.Judge
+	// own is what this instance saw, changed since it was last told.
+	own     rollout.Tally
+	changed bool
 }
 
+// ownOrigin names this instance's tally in its judge.
+const ownOrigin = ""
+
 func newReleases() *releases {
-	return &releases{test: map[string]*releaseTest{}}
+	return &releases{trial: map[string]*trial{}}
 }
 
-func (s *releases) of(rel rollout.Release) *releaseTest {
-	t, ok := s.test[rel.Service]
-	if !ok || t.order != rel.Order {
-		t = &releaseTest{order: rel.Order, detector: rollout.NewDetector(releaseRates)}
-		s.test[rel.Service] = t
+// of returns the trial of the release; a later order starts anew, and an
+// earlier one has none.
+func (s *releases) of(rel rollout.Release) *trial {
+	t, ok := s.trial[rel.Service]
+	if !ok || t.rel.Order < rel.Order {
+		t = &trial{rel: rel, judge: rollout.NewJudge()}
+		s.trial[rel.Service] = t
+	}
+	if t.rel.Order != rel.Order {
+		return nil
 	}
 	return t
 }
@@ -49,26 +47,41 @@
 func (s *releases) tripped(rel rollout.Release) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.of(rel).bad
+	t := s.of(rel)
+	return t != nil && t.judge.Bad()
+}
+
+// verdict is one answer's part in a trial.
+type verdict struct {
+	release string
+	bad     bool
+	// paced says that slow tells how the answer's time compares to usual.
+	paced bool
+	slow  bool
 }
 
-// weigh counts one outcome and trips the release if it shows to be bad.
-func (s *releases) weigh(rel rollout.Release, release string, bad bool, _ *evidence, on *Events) {
+// weigh counts one answer and tells on if the release shows to be bad.
+func (s *releases) weigh(rel rollout.Release, v verdict, on *Events) {
 	s.mu.Lock()
 	t := s.of(rel)
-	if release != rel.Target {
-		t.old = count(t.old, bad)
+	if t == nil {
 		s.mu.Unlock()
 		return
 	}
-	t.seen = count(t.seen, bad)
-	t.detector = t.detector.With(t.seen)
-	trip := !t.bad && t.detector.Tripped() && !t.excused()
-	t.bad = t.bad || trip
-	e, o := t.seen, t.old
+	answers, pace := &t.own.Old, &t.own.OldPace
+	if v.release == rel.Target {
+		answers, pace = &t.own.New, &t.own.NewPace
+	}
+	*answers = count(*answers, v.bad)
+	if v.paced {
+		*pace = count(*pace, v.slow)
+	}
+	t.changed = true
+	found := t.judge.Report(ownOrigin, t.own)
+	total := t.judge.Total()
 	s.mu.Unlock()
-	if trip {
-		on.badRelease(rel, e, o)
+	if found {
+		on.badRelease(rel, total)
 	}
 }
 
@@ -79,20 +92,72 @@
 	return e.WithGood(1)
 }
 
-// excused reports whether the old release is about as bad: then the trouble
-// is not the new one's.
-func (t *releaseTest) excused() bool {
-	n := t.old.Good + t.old.Bad
-	if n < minBaseline {
-		return false
+// report takes another instance's tally in.
+func (s *releases) report(rel rollout.Release, origin string, t rollout.Tally, on *Events) {
+	s.mu.Lock()
+	x := s.of(rel)
+	if x == nil {
+		s.mu.Unlock()
+		return
+	}
+	found := x.judge.Report(origin, t)
+	total := x.judge.Total()
+	s.mu.Unlock()
+	if found {
+		on.badRelease(rel, total)
 	}
-	o := min(maxBaseRate, float64(t.old.Bad)/float64(n))
-	return float64(t.seen.Bad)/float64(t.seen.Good+t.seen.Bad) < 2*o
 }
 
-// of returns the counts of one version.
-func (e *evidence) of(v version.ID) rollout.Evidence {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.count[v]
+// ReleaseTally is what this instance saw of a release under way.
+type ReleaseTally struct {
+	Service string
+	Order   int64
+	Tally   rollout.Tally
+}
+
+// Tallies returns what this instance saw of releases since it was last asked.
+func (r *Router) Tallies() []ReleaseTally {
+	running := r.view.Get().Releases
+	s := r.releases
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var l []ReleaseTally
+	for service, t := range s.trial {
+		if rel := running[service]; !t.changed || rel.Order != t.rel.Order || rel.State != rollout.Running {
+			continue
+		}
+		t.changed = false
+		l = append(l, ReleaseTally{Service: service, Order: t.rel.Order, Tally: t.own})
+	}
+	return l
+}
+
+// ReportTally takes in what another instance saw of a release under way.
+func (r *Router) ReportTally(origin string, t ReleaseTally) {
+	rel, ok := r.view.Get().Releases[t.Service]
+	if !ok || rel.Order != t.Order || rel.State != rollout.Running {
+		return
+	}
+	r.releases.report(rel, origin, t.Tally, r.events)
+}
+
+// judge counts the outcome for the release that ran it.
+func (a *attempt) judge(bad bool) {
+	r := a.w.r
+	id := version.New(a.w.f.Service, a.replica.Release)
+	switch {
+	case bad:
+		r.evidence.bad(id)
+	case a.served:
+		r.evidence.good(id)
+	default:
+		return
+	}
+	rel, ok := r.view.Get().Releases[a.w.f.Service]
+	under := ok && rel.State == rollout.Running
+	v := verdict{release: a.replica.Release, bad: bad}
+	v.slow, v.paced = a.pace(!under || a.replica.Release != rel.Target)
+	if under {
+		r.releases.weigh(rel, v, r.events)
+	}
 }
--- a/entry/router.go
+++ b/entry/router.go
@@ -51,6 +51,7 @@
 	placer   Placer
 	speeds   *speeds
 	delays   *delays
+	paces    *paces
 	releases *releases
 	recent   *recent
 	// windows bound the repeats of opaque requests by service.
@@ -99,7 +100,7 @@
 		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
-		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), delays: newDelays(), releases: newReleases(), recent: newRecent(), windows: map[string]*admission.Window{}, repeats: p.Repeats,
+		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), delays: newDelays(), paces: newPaces(), releases: newReleases(), recent: newRecent(), windows: map[string]*admission.Window{}, repeats: p.Repeats,
 		acceptConfidence: p.AcceptConfidence,
 	}
 }
