--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -23,7 +23,7 @@
 	forgetMargin = 2 * time.Second
 	// rereadWeight times the shared part is what reading it again counts on
 	// top of its time: it takes that time from other prompts, too.
-	rereadWeight = 1
+	rereadWeight = 2.5
 	// maxKept bounds the parts remembered; at 64 bytes each some 4 MB.
 	maxKept = 1 << 16
 )
