--- /dev/null
+++ b/soak/client.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	// clientDeadline is how long a client waits for its answer.
+	clientDeadline = 2 * time.Second
+	// freshOf requests go over a new connection.
+	freshOf = 5
+)
+
+// client sends one request after another until ctx ends. It keeps its
+// connections until the process is gone.
+func (w *world) client(ctx context.Context, number int, late func() bool) {
+	r := rand.New(rand.NewPCG(w.s.Seed, uint64(1000+number)))
+	kept := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2}}
+	fresh := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
+	for n := 0; ctx.Err() == nil; n++ {
+		c := kept
+		if r.IntN(freshOf) == 0 {
+			c = fresh
+		}
+		kind := []string{"once", "again", "stream"}[r.IntN(3)]
+		w.request(ctx, c, r, fmt.Sprintf("c%d-%d", number, n), kind, late)
+		time.Sleep(time.Duration(r.IntN(30)) * time.Millisecond)
+	}
+}
+
+func (w *world) request(ctx context.Context, c *http.Client, r *rand.Rand, id, kind string, late func() bool) {
+	x, cancel := context.WithTimeout(ctx, clientDeadline)
+	defer cancel()
+	events := 1 + r.IntN(12)
+	key, good := w.config.key(r.IntN(1000))
+	end := late()
+	n := w.nodes[r.IntN(len(w.nodes))]
+	q, err := http.NewRequestWithContext(x, http.MethodPost, "http://"+n.front+"/"+kind+"/x", bytes.NewReader(make([]byte, r.IntN(6000))))
+	if err != nil {
+		w.seen.break1("request %s: %v", id, err)
+		return
+	}
+	q.Host = "h.example"
+	q.Header.Set(headerID, id)
+	q.Header.Set("X-Fieldvale-Deadline-Ms", strconv.FormatInt(clientDeadline.Milliseconds(), 10))
+	q.Header.Set("X-Api-Key", key)
+	q.Header.Set(headerKey, key)
+	q.Header.Set(headerKind, kind)
+	q.Header.Set(headerEvents, strconv.Itoa(events))
+	q.Header.Set(headerSent, strconv.FormatInt(time.Now().UnixNano(), 10))
+	p, err := c.Do(q)
+	if err != nil {
+		w.note(id, 0, good, end)
+		return
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(p.Body)
+	w.check(id, kind, events, p, string(b), err)
+	status := p.StatusCode
+	if err != nil {
+		status = 0
+	}
+	w.note(id, status, good, end)
+}
+
+// note counts the answer, unless its key was none to count on.
+func (w *world) note(id string, status int, good, late bool) {
+	if good || status == http.StatusServiceUnavailable {
+		w.seen.got(id, status, late)
+	}
+}
+
+func (w *world) check(id, kind string, events int, p *http.Response, body string, err error) {
+	if p.StatusCode != http.StatusOK {
+		return
+	}
+	if g := p.Header.Get(headerID); g != id {
+		w.seen.break1("request %s got the answer to %q", id, g)
+	}
+	if err == nil && !whole(id, kind, events, body) {
+		w.seen.break1("request %s got a whole answer that is not its own: %.200q", id, body)
+	}
+	if err != nil && kind == "stream" && !begins(id, events, body) {
+		w.seen.break1("request %s got a broken stream that is not its own: %.200q", id, body)
+	}
+}
--- /dev/null
+++ b/soak/operator.go
@@ -0,0 +1,85 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"fieldvale/platform/sitetest"
+)
+
+// honourFor is the longest that a key may be honoured after it was taken
+// away; short, so that a soak sees it often.
+const honourFor = 3 * time.Second
+
+// operator writes configurations and remembers when keys were taken away.
+type operator struct {
+	store *sitetest.Store
+
+	mu      sync.Mutex
+	version int
+	next    int
+	keys    []string
+	revoked map[string]time.Time
+	routes  int
+}
+
+func newOperator(s *sitetest.Store) *operator {
+	o := &operator{store: s, keys: []string{"k0", "k1", "k2"}, next: 3, revoked: map[string]time.Time{}}
+	o.write()
+	return o
+}
+
+func (o *operator) write() {
+	o.version += 1 + o.version%3
+	route := func(name, kind string, attempts int) map[string]any {
+		return map[string]any{"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 2500,
+			"target_latency_ms": 400, "service": "svc", "max_attempts": attempts, "stream_resume": kind == "streaming"}
+	}
+	l := []any{route("once", "non_idempotent", 1), route("again", "idempotent", 3), route("stream", "streaming", 3)}
+	for i := range o.routes {
+		l = append(l, route(fmt.Sprint("more", i), "idempotent", 2))
+	}
+	o.store.Put("op/config", map[string]any{
+		"version": o.version, "routes": l, "services": []any{map[string]any{"name": "svc", "max_conns": 100}},
+		"limits": map[string]any{"max_body_bytes": 10000}, "tenants": []any{map[string]any{"name": "acme", "api_keys": o.keys}},
+	})
+}
+
+// change writes a new version: keys come and go, routes are added.
+func (o *operator) change(n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch n % 3 {
+	case 0:
+		gone := o.keys[1]
+		o.keys = append([]string{"k0", o.keys[2]}, fmt.Sprint("k", o.next))
+		o.next++
+		o.write()
+		o.revoked[gone] = time.Now()
+	case 1:
+		o.routes = (o.routes + 40) % 200
+		o.write()
+	default:
+		o.write()
+	}
+}
+
+func (o *operator) revokedAt(key string) (time.Time, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t, ok := o.revoked[key]
+	return t, ok
+}
+
+// key returns one that is good now, or one that was taken away.
+func (o *operator) key(n int) (key string, good bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if n%10 == 0 && len(o.revoked) > 0 {
+		for k := range o.revoked {
+			return k, false
+		}
+	}
+	return o.keys[n%len(o.keys)], true
+}
--- /dev/null
+++ b/soak/world.go
@@ -0,0 +1,234 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/platform/sitetest"
+)
+
+// Settings are of one soak.
+type Settings struct {
+	Seed uint64
+	// Binary is the path of fieldvale-node.
+	Binary string
+	// For is how long faults are injected.
+	For      time.Duration
+	Nodes    int
+	Replicas int
+	Clients  int
+	// Dir is where the processes' settings and logs go.
+	Dir string
+}
+
+// node is one fieldvale-node with its way to the store.
+type node struct {
+	id      string
+	file    string
+	front   string
+	ready   string
+	toStore *Proxy
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	// down says that it is not to be started again by itself.
+	down bool
+}
+
+// replica is a stand-in replica behind a proxy.
+type replica struct {
+	*sitetest.Replica
+	way *Proxy
+}
+
+// world is all that one soak runs.
+type world struct {
+	s        Settings
+	rand     *rand.Rand
+	store    *sitetest.Store
+	nodes    []*node
+	replicas []*replica
+	seen     *ledger
+	log      *os.File
+	ended    chan struct{}
+	config   *operator
+}
+
+func newWorld(s Settings) (*world, error) {
+	w := &world{s: s, rand: rand.New(rand.NewPCG(s.Seed, 1)), store: sitetest.NewStore(), seen: newLedger(), ended: make(chan struct{})}
+	l, err := os.Create(filepath.Join(s.Dir, "nodes.log"))
+	if err != nil {
+		return nil, errors.Wrap(err, "soak")
+	}
+	w.log = l
+	w.config = newOperator(w.store)
+	for i := range s.Replicas {
+		if err := w.addReplica(i); err != nil {
+			return w, err
+		}
+	}
+	for i := range s.Nodes {
+		if err := w.addNode(i); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+func (w *world) addReplica(i int) error {
+	r, err := sitetest.NewReplica(fmt.Sprint("r", i))
+	if err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	p, err := NewProxy(r.Addr())
+	if err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	x := &replica{Replica: r, way: p}
+	x.Answer = w.seen.serve(x, rand.New(rand.NewPCG(w.s.Seed, uint64(100+i))))
+	w.replicas = append(w.replicas, x)
+	w.announce(x, "ready")
+	return nil
+}
+
+// announce writes the replica's entry with the address of its way.
+func (w *world) announce(x *replica, state string) {
+	e := x.Entry("svc", "v1", state)
+	e["address"] = x.way.Addr()
+	w.store.Put("servers/"+x.ID, e)
+}
+
+func (w *world) addNode(i int) error {
+	p, err := NewProxy(w.store.Addr())
+	if err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	n := &node{id: fmt.Sprint("n", i), toStore: p, file: filepath.Join(w.s.Dir, fmt.Sprintf("n%d.ini", i))}
+	var addr [4]string
+	for j := range addr {
+		if addr[j], err = freePort(); err != nil {
+			return err
+		}
+	}
+	n.front, n.ready = addr[0], addr[1]
+	t := fmt.Sprintf("[node]\nid = %s\ndata_centre = dc%d\nlisten = %s\nready_listen = %s\nmetrics_listen = %s\npeers_listen = %s\nstore = %s\nstop_within = 5s\n",
+		n.id, i%3, addr[0], addr[1], addr[2], addr[3], p.Addr())
+	t += fmt.Sprintf("[keys]\nhonour_for = %s\n[repeats]\npart = 0.9\nburst = 54\n", honourFor)
+	if err := os.WriteFile(n.file, []byte(t), 0o600); err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	w.nodes = append(w.nodes, n)
+	return w.start(n)
+}
+
+// Ports below those that the system gives to outgoing connections.
+const (
+	lowestPort  = 10_000
+	highestPort = 30_000
+)
+
+// freePort returns an address that was free a moment ago; a node that finds
+// it taken ends and is started again.
+func freePort() (string, error) {
+	for range 100 {
+		a := net.JoinHostPort("127.0.0.1", strconv.Itoa(lowestPort+rand.IntN(highestPort-lowestPort)))
+		l, err := net.Listen("tcp", a)
+		if err == nil {
+			return a, l.Close()
+		}
+	}
+	return "", errors.New("soak: no free port")
+}
+
+// restartAfter is the pause before a process that ended is started again.
+const restartAfter = 200 * time.Millisecond
+
+// start runs the node until it is told to stay down.
+func (w *world) start(n *node) error {
+	c := exec.Command(w.s.Binary, "-c", n.file)
+	c.Stdout, c.Stderr = w.log, w.log
+	if err := c.Start(); err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	n.mu.Lock()
+	n.cmd, n.down = c, false
+	n.mu.Unlock()
+	go func() {
+		_ = c.Wait()
+		time.Sleep(restartAfter)
+		n.mu.Lock()
+		again := n.cmd == c && !n.down
+		n.mu.Unlock()
+		select {
+		case <-w.ended:
+			return
+		default:
+		}
+		if again {
+			if err := w.start(n); err != nil {
+				fmt.Fprintln(w.log, "event=node_not_started error="+err.Error())
+			}
+		}
+	}()
+	return nil
+}
+
+// signal sends the node's process a signal.
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd != nil && n.cmd.Process != nil {
+		// One that has ended meanwhile takes no signal.
+		_ = n.cmd.Process.Signal(s)
+	}
+}
+
+func (n *node) isReady() bool {
+	c := http.Client{Timeout: time.Second}
+	r, err := c.Get("http://" + n.ready + "/-/readiness")
+	if err != nil {
+		return false
+	}
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+// stop ends all processes that the soak started, by their ids.
+func (w *world) stop() {
+	close(w.ended)
+	for _, n := range w.nodes {
+		n.mu.Lock()
+		n.down = true
+		n.mu.Unlock()
+		n.signal(syscall.SIGCONT)
+		n.signal(syscall.SIGKILL)
+		n.toStore.Close()
+	}
+	for _, r := range w.replicas {
+		r.way.Close()
+		r.Close()
+	}
+	w.store.Close()
+	_ = w.log.Close()
+}
+
+// tail returns the end of what the nodes logged.
+func (w *world) tail(n int) string {
+	b, err := os.ReadFile(w.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	l := bytes.Split(b, []byte("\n"))
+	return string(bytes.Join(l[max(0, len(l)-n):], []byte("\n")))
+}
