A store that is away is left alone by most instances

Change: instances with others ranked before them ask those each time and the store after pauses of 0.4 s to 4 s; the ranked ones go on asking it. Test: TestStoreThatIsAwayIsLeftAlone.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -24,7 +24,7 @@
 	// call has a price, but a change must be in force within two seconds of
 	// the store's return.
 	firstRetry   = 100 * time.Millisecond
-	longestRetry = 600 * time.Millisecond
+	longestRetry = 800 * time.Millisecond
 )
 
 // Update is what a mirror hands on.
--- a/relay/node.go
+++ b/relay/node.go
@@ -45,6 +45,11 @@
 	// askAgain is how long an instance is passed over that answered without
 	// knowing: it may have to watch the store itself any moment.
 	askAgain = 200 * time.Millisecond
+	// firstPause and longestPause bound how long a follower leaves a store
+	// alone that failed it: all instances' calls have a price, and those
+	// ranked before it go on asking.
+	firstPause   = 400 * time.Millisecond
+	longestPause = 4 * time.Second
 	// maxValues bounds the values in an answer, in bytes: they have to fit a
 	// datagram, and to be encoded for each follower. Larger changes are read
 	// from the store.
@@ -83,8 +88,11 @@
 	next    uint64
 	waiting map[uint64]chan answer
 	source  string
-	// storeAt is when the store is asked again after it failed.
+	// storeAt is when the store is asked again after it failed, and pause
+	// how long it was left alone the last time. An instance that others stand
+	// before asks them meanwhile.
 	storeAt time.Time
+	pause   time.Duration
 }
 
 var _ store.Feed = (*Node)(nil)
@@ -132,11 +140,17 @@
 		if c, s := n.follow(ctx, rest, after); s == known {
 			return c, nil
 		}
+		if len(before) > 0 {
+			return store.Changes{}, errors.Mark(errWaits, store.ErrUnavailable)
+		}
 	}
 	c, err := n.watch(ctx, prefix, after, wait)
 	if err == nil || errors.Is(err, store.ErrCompacted) || ctx.Err() != nil {
+		n.pause = 0
 		return c, err
 	}
+	n.pause = min(longestPause, max(firstPause, 2*n.pause))
+	n.storeAt = n.clock().Add(n.pause)
 	if f, s := n.follow(ctx, rest, after); s == known {
 		n.storeAt = n.clock().Add(avoidFor)
 		return f, nil
@@ -144,6 +158,10 @@
 	return c, err
 }
 
+// errWaits says that neither the store nor another instance was reached, and
+// that it is not yet time to ask the store again.
+var errWaits = errors.New("relay: the store was not reached, and other instances can't tell")
+
 // watch asks the store. Only what it says may be told to others: instances
 // that follow each other would all be wrong together.
 func (n *Node) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -319,6 +319,41 @@
 	}
 }
 
+// While the store is away few instances go on asking it, and all are back
+// soon after it.
+func TestStoreThatIsAwayIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		s := &fakeStore{}
+		s.put("a", "1")
+		f := start(ctx, &g, 30, s)
+		time.Sleep(5 * time.Second)
+		s.mu.Lock()
+		s.down = true
+		calls := s.calls
+		s.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		// Four ask each second or so, the others each four seconds.
+		if n := s.calls - calls; n > 200 {
+			t.Errorf("%d calls in 10 s of a store that is away, want at most 200", n)
+		}
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+		r := s.put("a", "2")
+		time.Sleep(2 * time.Second)
+		for id, on := range f.on {
+			if got, _, lost := on.state(); got != r || lost {
+				t.Errorf("%s is at revision %d of %d, lost %t, 2 s after the store's return", id, got, r, lost)
+			}
+		}
+		cancel()
+		g.Wait()
+		time.Sleep(3 * time.Second)
+	})
+}
+
 // A change that no datagram holds is read from the store by each instance.
 func TestLargeChangesReachAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
