--- a/soak/operator.go
+++ b/soak/operator.go
@@ -21,7 +21,9 @@
 	next    int
 	keys    []string
 	revoked map[string]time.Time
-	routes  int
+	// gone is the key that was taken away last.
+	gone   string
+	routes int
 }
 
 func newOperator(s *sitetest.Store) *operator {
@@ -36,7 +38,7 @@
 		return map[string]any{"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 2500,
 			"target_latency_ms": 400, "service": "svc", "max_attempts": attempts, "stream_resume": kind == "streaming"}
 	}
-	l := []any{route("once", "non_idempotent", 1), route("again", "idempotent", 3), route("stream", "streaming", 3)}
+	l := []any{route("once", "non_idempotent", 3), route("again", "idempotent", 3), route("stream", "streaming", 3)}
 	for i := range o.routes {
 		l = append(l, route(fmt.Sprint("more", i), "idempotent", 2))
 	}
@@ -57,6 +59,7 @@
 		o.next++
 		o.write()
 		o.revoked[gone] = time.Now()
+		o.gone = gone
 	case 1:
 		o.routes = (o.routes + 40) % 200
 		o.write()
@@ -76,10 +79,8 @@
 func (o *operator) key(n int) (key string, good bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if n%10 == 0 && len(o.revoked) > 0 {
-		for k := range o.revoked {
-			return k, false
-		}
+	if n%5 == 0 && o.gone != "" {
+		return o.gone, false
 	}
 	return o.keys[n%len(o.keys)], true
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -36,7 +36,7 @@
 	calmShare = 0.6
 	// longestFault and longestPause bound faults and the pauses between
 	// their beginnings: they overlap.
-	longestFault = 4 * time.Second
+	longestFault = 6 * time.Second
 	longestPause = 700 * time.Millisecond
 )
 
@@ -175,6 +175,23 @@
 		set([]int{503, 429}[w.rand.IntN(2)])
 		return "", func() { set(0) }
 	}},
+	{"store refuses while a key goes", func(w *world) (string, func()) {
+		w.store.Lock()
+		w.store.Refuse = 503
+		w.store.Unlock()
+		w.config.change(0)
+		return "", func() {
+			w.store.Lock()
+			defer w.store.Unlock()
+			w.store.Refuse = 0
+		}
+	}},
+	{"way to the store silent while a key goes", func(w *world) (string, func()) {
+		n := w.anyNode()
+		n.toStore.Silence(true, true)
+		w.config.change(0)
+		return n.id, func() { n.toStore.Silence(false, false) }
+	}},
 	{"way to the store silent", func(w *world) (string, func()) {
 		n := w.anyNode()
 		to, from := w.rand.IntN(2) == 0, w.rand.IntN(2) == 0
