Sessions move to a new release from its second phase on only

Change: in the first half only requests without a session go to the new release; then four steps instead of three, 10, 25, 50 and 100 in a hundred. What instances remembered goes.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -251,9 +251,6 @@
 	if failed && !errors.Is(err, errEscalate) || bad {
 		r.events.attempt(w.q.ID, a.replica.ID, orFailure(err, w.f.Status))
 	}
-	if a.ran && w.q.Session != "" {
-		r.recent.ran(w.sessionOf(), a.replica.Release, r.clock())
-	}
 	a.judge(bad)
 }
 
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -187,7 +187,7 @@
 // ofRelease returns the replicas that the request may go to while its service
 // changes its release.
 func (w *forwarding) ofRelease(l []*pool.Replica, rel rollout.Release) []*pool.Replica {
-	takes := rel.Takes(w.q.sessionKey()) && !w.keepsOld(rel)
+	takes := rel.Takes(w.q.sessionKey()) && (w.q.Session == "" || rel.MovesSessions())
 	if rel.State == rollout.Running && w.r.trippedHere(rel) {
 		takes = false
 	}
@@ -203,19 +203,6 @@
 	return n
 }
 
-// keepsOld reports whether the request's session began before the release and
-// stays on what it had while the release is in its first phase.
-func (w *forwarding) keepsOld(rel rollout.Release) bool {
-	if rel.State != rollout.Running || rel.Phase > 0 || w.q.Session == "" {
-		return false
-	}
-	had, ok := w.r.recent.release(w.sessionOf(), w.r.clock())
-	return ok && had != rel.Target
-}
-
-// sessionOf names the session among those of all services.
-func (w *forwarding) sessionOf() string { return w.f.Service + "/" + w.q.Session }
-
 func (w *forwarding) modelName() string {
 	if w.model >= 0 {
 		return w.q.Route.Models[w.model]
--- a/entry/router.go
+++ b/entry/router.go
@@ -53,7 +53,6 @@
 	delays   *delays
 	paces    *paces
 	releases *releases
-	recent   *recent
 	// windows bound the repeats of opaque requests by service.
 	windows map[string]*admission.Window
 	repeats admission.Repeats
@@ -100,7 +99,7 @@
 		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
-		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), delays: newDelays(), paces: newPaces(), releases: newReleases(), recent: newRecent(), windows: map[string]*admission.Window{}, repeats: p.Repeats,
+		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), delays: newDelays(), paces: newPaces(), releases: newReleases(), windows: map[string]*admission.Window{}, repeats: p.Repeats,
 		acceptConfidence: p.AcceptConfidence,
 	}
 }
--- a/rollout/release.go
+++ b/rollout/release.go
@@ -30,15 +30,17 @@
 	until float64
 }
 
-// phases: a small share for the first half, in which no session that is under
-// way may move, and which shows most bad releases; then quick growth, all
+// phases: for the first half only requests without a session, since no
+// session that is under way may move then and instances can't tell which are;
+// then growth by steps that each show a bad release before the next one, all
 // requests for a while so that what runs on old replicas can end, and done
 // well before the length is over.
 var phases = []phase{
 	{share: 700, until: 0.52},
-	{share: 2000, until: 0.58},
-	{share: 5000, until: 0.64},
-	{share: Whole, until: 0.85},
+	{share: 1000, until: 0.58},
+	{share: 2500, until: 0.64},
+	{share: 5000, until: 0.70},
+	{share: Whole, until: 0.87},
 }
 
 // NewRelease returns an order that no instance has begun.
@@ -89,10 +91,16 @@
 	return r
 }
 
-// Takes reports whether requests of the session go to the target. Sessions
-// only ever move to it while the release runs.
-func (r Release) Takes(session string) bool {
-	return int(xxhash.Sum64String(r.Target+"/"+session)%Whole) < r.Share()
+// Takes reports whether requests with that key, a session's name or the
+// request's own, go to the target. Keys only ever move to it while the release
+// runs.
+func (r Release) Takes(key string) bool {
+	return int(xxhash.Sum64String(r.Target+"/"+key)%Whole) < r.Share()
+}
+
+// MovesSessions reports whether requests of sessions may go to the target.
+func (r Release) MovesSessions() bool {
+	return r.State == Done || r.State == Running && r.Phase > 0
 }
 
 // Supersedes reports whether r is newer knowledge than o of the same service.
--- a/rollout/release_test.go
+++ b/rollout/release_test.go
@@ -55,8 +55,9 @@
 	fmt.Println(at.Round(time.Second), r.State)
 	// Output:
 	// 0s 700
-	// 52s 2000
-	// 58s 5000
-	// 1m4s 10000
-	// 1m25s done
+	// 52s 1000
+	// 58s 2500
+	// 1m4s 5000
+	// 1m10s 10000
+	// 1m27s done
 }
