--- /dev/null
+++ b/cmd/fieldvale-node/datagrams.go
@@ -0,0 +1,34 @@
+package main
+
+// Tags tell what a datagram between instances is for.
+const (
+	tagPlacement = 'p'
+	tagRelay     = 'r'
+	tagTally     = 't'
+)
+
+// tagged sends datagrams for one purpose over the shared socket.
+type tagged struct {
+	n   *node
+	tag byte
+}
+
+// Send implements placement.Transport and relay.Transport.
+func (t tagged) Send(addr string, b []byte) error {
+	return t.n.socket.Send(addr, append([]byte{t.tag}, b...))
+}
+
+// receive hands a datagram to what it is for.
+func (n *node) receive(from string, b []byte) {
+	if len(b) == 0 {
+		return
+	}
+	switch b[0] {
+	case tagPlacement:
+		n.placer.Receive(from, b[1:])
+	case tagRelay:
+		n.relay.Receive(from, b[1:])
+	case tagTally:
+		n.receiveTally(from, b[1:])
+	}
+}
--- /dev/null
+++ b/cmd/fieldvale-node/observe.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"time"
+
+	"fieldvale/entry"
+	"fieldvale/rollout"
+)
+
+// events logs what the router tells of, and passes bad releases on.
+func (n *node) events() *entry.Events {
+	return &entry.Events{
+		Attempt: func(request, replica string, err error) {
+			n.event("attempt_failed", "request", request, "replica", replica, "error", err)
+		},
+		BadRelease: func(r rollout.Release, t rollout.Tally) {
+			n.event("release_bad", "service", r.Service, "release", r.Target, "bad", t.New.Bad, "good", t.New.Good, "bad_before", t.Old.Bad, "good_before", t.Old.Good,
+				"slow", t.NewPace.Bad, "fast", t.NewPace.Good, "slow_before", t.OldPace.Bad, "fast_before", t.OldPace.Good)
+			n.trip(r)
+		},
+	}
+}
+
+// answered logs and counts each routed request.
+func (n *node) answered() func(*entry.Forwarded) {
+	c := n.metrics.Counter("routed_total", "Routed requests by service and result.", "service", "code")
+	d := n.metrics.Histogram("routed_first_seconds", "Time to the answer or to the first event.", "service")
+	return func(f *entry.Forwarded) {
+		q := f.Request
+		code := string(f.Code)
+		if code == "" {
+			code = "ok"
+		}
+		c.WithLabelValues(f.Service, code).Inc()
+		if !f.FirstAt.IsZero() {
+			d.WithLabelValues(f.Service).Observe(f.FirstAt.Sub(q.Arrived).Seconds())
+		}
+		age, _ := n.lease.Age(n.clock())
+		n.event("routed", "request", q.ID, "route", q.Route.Name, "customer", q.Tenant.Name, "config", q.Table.Version, "config_age", age,
+			"service", f.Service, "replica", f.Replica, "release", f.Release, "model", f.Model, "confidence", f.Confidence,
+			"sends", f.Sends, "runs", f.Runs, "events", f.Events, "status", f.Status, "code", code, "run", f.Run, "cause", causeText(f.Cause), "stopped", f.Stopped,
+			"first", since(f.FirstAt, q.Arrived), "took", f.EndedAt.Sub(q.Arrived), "allowed", q.Deadline.Sub(q.Arrived))
+	}
+}
+
+func causeText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func since(t, start time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Sub(start)
+}
+
+// refused logs and counts each request that was not routed.
+func (n *node) refused() func(id, host, path string, status int, reason string) {
+	c := n.metrics.Counter("refused_total", "Requests that were not routed, by reason.", "reason")
+	return func(id, host, path string, status int, reason string) {
+		c.WithLabelValues(reason).Inc()
+		age, _ := n.lease.Age(n.clock())
+		n.event("refused", "request", id, "host", host, "path", path, "status", status, "reason", reason, "config_age", age)
+	}
+}
--- a/cmd/fieldvale-node/tally.go
+++ b/cmd/fieldvale-node/tally.go
@@ -2,10 +2,19 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"fieldvale/entry"
 )
 
+const (
+	// tellEvery is between reports of what was seen of releases under way;
+	// it adds to the seconds in which a bad one must be stopped.
+	tellEvery = 400 * time.Millisecond
+	// judges is how many instances are told; the second one stands in.
+	judges = 2
+)
+
 // report is what instances tell each other of releases under way.
 type report struct {
 	From    string             `json:"from"`
