--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -16,10 +16,10 @@
 // routed by the operator's table and passed on unchanged.
 type Opaque struct {
 	// ID is the client's own id of this attempt; it is passed on.
-	ID     string
-	Table  *route.Table
-	Route  *route.Route
-	Tenant route.Tenant
+	ID       string
+	Table    *route.Table
+	Route    *route.Route
+	Customer route.Customer
 	// Keyed says that a key was checked.
 	Keyed  bool
 	Method string
@@ -59,8 +59,8 @@
 
 // priority is the customer's rank if it has one, else the route's.
 func (q *Opaque) priority() int {
-	if q.Tenant.Ranked {
-		return q.Tenant.Priority
+	if q.Customer.Ranked {
+		return q.Customer.Priority
 	}
 	return q.Route.Priority
 }
--- a/route/table.go
+++ b/route/table.go
@@ -12,9 +12,10 @@
 	Services map[string]Service
 	Limits   Limits
 
-	routes  []Route
-	byHost  map[string][]*Route
-	tenants map[string]Tenant
+	routes []Route
+	byHost map[string][]*Route
+	// customers are found by key.
+	customers map[string]Customer
 	// keyed says that requests need a key, unless their route is public.
 	keyed bool
 }
@@ -37,8 +38,8 @@
 	Cost float64
 }
 
-// Tenant is a customer of the configuration.
-type Tenant struct {
+// Customer is one of the configuration's customers, who holds keys.
+type Customer struct {
 	Name string
 	// Priority takes the place of the route's if Ranked.
 	Priority int
@@ -55,8 +56,8 @@
 
 // New returns a table. keys maps each key to its customer; nil says that
 // requests need none.
-func New(version uint64, routes []Route, services map[string]Service, keys map[string]Tenant, l Limits) *Table {
-	t := &Table{Version: version, Services: services, Limits: l, routes: routes, byHost: map[string][]*Route{}, tenants: keys, keyed: keys != nil}
+func New(version uint64, routes []Route, services map[string]Service, keys map[string]Customer, l Limits) *Table {
+	t := &Table{Version: version, Services: services, Limits: l, routes: routes, byHost: map[string][]*Route{}, customers: keys, keyed: keys != nil}
 	for i := range t.routes {
 		r := &t.routes[i]
 		h := strings.ToLower(r.Host)
@@ -78,10 +79,10 @@
 	return nil, false
 }
 
-// Tenant returns the customer that holds the key.
-func (t *Table) Tenant(key string) (Tenant, bool) {
-	n, ok := t.tenants[key]
-	return n, ok
+// Customer returns the customer that holds the key.
+func (t *Table) Customer(key string) (Customer, bool) {
+	c, ok := t.customers[key]
+	return c, ok
 }
 
 // NeedsKey reports whether requests of the route must carry a key.
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -43,7 +43,7 @@
 
 func TestNeedsKey(t *testing.T) {
 	open, shut := route.Route{Public: true}, route.Route{}
-	keyed := route.New(1, nil, nil, map[string]route.Tenant{"k": {Name: "n"}}, route.Limits{})
+	keyed := route.New(1, nil, nil, map[string]route.Customer{"k": {Name: "n"}}, route.Limits{})
 	free := route.New(1, nil, nil, nil, route.Limits{})
 	for _, c := range []struct {
 		name  string
