entry: opaque answers are counted by their release's judge only

They were also counted by version in the evidence that only the link to the control reads, which opaque requests don't pass. weigh and report shared their locking and telling; update holds it now.

--- a/entry/releases.go
+++ b/entry/releases.go
@@ -4,7 +4,6 @@
 	"sync"
 
 	"fieldvale/rollout"
-	"fieldvale/version"
 )
 
 // releases judges services' new releases by this instance's own answers, and
@@ -60,29 +59,17 @@
 	slow  bool
 }
 
-// weigh counts one answer and tells on if the release shows to be bad.
-func (s *releases) weigh(rel rollout.Release, v verdict, on *Events) {
-	s.mu.Lock()
-	t := s.of(rel)
-	if t == nil {
-		s.mu.Unlock()
-		return
-	}
-	answers, pace := &t.own.Old, &t.own.OldPace
-	if v.release == rel.Target {
-		answers, pace = &t.own.New, &t.own.NewPace
+// plus returns the tally with the verdict counted.
+func (v verdict) plus(t rollout.Tally, target string) rollout.Tally {
+	answers, pace := &t.Old, &t.OldPace
+	if v.release == target {
+		answers, pace = &t.New, &t.NewPace
 	}
 	*answers = count(*answers, v.bad)
 	if v.paced {
 		*pace = count(*pace, v.slow)
 	}
-	t.changed = true
-	found := t.judge.Report(ownOrigin, t.own)
-	total := t.judge.Total()
-	s.mu.Unlock()
-	if found {
-		on.badRelease(rel, total)
-	}
+	return t
 }
 
 func count(e rollout.Evidence, bad bool) rollout.Evidence {
@@ -92,16 +79,31 @@
 	return e.WithGood(1)
 }
 
+// weigh counts one answer.
+func (s *releases) weigh(rel rollout.Release, v verdict, on *Events) {
+	s.update(rel, on, func(t *trial) bool {
+		t.own = v.plus(t.own, rel.Target)
+		t.changed = true
+		return t.judge.Report(ownOrigin, t.own)
+	})
+}
+
 // report takes another instance's tally in.
 func (s *releases) report(rel rollout.Release, origin string, t rollout.Tally, on *Events) {
+	s.update(rel, on, func(x *trial) bool { return x.judge.Report(origin, t) })
+}
+
+// update changes the release's trial and tells on if the release shows to be
+// bad by it, which f reports.
+func (s *releases) update(rel rollout.Release, on *Events, f func(*trial) bool) {
 	s.mu.Lock()
-	x := s.of(rel)
-	if x == nil {
+	t := s.of(rel)
+	if t == nil {
 		s.mu.Unlock()
 		return
 	}
-	found := x.judge.Report(origin, t)
-	total := x.judge.Total()
+	found := f(t)
+	total := t.judge.Total()
 	s.mu.Unlock()
 	if found {
 		on.badRelease(rel, total)
@@ -141,18 +143,12 @@
 	r.releases.report(rel, origin, t.Tally, r.events)
 }
 
-// judge counts the outcome for the release that ran it.
+// judge counts the outcome for the release that ran it, if one is under way.
 func (a *attempt) judge(bad bool) {
-	r := a.w.r
-	id := version.New(a.w.f.Service, a.replica.Release)
-	switch {
-	case bad:
-		r.evidence.bad(id)
-	case a.served:
-		r.evidence.good(id)
-	default:
+	if !bad && !a.served {
 		return
 	}
+	r := a.w.r
 	rel, ok := r.view.Get().Releases[a.w.f.Service]
 	under := ok && rel.State == rollout.Running
 	v := verdict{release: a.replica.Release, bad: bad}
