--- a/adapter/exchange/pool.go
+++ b/adapter/exchange/pool.go
@@ -40,29 +40,21 @@
 // Pool keeps connections to servers by address. It is safe for concurrent
 // use.
 type Pool struct {
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	dialed int
+	mu   sync.Mutex
+	idle map[string][]*conn
 }
 
+// conn is a connection and what was read of it ahead.
 type conn struct {
 	c net.Conn
 	r *bufio.Reader
 	// expires is when the server may close the idle connection.
 	expires time.Time
-	used    bool
 }
 
 // New returns a pool with no connections.
 func New() *Pool { return &Pool{idle: map[string][]*conn{}} }
 
-// Dialed returns how many connections were opened.
-func (p *Pool) Dialed() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dialed
-}
-
 // Forget closes the idle connections to a server that has gone.
 func (p *Pool) Forget(addr string) {
 	p.mu.Lock()
@@ -74,6 +66,7 @@
 	}
 }
 
+// conn returns an idle connection, or else a new one.
 func (p *Pool) conn(ctx context.Context, addr string) (*conn, error) {
 	if c := p.take(addr); c != nil {
 		return c, nil
@@ -87,15 +80,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "exchange")
 	}
-	p.mu.Lock()
-	p.dialed++
-	p.mu.Unlock()
 	return &conn{c: k, r: bufio.NewReaderSize(k, bufferSize)}, nil
 }
 
 // tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
 const tcpUserTimeout = 18
 
+// setUserTimeout sets userTimeout on a socket before it connects.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var e error
 	err := c.Control(func(fd uintptr) {
@@ -132,7 +123,6 @@
 func (p *Pool) put(addr string, c *conn, keep time.Duration) {
 	_ = c.c.SetDeadline(time.Time{})
 	c.expires = time.Now().Add(keep)
-	c.used = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.r.Buffered() > 0 || keep <= 0 || len(p.idle[addr]) >= idlePerPeer {
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -152,7 +152,7 @@
 	g.Go(func() error { return n.ingress.Serve(d.front) })
 	g.Go(func() error { return closed(x, n.serveReady(d.ready)) })
 	g.Go(func() error { return closed(x, n.metrics.Serve(d.metrics, n.ready)) })
-	n.mirrorStore(x, g)
+	g.Go(func() error { return n.mirror().Run(x) })
 	g.Go(func() error { return n.socket.Serve(x, n.receive) })
 	g.Go(func() error { return n.announce(x) })
 	g.Go(func() error { return n.duties(x, hup) })
@@ -173,13 +173,10 @@
 	return err
 }
 
-// mirrorStore starts the duties that follow what the store holds.
-func (n *node) mirrorStore(ctx context.Context, g *errgroup.Group) {
+// mirror returns the mirror that follows what the store holds.
+func (n *node) mirror() *mirror.Mirror {
 	on := relay.Tee{Log: n.changes, On: platform.NewListener(n.state, n.event)}
-	wait := relay.TimesFor(n.s.ApplyWithin).Watch
-	for _, p := range platform.Prefixes {
-		g.Go(func() error { return mirror.New(n.relay, p, wait, n.clock, on).Run(ctx) })
-	}
+	return mirror.New(n.relay, platform.Prefix, relay.TimesFor(n.s.ApplyWithin).Watch, n.clock, on)
 }
 
 // closed drops the errors of a server that was stopped.
--- a/state/state.go
+++ b/state/state.go
@@ -267,8 +267,3 @@
 	}
 	return Record{Release: r.current().WithState(rollout.Tripped), Version: r.record.Version}, true
 }
-
-// Releases returns all releases known.
-func (s *State) Releases() map[string]rollout.Release {
-	return maps.Clone(s.view.Get().Releases)
-}
