--- /dev/null
+++ b/relay/sources.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"fieldvale/peer"
+)
+
+const (
+	// followersEach is how many followers a watching instance has in a large
+	// fleet, and minWatchers how many watch in any.
+	followersEach = 40
+	minWatchers   = 2
+	// otherSources is how many instances that do not watch by their rank are
+	// asked when those that do can't tell: one of them may have had to.
+	otherSources = 4
+	// tiers are the watchers and those that stand in for them.
+	tiers = 2
+	// watchersKey ranks the instances that watch.
+	watchersKey = "watch"
+)
+
+// Watchers returns the instances that watch the store, of the given fleet:
+// the same ones at each instance.
+func Watchers(m []peer.Member) []peer.Member {
+	r := peer.Rank(watchersKey, m)
+	return r[:min(watchers(len(m)), len(r))]
+}
+
+// watchers is how many of so many instances watch.
+func watchers(members int) int {
+	return max(minWatchers, (members+followersEach-1)/followersEach)
+}
+
+// sources returns the instances that are asked before the store, and those
+// that are asked if the store can't be.
+func (n *Node) sources() (before, rest []peer.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := peer.Rank(watchersKey, n.members)
+	k := watchers(len(r))
+	for tier := range tiers {
+		t := r[min(tier*k, len(r)):min((tier+1)*k, len(r))]
+		if slices.ContainsFunc(t, func(m peer.Member) bool { return m.ID == n.self }) {
+			rest = r[tier*k:]
+			break
+		}
+		before = append(before, peer.Rank(n.self, n.usable(t))...)
+		rest = r[min((tier+1)*k, len(r)):]
+	}
+	rest = n.usable(rest)
+	return before, rest[:min(len(rest), otherSources)]
+}
+
+// usable leaves out this instance and those passed over.
+func (n *Node) usable(m []peer.Member) []peer.Member {
+	now := n.clock()
+	var l []peer.Member
+	for _, x := range m {
+		if x.ID != n.self && !now.Before(n.avoid[x.ID]) {
+			l = append(l, x)
+		}
+	}
+	return l
+}
+
+// pass leaves an instance out for some time.
+func (n *Node) pass(m peer.Member, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.avoid[m.ID] = n.clock().Add(d)
+}
