--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -20,9 +20,7 @@
 	Table    *route.Table
 	Route    *route.Route
 	Customer route.Customer
-	// Keyed says that a key was checked.
-	Keyed  bool
-	Method string
+	Method   string
 	// Target is the request line's path and query, as it came.
 	Target string
 	// Header is what is passed on of the client's header.
