entry: split forwarding by duty

Patience, answers, the choice of release, learnt speeds and delays, repeats and the homes of opaque requests have files of their own. errEscalate also marked attempts that were merely paid for; it is errPaid now.

--- /dev/null
+++ b/entry/allowed.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"fieldvale/pool"
+	"fieldvale/rollout"
+)
+
+// ofRelease returns the replicas that the request may go to while its service
+// changes its release.
+func (w *forwarding) ofRelease(l []*pool.Replica, rel rollout.Release) []*pool.Replica {
+	takes := rel.Takes(w.q.sessionKey()) && !w.keepsOld(rel)
+	if rel.State == rollout.Running && w.r.trippedHere(rel) {
+		takes = false
+	}
+	var n []*pool.Replica
+	for _, b := range l {
+		if (b.Release == rel.Target) == takes {
+			n = append(n, b)
+		}
+	}
+	if len(n) == 0 && rel.State != rollout.Tripped && !w.r.trippedHere(rel) {
+		return l
+	}
+	return n
+}
+
+// keepsOld reports whether the request's session began before the release and
+// stays on what it had while the release is in its first phase.
+func (w *forwarding) keepsOld(rel rollout.Release) bool {
+	if rel.State != rollout.Running || rel.Phase > 0 || w.q.Session == "" {
+		return false
+	}
+	had, ok := w.r.recent.release(w.sessionOf(), w.r.clock())
+	return ok && had != rel.Target
+}
+
+// trippedHere reports whether this instance found the release bad; it stops
+// sending to it before the others know.
+func (r *Router) trippedHere(rel rollout.Release) bool {
+	return r.releases.tripped(rel)
+}
--- a/entry/backends.go
+++ b/entry/backends.go
@@ -27,10 +27,6 @@
 	scratch []pool.Candidate
 }
 
-// homeSlack is how many milliseconds of this instance's pending work a home
-// may have above the least busy replica before the next choice takes over.
-const homeSlack = 150
-
 type backend struct {
 	running int
 	// pending is the estimated milliseconds of prompts sent and not yet read.
@@ -166,95 +162,3 @@
 		}
 	}
 }
-
-// takeOpaque chooses a replica for an opaque request and counts it there; nil
-// if none is left. Breakers have no say when they leave none.
-func (b *backends) takeOpaque(r []*pool.Replica, affinity string, tried []string, cost float64, now time.Time) *pool.Replica {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.gather(r, tried, func(x *backend) bool { return x.breaker.Allows(now) })
-	if len(b.scratch) == 0 {
-		b.gather(r, tried, func(*backend) bool { return true })
-	}
-	i := b.homes.Choose(pool.Ask{Affinity: affinity}, b.scratch)
-	if i < 0 {
-		return nil
-	}
-	c := b.scratch[i].Replica
-	b.add(c, cost, now)
-	return c
-}
-
-func (b *backends) add(r *pool.Replica, cost float64, now time.Time) {
-	b.forget()
-	s := b.of(r.ID)
-	s.service = r.Service
-	s.running++
-	s.pending += cost
-	s.breaker.Tried(now)
-}
-
-// candidates returns the replicas that may be chosen now. Breakers have no
-// say when they leave none.
-func (b *backends) candidates(r []*pool.Replica, tried []string, now time.Time) []*pool.Replica {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.gather(r, tried, func(x *backend) bool { return x.breaker.Allows(now) })
-	if len(b.scratch) == 0 {
-		b.gather(r, tried, func(*backend) bool { return true })
-	}
-	l := make([]*pool.Replica, len(b.scratch))
-	for i, c := range b.scratch {
-		l[i] = c.Replica
-	}
-	return l
-}
-
-// put counts a request at a replica that was chosen elsewhere.
-func (b *backends) put(r *pool.Replica, cost float64, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.add(r, cost, now)
-}
-
-// gather makes the candidates anew.
-func (b *backends) gather(r []*pool.Replica, tried []string, allowed func(*backend) bool) {
-	b.scratch = b.scratch[:0]
-	for _, x := range r {
-		s := b.of(x.ID)
-		if allowed(s) && !contains(tried, x.ID) {
-			b.scratch = append(b.scratch, pool.Candidate{Replica: x, Local: s.running, Pending: s.pending})
-		}
-	}
-}
-
-// read takes a prompt's cost off once the replica has read it.
-func (b *backends) read(id string, cost float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.of(id).pending -= cost
-}
-
-// doneOpaque gives the replica back and learns from the result.
-func (b *backends) doneOpaque(id string, bad, unreached bool, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.of(id)
-	s.running--
-	if unreached {
-		s.breaker.Open(now)
-		return
-	}
-	if bad {
-		s.breaker.Failed(now, b.usual(s))
-		return
-	}
-	s.breaker.Succeeded()
-}
-
-// release takes back a choice that nothing came of.
-func (b *backends) release(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.of(id).running--
-}
--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 )
 
@@ -26,6 +25,25 @@
 	middleFrom = 25
 )
 
+// doubt drops the answer of a small model that does not trust it itself, as
+// long as a larger one may be asked and would answer in time.
+func (a *attempt) doubt(ctx context.Context, reply Reply) error {
+	w := a.w
+	c, ok := reply.Confidence()
+	if ok {
+		w.f.Confidence = c
+	}
+	last := len(w.q.Route.Models) - 1
+	if !ok || w.model < 0 || w.model >= last || w.started || c >= w.r.acceptConfidence {
+		return nil
+	}
+	if w.f.Runs >= w.q.Route.MaxAttempts || !w.escalate(ctx, c) {
+		return nil
+	}
+	a.served, a.escalated = true, true
+	return errPaid
+}
+
 // escalate moves the request to a larger model, if one can answer in time and
 // the budget allows the repeat. It places the request there.
 func (w *forwarding) escalate(ctx context.Context, confidence float64) bool {
@@ -64,48 +82,3 @@
 	part := doubtfulPart + gain*(wrongPart-doubtfulPart)
 	return w.r.delays.expect(w.f.Service, p.ready) <= time.Duration(part*float64(left))
 }
-
-const (
-	// delayWeight is of one prompt in the running mean.
-	delayWeight = 0.05
-	// minDelayRatio and maxDelayRatio bound what one prompt shows.
-	minDelayRatio, maxDelayRatio = 0.3, 5
-	// minReady is the least estimate in milliseconds that says something of
-	// how estimates compare with what comes.
-	minReady = 100
-)
-
-// delays learns by how much first events come later than the work before
-// them says: replicas make tokens of other streams in between.
-type delays struct {
-	mu sync.Mutex
-	m  map[string]float64
-}
-
-func newDelays() *delays { return &delays{m: map[string]float64{}} }
-
-// expect returns the time to the first event for an estimate in milliseconds.
-func (d *delays) expect(service string, ready float64) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	r, ok := d.m[service]
-	if !ok {
-		r = 1
-	}
-	return time.Duration(r * ready * float64(time.Millisecond))
-}
-
-// saw learns from a prompt whose first event came.
-func (d *delays) saw(service string, ready float64, took time.Duration) {
-	if ready < minReady {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	r, ok := d.m[service]
-	if !ok {
-		r = 1
-	}
-	x := min(maxDelayRatio, max(minDelayRatio, took.Seconds()*1000/ready))
-	d.m[service] = r + delayWeight*(x-r)
-}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"fieldvale/outcome"
-	"fieldvale/pool"
 	"fieldvale/prompt"
-	"fieldvale/rollout"
 )
 
 const (
@@ -22,14 +19,6 @@
 	maxUnreached = 8
 	// refusedRetry is when a client should come back that no replica took.
 	refusedRetry = 250 * time.Millisecond
-	// hangFactor times the route's target is how long a request that may be
-	// repeated waits for a replica's first word before another is asked.
-	hangFactor = 2
-	// patienceFactor times the expected time to a prompt's first event, and
-	// minPatience at least, is how long a replica may be silent; the slowest
-	// of a hundred sound ones take four times as long as expected.
-	patienceFactor = 6
-	minPatience    = 1500 * time.Millisecond
 )
 
 // forwarding is one opaque request on its way.
@@ -59,11 +48,6 @@
 	failure *keptAnswer
 }
 
-type keptAnswer struct {
-	head Head
-	body []byte
-}
-
 // Forward routes a request to a replica of its service and passes the answer
 // on. The error is a *Failure; if the sink had its head by then, the answer
 // must be broken off.
@@ -89,6 +73,7 @@
 // errGiveUp says that no further attempt may be made.
 var errGiveUp = errors.New("no further attempt may be made")
 
+// run makes one attempt after another until the request is over.
 func (w *forwarding) run(ctx context.Context) error {
 	for {
 		err := w.attempt(ctx)
@@ -100,7 +85,7 @@
 
 // over decides whether the request ends with err or goes to another replica.
 func (w *forwarding) over(ctx context.Context, err error) bool {
-	if errors.Is(err, errEscalate) {
+	if errors.Is(err, errPaid) {
 		return false
 	}
 	if errors.Is(err, errGiveUp) {
@@ -184,38 +169,10 @@
 	return w.place(ctx, l)
 }
 
-// ofRelease returns the replicas that the request may go to while its service
-// changes its release.
-func (w *forwarding) ofRelease(l []*pool.Replica, rel rollout.Release) []*pool.Replica {
-	takes := rel.Takes(w.q.sessionKey()) && !w.keepsOld(rel)
-	if rel.State == rollout.Running && w.r.trippedHere(rel) {
-		takes = false
-	}
-	var n []*pool.Replica
-	for _, b := range l {
-		if (b.Release == rel.Target) == takes {
-			n = append(n, b)
-		}
-	}
-	if len(n) == 0 && rel.State != rollout.Tripped && !w.r.trippedHere(rel) {
-		return l
-	}
-	return n
-}
-
-// keepsOld reports whether the request's session began before the release and
-// stays on what it had while the release is in its first phase.
-func (w *forwarding) keepsOld(rel rollout.Release) bool {
-	if rel.State != rollout.Running || rel.Phase > 0 || w.q.Session == "" {
-		return false
-	}
-	had, ok := w.r.recent.release(w.sessionOf(), w.r.clock())
-	return ok && had != rel.Target
-}
-
 // sessionOf names the session among those of all services.
 func (w *forwarding) sessionOf() string { return w.f.Service + "/" + w.q.Session }
 
+// modelName is the model that the request goes to.
 func (w *forwarding) modelName() string {
 	if w.model >= 0 {
 		return w.q.Route.Models[w.model]
@@ -243,12 +200,3 @@
 	}
 	return f
 }
-
-// trippedHere reports whether this instance found the release bad; it stops
-// sending to it before the others know.
-func (r *Router) trippedHere(rel rollout.Release) bool {
-	return r.releases.tripped(rel)
-}
-
-// isEnd reports whether a stream ended as it should.
-func isEnd(err error) bool { return errors.Is(err, io.EOF) }
--- /dev/null
+++ b/entry/repeats.go
@@ -0,0 +1,36 @@
+package entry
+
+import "fieldvale/admission"
+
+// received counts an opaque request for the bound on its service's repeats.
+func (r *Router) received(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.window(service).Request(r.clock())
+}
+
+// unknownFleet is how many instances there are taken to be as long as their
+// list is not known; more than are usual where few of them are.
+const unknownFleet = 12
+
+// mayRepeat takes one repeat of a service's request if there is one left.
+// reserve is the part that is to be left for repeats after failures.
+func (r *Router) mayRepeat(service string, reserve float64) bool {
+	n := len(r.view.Get().Members)
+	if n == 0 {
+		n = unknownFleet
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.window(service).Repeat(r.clock(), 1/float64(n), reserve)
+}
+
+// window counts the service's requests and repeats; r.mu is held.
+func (r *Router) window(service string) *admission.Window {
+	w, ok := r.windows[service]
+	if !ok {
+		w = admission.NewWindow(r.repeats)
+		r.windows[service] = w
+	}
+	return w
+}
