--- /dev/null
+++ b/placement/ask.go
@@ -0,0 +1,79 @@
+package placement
+
+import (
+	"context"
+	"time"
+
+	"fieldvale/peer"
+)
+
+// answerWithin bounds the wait for a keeper's answer: the round trip
+// between data centres of a region and its work, several times over, and
+// little beside the prompts for which it is asked.
+const answerWithin = 25 * time.Millisecond
+
+// Transport sends datagrams to other instances. One may be lost.
+type Transport interface {
+	Send(addr string, b []byte) error
+}
+
+// ask asks the keeper and waits for its answer.
+func (n *Node) ask(ctx context.Context, k peer.Member, a Ask) (Choice, bool) {
+	c := make(chan Choice, 1)
+	n.mu.Lock()
+	n.next++
+	id := n.next
+	n.waiting[id] = c
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		delete(n.waiting, id)
+		n.mu.Unlock()
+	}()
+	if err := n.net.Send(k.Addr, encode(message{Question: id, Ask: (*wireAsk)(&a)})); err != nil {
+		return Choice{}, false
+	}
+	t := time.NewTimer(answerWithin)
+	defer t.Stop()
+	select {
+	case x := <-c:
+		return x, true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return Choice{}, false
+}
+
+// Receive takes a datagram in; from is where an answer goes.
+func (n *Node) Receive(from string, b []byte) {
+	m, err := decode(b)
+	if err != nil {
+		n.log("datagram_unreadable", "from", from, "error", err)
+		return
+	}
+	switch {
+	case m.Ask != nil:
+		c := n.ledger.Choose(Ask(*m.Ask), n.clock())
+		_ = n.net.Send(from, encode(message{Question: m.Question, Choice: (*wireChoice)(&c)}))
+	case m.Choice != nil:
+		n.deliver(from, m.Question, Choice(*m.Choice))
+	case m.Read != 0:
+		n.ledger.Read(m.Read)
+	}
+}
+
+// deliver hands an answer to who waits for it. One that comes too late is
+// given back: the asker has gone elsewhere, and the work with it.
+func (n *Node) deliver(from string, question uint64, x Choice) {
+	n.mu.Lock()
+	c := n.waiting[question]
+	n.mu.Unlock()
+	if c == nil {
+		_ = n.net.Send(from, encode(message{Read: x.Ticket}))
+		return
+	}
+	select {
+	case c <- x:
+	default:
+	}
+}
--- a/placement/keeper.go
+++ b/placement/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -12,10 +11,6 @@
 )
 
 const (
-	// answerWithin bounds the wait for a keeper's answer: the round trip
-	// between data centres of a region and its work, several times over, and
-	// little beside the prompts for which it is asked.
-	answerWithin = 25 * time.Millisecond
 	// avoidFor is how long a keeper that gave no answer is passed over.
 	avoidFor = time.Second
 	// groupSize is how many replicas a group should have: enough for a
@@ -23,11 +18,6 @@
 	groupSize = 32
 )
 
-// Transport sends datagrams to other instances. One may be lost.
-type Transport interface {
-	Send(addr string, b []byte) error
-}
-
 // Node asks keepers and is one.
 type Node struct {
 	self   string
@@ -120,6 +110,7 @@
 	return b, ok
 }
 
+// pass leaves a silent keeper out for some time.
 func (n *Node) pass(k peer.Member) {
 	n.mu.Lock()
 	first := !n.clock().Before(n.avoid[k.ID])
@@ -129,73 +120,3 @@
 		n.log("keeper_silent", "keeper", k.ID, "addr", k.Addr, "avoided", avoidFor)
 	}
 }
-
-func (n *Node) ask(ctx context.Context, k peer.Member, a Ask) (Choice, bool) {
-	c := make(chan Choice, 1)
-	n.mu.Lock()
-	n.next++
-	id := n.next
-	n.waiting[id] = c
-	n.mu.Unlock()
-	defer func() {
-		n.mu.Lock()
-		delete(n.waiting, id)
-		n.mu.Unlock()
-	}()
-	if err := n.net.Send(k.Addr, encode(message{Question: id, Ask: &a})); err != nil {
-		return Choice{}, false
-	}
-	t := time.NewTimer(answerWithin)
-	defer t.Stop()
-	select {
-	case x := <-c:
-		return x, true
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	return Choice{}, false
-}
-
-// message is what instances say to each other about placement: a question,
-// its answer, or the end of a ticket.
-type message struct {
-	Question uint64  `json:"q,omitempty"`
-	Ask      *Ask    `json:"a,omitempty"`
-	Choice   *Choice `json:"c,omitempty"`
-	Read     uint64  `json:"r,omitempty"`
-}
-
-// encode can't fail: a message has numbers and texts only.
-func encode(m message) []byte {
-	b, _ := json.Marshal(m)
-	return b
-}
-
-// Receive takes a datagram in; from is where an answer goes.
-func (n *Node) Receive(from string, b []byte) {
-	var m message
-	if err := json.Unmarshal(b, &m); err != nil {
-		n.log("datagram_unreadable", "from", from, "error", err)
-		return
-	}
-	switch {
-	case m.Ask != nil:
-		c := n.ledger.Choose(*m.Ask, n.clock())
-		_ = n.net.Send(from, encode(message{Question: m.Question, Choice: &c}))
-	case m.Choice != nil:
-		n.mu.Lock()
-		c := n.waiting[m.Question]
-		n.mu.Unlock()
-		if c != nil {
-			select {
-			case c <- *m.Choice:
-			default:
-			}
-			return
-		}
-		// Too late: the asker has gone elsewhere, and the work with it.
-		_ = n.net.Send(from, encode(message{Read: m.Choice.Ticket}))
-	case m.Read != 0:
-		n.ledger.Read(m.Read)
-	}
-}
--- /dev/null
+++ b/placement/wire.go
@@ -0,0 +1,41 @@
+package placement
+
+import "encoding/json"
+
+// message is what instances say to each other about placement: a question,
+// its answer, or the end of a ticket.
+type message struct {
+	Question uint64      `json:"q,omitempty"`
+	Ask      *wireAsk    `json:"a,omitempty"`
+	Choice   *wireChoice `json:"c,omitempty"`
+	Read     uint64      `json:"r,omitempty"`
+}
+
+// wireAsk and wireChoice are Ask and Choice as they are sent; times are
+// milliseconds.
+type wireAsk struct {
+	Key      string   `json:"Key"`
+	Replicas []string `json:"Replicas"`
+	Read     float64  `json:"Read"`
+	Shared   float64  `json:"Shared"`
+}
+
+type wireChoice struct {
+	Index  int     `json:"Index"`
+	Wait   float64 `json:"Wait"`
+	Cost   float64 `json:"Cost"`
+	Ticket uint64  `json:"Ticket"`
+}
+
+// encode can't fail: a message has numbers and texts only.
+func encode(m message) []byte {
+	b, _ := json.Marshal(m)
+	return b
+}
+
+// decode reads what encode wrote.
+func decode(b []byte) (message, error) {
+	var m message
+	err := json.Unmarshal(b, &m)
+	return m, err
+}
