--- a/cmd/fieldvale-node/tally.go
+++ b/cmd/fieldvale-node/tally.go
@@ -1,10 +1,9 @@
 package main
 
 import (
-	"encoding/json"
 	"time"
 
-	"fieldvale/entry"
+	"fieldvale/peer"
 )
 
 const (
@@ -15,38 +14,41 @@
 	judges = 2
 )
 
-// report is what instances tell each other of releases under way.
-type report struct {
-	From    string             `json:"from"`
-	Release entry.ReleaseTally `json:"release"`
-}
-
 // tell sends what was seen of releases to the instances that judge them. A
 // report that is lost is made good by the next one, as counts only grow.
 func (n *node) tell() {
 	for _, t := range n.router.Tallies() {
-		b, err := json.Marshal(report{From: n.s.ID, Release: t})
+		b, err := encodeReport(n.s.ID, t)
 		if err != nil {
 			n.event("tally_unsent", "service", t.Service, "error", err)
 			continue
 		}
-		m := n.ranked(t.Service)
-		for _, x := range m[:min(judges, len(m))] {
-			if x.ID == n.s.ID {
-				continue
-			}
-			if err := (tagged{n, tagTally}).Send(x.Addr, b); err != nil {
-				n.event("tally_unsent", "service", t.Service, "to", x.ID, "error", err)
+		for _, m := range n.judges(t.Service) {
+			if err := (tagged{n, tagTally}).Send(m.Addr, b); err != nil {
+				n.event("tally_unsent", "service", t.Service, "to", m.ID, "error", err)
 			}
 		}
 	}
 }
 
+// judges returns the other instances that judge the service's release.
+func (n *node) judges(service string) []peer.Member {
+	m := n.ranked(service)
+	var l []peer.Member
+	for _, x := range m[:min(judges, len(m))] {
+		if x.ID != n.s.ID {
+			l = append(l, x)
+		}
+	}
+	return l
+}
+
+// receiveTally takes in what another instance saw.
 func (n *node) receiveTally(from string, b []byte) {
-	var r report
-	if err := json.Unmarshal(b, &r); err != nil {
+	origin, t, err := decodeReport(b)
+	if err != nil {
 		n.event("datagram_unreadable", "from", from, "error", err)
 		return
 	}
-	n.router.ReportTally(r.From, r.Release)
+	n.router.ReportTally(origin, t)
 }
