--- a/placement/ask.go
+++ b/placement/ask.go
@@ -19,29 +19,9 @@
 
 // ask asks the keeper and waits for its answer.
 func (n *Node) ask(ctx context.Context, k peer.Member, a Ask) (Choice, bool) {
-	c := make(chan Choice, 1)
-	n.mu.Lock()
-	n.next++
-	id := n.next
-	n.waiting[id] = c
-	n.mu.Unlock()
-	defer func() {
-		n.mu.Lock()
-		delete(n.waiting, id)
-		n.mu.Unlock()
-	}()
-	if err := n.net.Send(k.Addr, encode(message{Question: id, Ask: (*wireAsk)(&a)})); err != nil {
-		return Choice{}, false
-	}
-	t := time.NewTimer(answerWithin)
-	defer t.Stop()
-	select {
-	case x := <-c:
-		return x, true
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	return Choice{}, false
+	return n.waiting.Ask(ctx, answerWithin, func(id uint64) error {
+		return n.net.Send(k.Addr, encode(message{Question: id, Ask: (*wireAsk)(&a)}))
+	})
 }
 
 // Receive takes a datagram in; from is where an answer goes.
@@ -64,16 +44,8 @@
 
 // deliver hands an answer to who waits for it. One that comes too late is
 // given back: the asker has gone elsewhere, and the work with it.
-func (n *Node) deliver(from string, question uint64, x Choice) {
-	n.mu.Lock()
-	c := n.waiting[question]
-	n.mu.Unlock()
-	if c == nil {
-		_ = n.net.Send(from, encode(message{Read: x.Ticket}))
-		return
-	}
-	select {
-	case c <- x:
-	default:
+func (n *Node) deliver(from string, question uint64, c Choice) {
+	if !n.waiting.Deliver(question, c) {
+		_ = n.net.Send(from, encode(message{Read: c.Ticket}))
 	}
 }
--- a/placement/keeper.go
+++ b/placement/keeper.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"fieldvale/peer"
+	"fieldvale/reply"
 )
 
 const (
@@ -25,17 +26,17 @@
 	net    Transport
 	clock  func() time.Time
 	log    func(event string, fields ...any)
+	// waiting are the questions to keepers.
+	waiting *reply.Waiters[Choice]
 
 	mu      sync.Mutex
 	members []peer.Member
 	avoid   map[string]time.Time
-	next    uint64
-	waiting map[uint64]chan Choice
 }
 
 // NewNode returns the instance with that id, alone as yet.
 func NewNode(self string, start uint64, net Transport, clock func() time.Time, log func(event string, fields ...any)) *Node {
-	return &Node{self: self, ledger: NewLedger(start), net: net, clock: clock, log: log, avoid: map[string]time.Time{}, next: start, waiting: map[uint64]chan Choice{}}
+	return &Node{self: self, ledger: NewLedger(start), net: net, clock: clock, log: log, avoid: map[string]time.Time{}, waiting: reply.New[Choice](start)}
 }
 
 // SetMembers replaces the list of the fleet's instances.
--- a/relay/ask.go
+++ b/relay/ask.go
@@ -25,29 +25,9 @@
 
 // ask asks one instance what changed and waits for its answer.
 func (n *Node) ask(ctx context.Context, m peer.Member, after int64) (answer, bool) {
-	c := make(chan answer, 1)
-	n.mu.Lock()
-	n.next++
-	id := n.next
-	n.waiting[id] = c
-	n.mu.Unlock()
-	defer func() {
-		n.mu.Lock()
-		delete(n.waiting, id)
-		n.mu.Unlock()
-	}()
-	if err := n.send(m.Addr, message{Question: &question{ID: id, After: after, Wait: n.times.Follow.Milliseconds()}}); err != nil {
-		return answer{}, false
-	}
-	t := time.NewTimer(n.times.Follow + answerSlack)
-	defer t.Stop()
-	select {
-	case a := <-c:
-		return a, true
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	return answer{}, false
+	return n.waiting.Ask(ctx, n.times.Follow+answerSlack, func(id uint64) error {
+		return n.send(m.Addr, message{Question: &question{ID: id, After: after, Wait: n.times.Follow.Milliseconds()}})
+	})
 }
 
 // send sends a message as one datagram.
@@ -70,21 +50,7 @@
 		go n.answer(from, *m.Question)
 	}
 	if m.Answer != nil {
-		n.deliver(*m.Answer)
-	}
-}
-
-// deliver hands an answer to who waits for it, if anyone still does.
-func (n *Node) deliver(a answer) {
-	n.mu.Lock()
-	c := n.waiting[a.ID]
-	n.mu.Unlock()
-	if c == nil {
-		return
-	}
-	select {
-	case c <- a:
-	default:
+		n.waiting.Deliver(m.Answer.ID, *m.Answer)
 	}
 }
 
--- a/relay/node.go
+++ b/relay/node.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"fieldvale/peer"
+	"fieldvale/reply"
 	"fieldvale/store"
 )
 
@@ -34,6 +35,8 @@
 	clock func() time.Time
 	event func(event string, fields ...any)
 	times Times
+	// waiting are the questions to other instances.
+	waiting *reply.Waiters[answer]
 
 	// storeAt is when the store is asked again after it failed, and pause
 	// how long it was left alone the last time. An instance that others stand
@@ -44,8 +47,6 @@
 	mu      sync.Mutex
 	members []peer.Member
 	avoid   map[string]time.Time
-	next    uint64
-	waiting map[uint64]chan answer
 	source  string
 }
 
@@ -53,7 +54,7 @@
 
 // NewNode returns the instance with that id. l is what it tells others.
 func NewNode(self string, start uint64, l *Log, s store.Feed, net Transport, clock func() time.Time, event func(event string, fields ...any), t Times) *Node {
-	return &Node{times: t, self: self, log: l, store: s, net: net, clock: clock, event: event, avoid: map[string]time.Time{}, next: start, waiting: map[uint64]chan answer{}}
+	return &Node{times: t, self: self, log: l, store: s, net: net, clock: clock, event: event, avoid: map[string]time.Time{}, waiting: reply.New[answer](start)}
 }
 
 // SetMembers replaces the list of the fleet's instances.
