--- a/state/state.go
+++ b/state/state.go
@@ -14,52 +14,10 @@
 	"fieldvale/entry"
 	"fieldvale/lease"
 	"fieldvale/peer"
-	"fieldvale/pool"
 	"fieldvale/rollout"
 	"fieldvale/route"
 )
 
-// Change is news of one moment.
-type Change struct {
-	// Table is nil if the configuration did not change.
-	Table    *route.Table
-	Replicas []pool.Replica
-	// Gone are the ids of replicas whose entries went.
-	Gone []string
-	// Known, if not nil, are the ids of all replicas there are.
-	Known   map[string]bool
-	Orders  []rollout.Release
-	Records []Record
-	// Members are instances of the fleet that announce themselves, Left the
-	// ids of those whose announcement is over.
-	Members []peer.Member
-	Left    []string
-}
-
-// Record is what the store holds of a release.
-type Record struct {
-	Release rollout.Release
-	// Version guards the record's next change.
-	Version int64
-}
-
-// release is one service's release as this instance knows it.
-type release struct {
-	order  rollout.Release
-	record Record
-	// since is when this instance learnt of the phase.
-	since time.Time
-}
-
-// current is the release with its record's progress.
-func (r *release) current() rollout.Release {
-	c := r.order
-	if p := r.record.Release; p.Order == c.Order {
-		c.Phase, c.State = p.Phase, p.State
-	}
-	return c
-}
-
 // State is safe for concurrent use.
 type State struct {
 	mu       sync.Mutex
@@ -102,6 +60,7 @@
 	s.publish()
 }
 
+// applyReplicas takes the replicas' changes in.
 func (s *State) applyReplicas(c Change, now time.Time) {
 	for _, r := range c.Replicas {
 		s.replicas.Put(r)
@@ -138,43 +97,18 @@
 	s.onMembers(s.memberList())
 }
 
+// memberList returns the instances in the order of their ids.
 func (s *State) memberList() []peer.Member {
 	return slices.SortedFunc(maps.Values(s.members), func(a, b peer.Member) int { return strings.Compare(a.ID, b.ID) })
 }
 
+// settle drops the replicas whose entries did not return with the store.
 func (s *State) settle(now time.Time) {
 	for _, id := range s.replicas.Settle(now) {
 		s.log("replica_gone", "replica", id, "reason", "its entry did not return with the store")
 	}
 }
 
-func (s *State) of(service string) *release {
-	r, ok := s.releases[service]
-	if !ok {
-		r = &release{}
-		s.releases[service] = r
-	}
-	return r
-}
-
-func (s *State) order(o rollout.Release, now time.Time) {
-	r := s.of(o.Service)
-	if o.Order <= r.order.Order {
-		return
-	}
-	r.order, r.since = o, now
-	s.log("release_ordered", "service", o.Service, "release", o.Target, "order", o.Order, "length", o.Length)
-}
-
-func (s *State) record(n Record, now time.Time) {
-	r := s.of(n.Release.Service)
-	if n.Version <= r.record.Version {
-		return
-	}
-	r.record, r.since = n, now
-	s.log("release_progress", "service", n.Release.Service, "release", n.Release.Target, "order", n.Release.Order, "phase", n.Release.Phase, "state", n.Release.State)
-}
-
 // publish puts what is known in force.
 func (s *State) publish() {
 	m := map[string]rollout.Release{}
@@ -231,39 +165,3 @@
 	defer s.mu.Unlock()
 	return s.table != nil && len(s.replicas.Replicas()) > 0 && s.lease.Fresh(s.clock(), freshPart)
 }
-
-// Due returns the releases of which something is to be recorded by now: those
-// that no record tells of yet, and those whose phase has lasted, each one
-// phase further. turn is how much longer this instance waits for each service.
-func (s *State) Due(now time.Time, turn func(service string) time.Duration) []Record {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var l []Record
-	for service, r := range s.releases {
-		c := r.current()
-		if r.order.Order == 0 || c.State != rollout.Running || s.lost {
-			continue
-		}
-		lasted := now.Sub(r.since) - turn(service)
-		switch {
-		case r.record.Release.Order != r.order.Order:
-			if lasted >= 0 {
-				l = append(l, Record{Release: c, Version: r.record.Version})
-			}
-		case lasted >= c.PhaseLength():
-			l = append(l, Record{Release: c.Next(), Version: r.record.Version})
-		}
-	}
-	return l
-}
-
-// Tripped returns the record that stops the release, if it still runs.
-func (s *State) Tripped(rel rollout.Release) (Record, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r, ok := s.releases[rel.Service]
-	if !ok || r.order.Order != rel.Order || r.current().State != rollout.Running {
-		return Record{}, false
-	}
-	return Record{Release: r.current().WithState(rollout.Tripped), Version: r.record.Version}, true
-}
