--- a/cmd/fieldvale-node/main.go
+++ b/cmd/fieldvale-node/main.go
@@ -29,12 +29,14 @@
 The settings file is INI; examples/node.ini has every key with a comment.
 Its path is given by -c or by FIELDVALE_SETTINGS.`
 
+// Exit codes: failed while it ran, or by its command line or settings.
 const (
 	exitOK       = 0
 	exitFailed   = 1
 	exitSettings = 2
 )
 
+// options are what the command line takes.
 type options struct {
 	Config string `short:"c" long:"config" value-name:"FILE" description:"settings file"`
 	Check  bool   `long:"check" description:"check the settings, list every fault, and exit"`
@@ -42,22 +44,11 @@
 
 func main() { os.Exit(run()) }
 
+// run reads the command line and the settings and returns the exit code.
 func run() int {
-	var o options
-	p := flags.NewNamedParser("fieldvale-node", flags.Default)
-	p.LongDescription = usage
-	if _, err := p.AddGroup("Options", "", &o); err != nil {
-		return exitFailed
-	}
-	if _, err := p.Parse(); err != nil {
-		var f *flags.Error
-		if errors.As(err, &f) && f.Type == flags.ErrHelp {
-			return exitOK
-		}
-		return exitSettings
-	}
-	if o.Config == "" {
-		o.Config = settings.NodeFile()
+	o, err := parse()
+	if err != nil {
+		return exitOf(err)
 	}
 	s, e := settings.LoadNode(o.Config)
 	for _, err := range e {
@@ -73,6 +64,39 @@
 	return serve(s, o.Config)
 }
 
+// errParser says that the options' own description is faulty.
+var errParser = errors.New("the options can't be described")
+
+// parse reads the command line; the parser has told of its errors.
+func parse() (options, error) {
+	var o options
+	p := flags.NewNamedParser("fieldvale-node", flags.Default)
+	p.LongDescription = usage
+	if _, err := p.AddGroup("Options", "", &o); err != nil {
+		return o, errors.Mark(err, errParser)
+	}
+	if _, err := p.Parse(); err != nil {
+		return o, err
+	}
+	if o.Config == "" {
+		o.Config = settings.NodeFile()
+	}
+	return o, nil
+}
+
+// exitOf is the exit code for a command line that was not taken.
+func exitOf(err error) int {
+	var f *flags.Error
+	switch {
+	case errors.Is(err, errParser):
+		return exitFailed
+	case errors.As(err, &f) && f.Type == flags.ErrHelp:
+		return exitOK
+	}
+	return exitSettings
+}
+
+// serve runs the instance until it is told to stop.
 func serve(s settings.Node, path string) int {
 	w := logging.NewBounded(os.Stdout)
 	defer w.Close()
