--- a/entry/forward.go
+++ b/entry/forward.go
@@ -98,16 +98,30 @@
 	if ctx.Err() != nil {
 		return w.ends(true, "out of time")
 	}
-	k := outcome.Of(err)
-	if isUnreached(err) {
-		w.unreached++
-		return w.ends(w.unreached >= maxUnreached, "replicas out of reach")
-	}
-	if k == outcome.NotRun {
-		w.refusals++
-		return w.ends(w.refusals >= maxRefusals, "replicas refused") || w.ends(!w.budget(), "no budget")
+	switch {
+	case isUnreached(err):
+		return w.overUnreached()
+	case outcome.Of(err) == outcome.NotRun:
+		return w.overRefused()
 	}
-	if k == outcome.Unknown {
+	return w.overRan(err)
+}
+
+// overUnreached counts a replica that could not be connected to.
+func (w *forwarding) overUnreached() bool {
+	w.unreached++
+	return w.ends(w.unreached >= maxUnreached, "replicas out of reach")
+}
+
+// overRefused counts a replica that turned the request away.
+func (w *forwarding) overRefused() bool {
+	w.refusals++
+	return w.ends(w.refusals >= maxRefusals, "replicas refused") || w.ends(!w.budget(), "no budget")
+}
+
+// overRan decides after an attempt that ran or may have run.
+func (w *forwarding) overRan(err error) bool {
+	if outcome.Of(err) == outcome.Unknown {
 		w.unknown = true
 	}
 	return w.ends(!w.q.Route.Repeats(), "may run once") ||
--- a/entry/place.go
+++ b/entry/place.go
@@ -31,30 +31,56 @@
 // maxCandidates bounds the replicas among which a keeper chooses.
 const maxCandidates = 12
 
+// estimate is what the request's prompt takes to read, in milliseconds.
+type estimate struct {
+	// key names the shared part; empty for none.
+	key string
+	// own is the time for what nobody shares, shared for the rest.
+	own    float64
+	shared float64
+	// speed is the time for a token.
+	speed float64
+}
+
+// estimate returns the prompt's times at the model's speed.
+func (w *forwarding) estimate() estimate {
+	p := w.q.Prompt
+	s := w.r.speeds.of(w.speedKey(), max(0, w.model))
+	return estimate{key: w.partsKey(), own: float64(p.In-p.SharedTokens()) * s, shared: float64(p.SharedTokens()) * s, speed: s}
+}
+
 // place chooses one of the replicas for the request; nil if none is left.
 func (w *forwarding) place(ctx context.Context, l []*pool.Replica) *placed {
-	now := w.r.clock()
 	if w.q.Prompt.IsNone() {
 		return w.placeHere(l, "", 1)
 	}
-	key := w.partsKey()
-	speed := w.r.speeds.of(w.speedKey(), max(0, w.model))
-	own := float64(w.q.Prompt.In-w.q.Prompt.SharedTokens()) * speed
-	shared := float64(w.q.Prompt.SharedTokens()) * speed
-	c := w.r.backends.candidates(l, w.tried, now)
+	e := w.estimate()
+	c := w.r.backends.candidates(l, w.tried, w.r.clock())
 	if len(c) == 0 {
 		return nil
 	}
+	if p := w.placeByFleet(ctx, c, e); p != nil {
+		return p
+	}
+	return w.placeHere(l, e.key, e.own)
+}
+
+// placeByFleet chooses with the knowledge of the fleet; nil if that can't be
+// had.
+func (w *forwarding) placeByFleet(ctx context.Context, c []*pool.Replica, e estimate) *placed {
 	if w.r.placer == nil {
-		return w.placeHere(l, key, own)
+		return nil
 	}
-	g, c := w.group(key, c)
-	a := placement.Ask{Key: key, Replicas: ids(c), Read: max(1, own), Shared: shared}
-	x, t, ok := w.r.placer.Choose(ctx, g, a)
+	now := w.r.clock()
+	g, c := w.group(e.key, c)
+	x, t, ok := w.r.placer.Choose(ctx, g, placement.Ask{Key: e.key, Replicas: ids(c), Read: max(1, e.own), Shared: e.shared})
 	if !ok {
-		return w.placeHere(l, key, own)
+		return nil
+	}
+	p := &placed{
+		replica: c[x.Index], ticket: t, cost: x.Cost, open: true,
+		idle: x.Wait < 1, tokens: x.Cost / e.speed, ready: x.Wait + x.Cost,
 	}
-	p := &placed{replica: c[x.Index], ticket: t, cost: x.Cost, open: true, idle: x.Wait < 1, tokens: x.Cost / speed, ready: x.Wait + x.Cost}
 	w.r.backends.put(p.replica, p.cost, now)
 	return p
 }
