--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -79,10 +79,10 @@
 		trips: make(chan rollout.Release, maxTrips), pool: exchange.New(), stopping: make(chan struct{}),
 	}
 	n.lease = lease.New(time.Duration(honourPart*float64(s.HonourFor)), n.clock())
-	n.placer = placement.NewNode(s.ID, rand.Uint64()>>16, tagged{n, tagPlacement}, n.clock, n.event)
+	n.placer = placement.NewNode(s.ID, startID(), tagged{n, tagPlacement}, n.clock, n.event)
 	n.store = platform.NewStore(exchange.New(), s.Store)
 	n.changes = relay.NewLog()
-	n.relay = relay.NewNode(s.ID, rand.Uint64()>>16, n.changes, n.store, tagged{n, tagRelay}, n.clock, n.event, relay.TimesFor(s.ApplyWithin))
+	n.relay = relay.NewNode(s.ID, startID(), n.changes, n.store, tagged{n, tagRelay}, n.clock, n.event, relay.TimesFor(s.ApplyWithin))
 	n.state = state.New(n.view, n.lease, n.clock, n.event, n.setMembers)
 	n.releases = platform.NewReleases(n.store)
 	n.router = entry.NewRouter(n.routerPorts())
@@ -90,6 +90,10 @@
 	return n
 }
 
+// startID begins an instance's ids, so that they differ from those of its
+// earlier life; it leaves room to count on.
+func startID() uint64 { return rand.Uint64() >> 16 }
+
 // limitMemory has the collector keep the process within its memory.
 func limitMemory(megabytes int64) {
 	debug.SetGCPercent(gcPercent)
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -86,6 +86,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep(now)
+	c := l.best(a, now)
+	if c.Index < 0 {
+		return c
+	}
+	l.next++
+	c.Ticket = l.next
+	l.note(a, c, now)
+	return c
+}
+
+// best returns the choice with the least time, counting what reading a shared
+// part again takes from others; its index is below 0 if there is none.
+func (l *Ledger) best(a Ask, now time.Time) Choice {
 	best, score := Choice{Index: -1}, 0.0
 	for i, r := range a.Replicas {
 		c := Choice{Index: i, Wait: l.pending[r], Cost: a.Read}
@@ -98,20 +111,20 @@
 			best, score = c, s
 		}
 	}
-	if best.Index < 0 {
-		return best
-	}
-	r := a.Replicas[best.Index]
-	l.next++
-	best.Ticket = l.next
-	l.open[best.Ticket] = work{replica: r, cost: best.Cost, forgetAt: now.Add(forgetFactor*span(best.Wait+best.Cost) + forgetMargin)}
-	l.pending[r] += best.Cost
+	return best
+}
+
+// note counts the prompt at the replica chosen for it.
+func (l *Ledger) note(a Ask, c Choice, now time.Time) {
+	r := a.Replicas[c.Index]
+	l.open[c.Ticket] = work{replica: r, cost: c.Cost, forgetAt: now.Add(forgetFactor*span(c.Wait+c.Cost) + forgetMargin)}
+	l.pending[r] += c.Cost
 	if a.Key != "" && len(l.kept) < maxKept {
 		l.kept[keptPart{a.Key, r}] = now.Add(keptFor)
 	}
-	return best
 }
 
+// keeps reports whether the replica is taken to keep the part.
 func (l *Ledger) keeps(key, replica string, now time.Time) bool {
 	return key != "" && now.Before(l.kept[keptPart{key, replica}])
 }
@@ -123,6 +136,11 @@
 	l.close(ticket)
 }
 
+// noWork is what sums of floating-point costs leave at a replica that has
+// nothing to read, in milliseconds.
+const noWork = 1e-6
+
+// close takes the work off its replica.
 func (l *Ledger) close(ticket uint64) {
 	w, ok := l.open[ticket]
 	if !ok {
@@ -130,7 +148,7 @@
 	}
 	delete(l.open, ticket)
 	l.pending[w.replica] -= w.cost
-	if l.pending[w.replica] < 1e-6 {
+	if l.pending[w.replica] < noWork {
 		delete(l.pending, w.replica)
 	}
 }
@@ -138,6 +156,7 @@
 // sweepEvery bounds how often what is over is looked for.
 const sweepEvery = 500 * time.Millisecond
 
+// sweep drops what is over.
 func (l *Ledger) sweep(now time.Time) {
 	if now.Before(l.sweepAt) {
 		return
@@ -155,4 +174,5 @@
 	}
 }
 
+// span is a number of milliseconds as a duration.
 func span(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
