--- a/entry/ports.go
+++ b/entry/ports.go
@@ -7,6 +7,7 @@
 	"fieldvale/bill"
 	"fieldvale/claim"
 	"fieldvale/peer"
+	"fieldvale/placement"
 	"fieldvale/pool"
 	"fieldvale/version"
 )
@@ -85,3 +86,21 @@
 
 // Clock tells the time.
 type Clock func() time.Time
+
+// Placer chooses replicas for prompts with the knowledge of the fleet. It
+// fails if that can't be had now.
+type Placer interface {
+	Choose(ctx context.Context, group string, a placement.Ask) (placement.Choice, placement.Ticket, bool)
+	// Read says that the prompt was read, or came to nothing.
+	Read(t placement.Ticket)
+}
+
+// ForwardSink takes an answer for the client.
+type ForwardSink interface {
+	// Head is called once, before the rest.
+	Head(h Head) error
+	// Event passes an event on at once.
+	Event(b []byte) error
+	// Body passes a whole body on.
+	Body(b []byte) error
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -19,6 +19,7 @@
 	confirmed atomic.Int64
 }
 
+// never is the confirmed moment of a lease that no confirmation has begun.
 const never = -1 << 62
 
 // New returns a lease that no confirmation has begun. length is how long a
