--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -60,32 +60,15 @@
 
 // LoadNode reads and checks a node's file.
 func LoadNode(path string) (Node, []error) {
-	n := Node{Level: defaultLevel, MemoryMB: defaultMemoryMB, HonourFor: defaultHonourFor, RepeatPart: defaultRepeatPart, RepeatBurst: defaultRepeatBurst, AcceptConfidence: defaultConfidence}
+	n := defaultNode()
 	f, err := load(path)
 	if err != nil {
 		return n, []error{err}
 	}
 	found := false
 	f.Each([]string{"node", "limits", "keys", "repeats", "models"}, func(s *inifile.Section) {
-		switch s.Kind {
-		case "node":
-			found = true
-			n.read(s)
-		case "limits":
-			if m := s.Number("memory_mb"); m > 0 {
-				n.MemoryMB = m
-			}
-		case "keys":
-			n.HonourFor = s.Span("honour_for", defaultHonourFor)
-		case "models":
-			n.AcceptConfidence = s.Fraction("accept_confidence", defaultConfidence)
-			if n.AcceptConfidence < 0 || n.AcceptConfidence > 100 {
-				s.Fail("accept_confidence", "is not from 0 to 100")
-			}
-		case "repeats":
-			n.RepeatPart = s.Fraction("part", defaultRepeatPart)
-			n.RepeatBurst = s.Fraction("burst", defaultRepeatBurst)
-		}
+		found = found || s.Kind == "node"
+		n.section(s)
 	})
 	if !found {
 		f.Missing("node")
@@ -93,6 +76,40 @@
 	return n, f.Errors()
 }
 
+// defaultNode is what sections that are not in the file leave.
+func defaultNode() Node {
+	return Node{
+		Level: defaultLevel, MemoryMB: defaultMemoryMB, HonourFor: defaultHonourFor,
+		RepeatPart: defaultRepeatPart, RepeatBurst: defaultRepeatBurst, AcceptConfidence: defaultConfidence,
+	}
+}
+
+// section reads one section.
+func (n *Node) section(s *inifile.Section) {
+	switch s.Kind {
+	case "node":
+		n.read(s)
+	case "limits":
+		if m := s.Number("memory_mb"); m > 0 {
+			n.MemoryMB = m
+		}
+	case "keys":
+		n.HonourFor = s.Span("honour_for", defaultHonourFor)
+	case "models":
+		n.readModels(s)
+	case "repeats":
+		n.RepeatPart = s.Fraction("part", defaultRepeatPart)
+		n.RepeatBurst = s.Fraction("burst", defaultRepeatBurst)
+	}
+}
+
+func (n *Node) readModels(s *inifile.Section) {
+	n.AcceptConfidence = s.Fraction("accept_confidence", defaultConfidence)
+	if n.AcceptConfidence < 0 || n.AcceptConfidence > 100 {
+		s.Fail("accept_confidence", "is not from 0 to 100")
+	}
+}
+
 func (n *Node) read(s *inifile.Section) {
 	n.ID = s.Need("id")
 	n.DataCentre = s.Need("data_centre")
