--- a/adapter/exchange/pool.go
+++ b/adapter/exchange/pool.go
@@ -40,17 +40,20 @@
 // Pool keeps connections to servers by address. It is safe for concurrent
 // use.
 type Pool struct {
-	mu     sync.Mutex
-	idle   map[string][]*conn
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// dialed counts the connections opened; each has a price.
 	dialed int
+	// sweepAt is when idle connections are looked through again.
+	sweepAt time.Time
 }
 
+// conn is a connection and what was read of it ahead.
 type conn struct {
 	c net.Conn
 	r *bufio.Reader
 	// expires is when the server may close the idle connection.
 	expires time.Time
-	used    bool
 }
 
 // New returns a pool with no connections.
@@ -63,14 +66,30 @@
 	return p.dialed
 }
 
-// Forget closes the idle connections to a server that has gone.
-func (p *Pool) Forget(addr string) {
-	p.mu.Lock()
-	l := p.idle[addr]
-	delete(p.idle, addr)
-	p.mu.Unlock()
-	for _, c := range l {
-		_ = c.c.Close()
+// sweepEvery is between looks through the idle connections for those whose
+// time is over: servers come and go for as long as the process runs.
+const sweepEvery = 5 * time.Second
+
+// sweep closes the idle connections that can't be used any more. The caller
+// holds the lock.
+func (p *Pool) sweep(now time.Time) {
+	if now.Before(p.sweepAt) {
+		return
+	}
+	p.sweepAt = now.Add(sweepEvery)
+	for addr, l := range p.idle {
+		k := l[:0]
+		for _, c := range l {
+			if now.Before(c.expires) {
+				k = append(k, c)
+				continue
+			}
+			_ = c.c.Close()
+		}
+		p.idle[addr] = k
+		if len(k) == 0 {
+			delete(p.idle, addr)
+		}
 	}
 }
 
@@ -96,6 +115,7 @@
 // tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
 const tcpUserTimeout = 18
 
+// setUserTimeout sets userTimeout on a socket before it connects.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var e error
 	err := c.Control(func(fd uintptr) {
@@ -132,9 +152,9 @@
 func (p *Pool) put(addr string, c *conn, keep time.Duration) {
 	_ = c.c.SetDeadline(time.Time{})
 	c.expires = time.Now().Add(keep)
-	c.used = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sweep(time.Now())
 	if c.r.Buffered() > 0 || keep <= 0 || len(p.idle[addr]) >= idlePerPeer {
 		_ = c.c.Close()
 		return
--- a/adapter/logging/bounded.go
+++ b/adapter/logging/bounded.go
@@ -23,6 +23,7 @@
 	mu      sync.Mutex
 	buf     []byte
 	dropped int
+	closed  bool
 	wake    chan struct{}
 	done    chan struct{}
 }
@@ -38,7 +39,7 @@
 func (b *Bounded) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.buf)+len(p) > boundedBytes {
+	if b.closed || len(b.buf)+len(p) > boundedBytes {
 		b.dropped++
 		return len(p), nil
 	}
@@ -50,8 +51,12 @@
 	return len(p), nil
 }
 
-// Close writes what is left and ends the goroutine.
+// Close writes what is left and ends the goroutine. What is written after it
+// is dropped: requests that a stop cut off may still end.
 func (b *Bounded) Close() {
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
 	close(b.wake)
 	<-b.done
 }
--- /dev/null
+++ b/cmd/fieldvale-node/releases.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"fieldvale/peer"
+	"fieldvale/state"
+)
+
+const (
+	// turnLength is how long one instance has to write what is due before the
+	// next one does: some store calls, and well below the phases of a release.
+	turnLength = 250 * time.Millisecond
+	// commitTimeout bounds a call that writes to the store.
+	commitTimeout = 2 * time.Second
+)
+
+// advance has recorded what is due: releases found bad, again until the store
+// has it, and phases that have lasted. The instances take turns by rank with
+// the latter, so that one of them writes and the next only if it did not.
+func (n *node) advance() {
+	bad := map[string]bool{}
+	for _, r := range n.router.BadReleases() {
+		bad[r.Service] = true
+		if c, ok := n.state.Tripped(r); ok {
+			n.due(c)
+		}
+	}
+	for _, c := range n.state.Due(n.clock(), n.turn) {
+		if !bad[c.Release.Service] {
+			n.due(c)
+		}
+	}
+}
+
+// due hands a record to the goroutine that writes them; while that one is
+// busy it is due again with the next tick.
+func (n *node) due(c state.Record) {
+	select {
+	case n.records <- c:
+	default:
+	}
+}
+
+// write writes records one after another until ctx ends.
+func (n *node) write(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case c := <-n.records:
+			n.record(ctx, c)
+		}
+	}
+}
+
+// ranked returns the fleet's instances in the order of their duty for the
+// service's release.
+func (n *node) ranked(service string) []peer.Member {
+	return peer.Rank("release/"+service, n.placer.Members())
+}
+
+// turn is how long this instance lets those ranked before it write a record
+// of the service's release.
+func (n *node) turn(service string) time.Duration {
+	m := n.ranked(service)
+	i := slices.IndexFunc(m, func(x peer.Member) bool { return x.ID == n.s.ID })
+	if i < 0 {
+		i = len(m)
+	}
+	return time.Duration(i) * turnLength
+}
+
+// record writes a release's progress, unless another instance did before.
+func (n *node) record(ctx context.Context, c state.Record) {
+	x, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	ok, err := n.releases.Advance(x, c.Release, c.Version)
+	n.event("release_record", "service", c.Release.Service, "release", c.Release.Target, "phase", c.Release.Phase, "state", c.Release.State, "version", c.Version, "won", ok, "error", err)
+}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"fieldvale/outcome"
-	"fieldvale/pool"
 	"fieldvale/prompt"
-	"fieldvale/rollout"
 )
 
 const (
@@ -22,14 +19,6 @@
 	maxUnreached = 8
 	// refusedRetry is when a client should come back that no replica took.
 	refusedRetry = 250 * time.Millisecond
-	// hangFactor times the route's target is how long a request that may be
-	// repeated waits for a replica's first word before another is asked.
-	hangFactor = 2
-	// patienceFactor times the expected time to a prompt's first event, and
-	// minPatience at least, is how long a replica may be silent; the slowest
-	// of a hundred sound ones take four times as long as expected.
-	patienceFactor = 6
-	minPatience    = 1500 * time.Millisecond
 )
 
 // forwarding is one opaque request on its way.
@@ -59,11 +48,6 @@
 	failure *keptAnswer
 }
 
-type keptAnswer struct {
-	head Head
-	body []byte
-}
-
 // Forward routes a request to a replica of its service and passes the answer
 // on. The error is a *Failure; if the sink had its head by then, the answer
 // must be broken off.
@@ -89,6 +73,7 @@
 // errGiveUp says that no further attempt may be made.
 var errGiveUp = errors.New("no further attempt may be made")
 
+// run makes one attempt after another until the request is over.
 func (w *forwarding) run(ctx context.Context) error {
 	for {
 		err := w.attempt(ctx)
@@ -100,7 +85,7 @@
 
 // over decides whether the request ends with err or goes to another replica.
 func (w *forwarding) over(ctx context.Context, err error) bool {
-	if errors.Is(err, errEscalate) {
+	if errors.Is(err, errPaid) {
 		return false
 	}
 	if errors.Is(err, errGiveUp) {
@@ -113,16 +98,30 @@
 	if ctx.Err() != nil {
 		return w.ends(true, "out of time")
 	}
-	k := outcome.Of(err)
-	if isUnreached(err) {
-		w.unreached++
-		return w.ends(w.unreached >= maxUnreached, "replicas out of reach")
-	}
-	if k == outcome.NotRun {
-		w.refusals++
-		return w.ends(w.refusals >= maxRefusals, "replicas refused") || w.ends(!w.budget(), "no budget")
+	switch {
+	case isUnreached(err):
+		return w.overUnreached()
+	case outcome.Of(err) == outcome.NotRun:
+		return w.overRefused()
 	}
-	if k == outcome.Unknown {
+	return w.overRan(err)
+}
+
+// overUnreached counts a replica that could not be connected to.
+func (w *forwarding) overUnreached() bool {
+	w.unreached++
+	return w.ends(w.unreached >= maxUnreached, "replicas out of reach")
+}
+
+// overRefused counts a replica that turned the request away.
+func (w *forwarding) overRefused() bool {
+	w.refusals++
+	return w.ends(w.refusals >= maxRefusals, "replicas refused") || w.ends(!w.budget(), "no budget")
+}
+
+// overRan decides after an attempt that ran or may have run.
+func (w *forwarding) overRan(err error) bool {
+	if outcome.Of(err) == outcome.Unknown {
 		w.unknown = true
 	}
 	return w.ends(!w.q.Route.Repeats(), "may run once") ||
@@ -184,25 +183,7 @@
 	return w.place(ctx, l)
 }
 
-// ofRelease returns the replicas that the request may go to while its service
-// changes its release.
-func (w *forwarding) ofRelease(l []*pool.Replica, rel rollout.Release) []*pool.Replica {
-	takes := rel.Takes(w.q.sessionKey()) && (w.q.Session == "" || rel.MovesSessions())
-	if rel.State == rollout.Running && w.r.trippedHere(rel) {
-		takes = false
-	}
-	var n []*pool.Replica
-	for _, b := range l {
-		if (b.Release == rel.Target) == takes {
-			n = append(n, b)
-		}
-	}
-	if len(n) == 0 && rel.State != rollout.Tripped && !w.r.trippedHere(rel) {
-		return l
-	}
-	return n
-}
-
+// modelName is the model that the request goes to.
 func (w *forwarding) modelName() string {
 	if w.model >= 0 {
 		return w.q.Route.Models[w.model]
@@ -230,12 +211,3 @@
 	}
 	return f
 }
-
-// trippedHere reports whether this instance found the release bad; it stops
-// sending to it before the others know.
-func (r *Router) trippedHere(rel rollout.Release) bool {
-	return r.releases.tripped(rel)
-}
-
-// isEnd reports whether a stream ended as it should.
-func isEnd(err error) bool { return errors.Is(err, io.EOF) }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -14,17 +14,13 @@
 )
 
 const (
-	// answerSlack is how much longer than asked for a wait may take before
-	// the store counts as lost; well above its usual 4 ms and below the
-	// second in which an instance has to notice.
-	answerSlack = 700 * time.Millisecond
 	// readTimeout bounds a read of one page.
 	readTimeout = time.Second
 	// firstRetry and longestRetry bound the pause after a failed call. Each
 	// call has a price, but a change must be in force within two seconds of
 	// the store's return.
 	firstRetry   = 100 * time.Millisecond
-	longestRetry = 800 * time.Millisecond
+	longestRetry = 500 * time.Millisecond
 )
 
 // Update is what a mirror hands on.
@@ -141,9 +137,7 @@
 
 func (m *Mirror) follow(ctx context.Context) error {
 	sent := m.clock()
-	x, cancel := context.WithTimeout(ctx, m.wait+answerSlack)
-	defer cancel()
-	c, err := m.feed.Changes(x, m.prefix, m.revision, m.wait)
+	c, err := m.feed.Changes(ctx, m.prefix, m.revision, m.wait)
 	if err != nil {
 		return err
 	}
--- a/store/feed.go
+++ b/store/feed.go
@@ -46,7 +46,8 @@
 	// Read returns the keys below the prefix that follow the key after.
 	Read(ctx context.Context, prefix, after string) (Page, error)
 	// Changes waits until there is a change after the revision, at most for
-	// wait. It fails with ErrCompacted if the store forgot its history.
+	// wait, and fails soon after that if there is no answer at all. It fails
+	// with ErrCompacted if the store forgot its history.
 	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error)
 }
 
