--- a/cmd/fieldvale-node/node_test.go
+++ b/cmd/fieldvale-node/node_test.go
@@ -463,6 +463,10 @@
 	s.start()
 	s.store.Put("op/rollout/svc", map[string]any{"service": "svc", "target_version": "v2", "duration_s": 600})
 	s.eventually("the operator reads that it runs", func() bool { return strings.Contains(s.store.Value("status/rollout/svc"), "in_progress") })
+	// The finding is written until the store takes it.
+	s.store.Lock()
+	s.store.FailWrites = 3
+	s.store.Unlock()
 	s.eventually("the operator reads that it was rolled back", func() bool {
 		for range 50 {
 			s.send("GET", "/open/", "")
