--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"os"
 	"time"
 
 	"fieldvale/adapter/inifile"
@@ -51,13 +50,6 @@
 	defaultConfidence = 50
 )
 
-// NodeFileVariable names the environment variable with the path of the
-// settings file, which is used if the command line names none.
-const NodeFileVariable = "FIELDVALE_SETTINGS"
-
-// NodeFile is the path that the environment gives, empty for none.
-func NodeFile() string { return os.Getenv(NodeFileVariable) }
-
 // LoadNode reads and checks a node's file.
 func LoadNode(path string) (Node, []error) {
 	n := defaultNode()
--- a/cmd/fieldvale-node/main.go
+++ b/cmd/fieldvale-node/main.go
@@ -15,6 +15,7 @@
 
 	"fieldvale/adapter/logging"
 	"fieldvale/adapter/settings"
+	"fieldvale/platform"
 )
 
 const usage = `fieldvale-node answers requests on the users' platform.
@@ -79,7 +80,7 @@
 		return o, err
 	}
 	if o.Config == "" {
-		o.Config = settings.NodeFile()
+		o.Config = os.Getenv(platform.SettingsVariable)
 	}
 	return o, nil
 }
--- a/cmd/fieldvale-soak/main.go
+++ b/cmd/fieldvale-soak/main.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 	flags "github.com/jessevdk/go-flags"
 
-	"fieldvale/soak"
+	"fieldvale/platform/soak"
 )
 
 const usage = `fieldvale-soak runs instances of fieldvale-node as processes of their own and
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -197,14 +197,26 @@
 
 var times = TimesFor(2 * time.Second)
 
-func TestChangesReachAllAndAgesAddUp(t *testing.T) {
+// withFleet runs n instances over one store for some seconds, lets play go on
+// from there, and ends them.
+func withFleet(t *testing.T, n int, play func(t *testing.T, f *fleet, s *fakeStore)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var g sync.WaitGroup
 		s := &fakeStore{}
 		s.put("a", "1")
-		f := start(ctx, &g, 7, s)
+		f := start(ctx, &g, n, s)
 		time.Sleep(5 * time.Second)
+		play(t, f, s)
+		cancel()
+		g.Wait()
+		time.Sleep(3 * time.Second)
+	})
+}
+
+func TestChangesReachAllAndAgesAddUp(t *testing.T) {
+	withFleet(t, 7, func(t *testing.T, f *fleet, s *fakeStore) {
 		calls := s.calls
 		r := s.put("a", "2")
 		time.Sleep(100 * time.Millisecond)
@@ -223,22 +235,13 @@
 				t.Errorf("%s was confirmed %s ago", id, time.Since(c))
 			}
 		}
-		cancel()
-		g.Wait()
-		time.Sleep(3 * time.Second)
 	})
 }
 
 // The instances that watch are turned away by the store, each on its own way,
 // and others are not: all know of a change within its bound.
 func TestChangesReachAllWhenWatchersAreTurnedAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		var g sync.WaitGroup
-		s := &fakeStore{}
-		s.put("a", "1")
-		f := start(ctx, &g, 7, s)
-		time.Sleep(5 * time.Second)
+	withFleet(t, 7, func(t *testing.T, f *fleet, s *fakeStore) {
 		var m []peer.Member
 		for id := range f.on {
 			m = append(m, peer.Member{ID: id, Addr: id})
@@ -256,9 +259,6 @@
 				}
 			}
 		}
-		cancel()
-		g.Wait()
-		time.Sleep(3 * time.Second)
 	})
 }
 
@@ -322,13 +322,7 @@
 // While the store is away few instances go on asking it, and all are back
 // soon after it.
 func TestStoreThatIsAwayIsLeftAlone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		var g sync.WaitGroup
-		s := &fakeStore{}
-		s.put("a", "1")
-		f := start(ctx, &g, 30, s)
-		time.Sleep(5 * time.Second)
+	withFleet(t, 30, func(t *testing.T, f *fleet, s *fakeStore) {
 		s.mu.Lock()
 		s.down = true
 		calls := s.calls
@@ -348,21 +342,12 @@
 				t.Errorf("%s is at revision %d of %d, lost %t, 2 s after the store's return", id, got, r, lost)
 			}
 		}
-		cancel()
-		g.Wait()
-		time.Sleep(3 * time.Second)
 	})
 }
 
 // A change that no datagram holds is read from the store by each instance.
 func TestLargeChangesReachAll(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		var g sync.WaitGroup
-		s := &fakeStore{}
-		s.put("a", "1")
-		f := start(ctx, &g, 7, s)
-		time.Sleep(5 * time.Second)
+	withFleet(t, 7, func(t *testing.T, f *fleet, s *fakeStore) {
 		r := s.put("a", string(make([]byte, 500_000)))
 		time.Sleep(100 * time.Millisecond)
 		for id, on := range f.on {
@@ -370,9 +355,6 @@
 				t.Errorf("%s is at revision %d 100 ms after revision %d", id, got, r)
 			}
 		}
-		cancel()
-		g.Wait()
-		time.Sleep(3 * time.Second)
 	})
 }
 
