Clients that leave count against no replica and no release

Cause, by reading: an attempt whose client left ends with a read that timed out, which opened breakers and counted as a bad answer of the release under way; with a fifth of the clients leaving early a sound release or replica could be taken for a bad one. Test: TestClientsThatLeaveCountAgainstNobody failed before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -29,6 +29,9 @@
 	escalated bool
 	// events is how many were passed on.
 	events int
+	// left says that the client left meanwhile: what broke off then was no
+	// fault of the replica.
+	left bool
 	// ran says that the replica worked on the request.
 	ran bool
 }
@@ -78,7 +81,7 @@
 	w := a.w
 	r := w.r
 	w.unplace(a.placed)
-	failed := err != nil && !a.served && !errors.Is(err, errCaller)
+	failed := err != nil && !a.served && !a.left && !errors.Is(err, errCaller)
 	bad := a.ran && !a.served && (failed || w.f.Status >= 500)
 	r.backends.doneOpaque(a.replica.ID, bad, isUnreached(err), r.clock())
 	if failed && !errors.Is(err, errPaid) || bad {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -169,6 +169,7 @@
 	w.tried = append(w.tried, b.ID)
 	a := &attempt{w: w, placed: p, replica: b, sent: w.r.clock()}
 	err := a.exchange(ctx, d)
+	a.left = errors.Is(ctx.Err(), context.Canceled)
 	a.done(err)
 	return err
 }
--- a/entry/release_test.go
+++ b/entry/release_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fieldvale/admission"
+	"fieldvale/outcome"
 	"fieldvale/pool"
 	"fieldvale/rollout"
 	"fieldvale/route"
@@ -63,3 +64,39 @@
 		}
 	}
 }
+
+// hangingReplica holds each request until its context ends.
+type hangingReplica struct{ began chan struct{} }
+
+func (u hangingReplica) Send(ctx context.Context, r *pool.Replica, _ Dispatch) (Reply, error) {
+	u.began <- struct{}{}
+	<-ctx.Done()
+	return nil, outcome.New(outcome.Unknown, "read", r.ID, ctx.Err())
+}
+
+// Clients that leave are no evidence against the replica or its release.
+func TestClientsThatLeaveCountAgainstNobody(t *testing.T) {
+	v := NewCurrent()
+	rel := rollout.NewRelease("s", "v2", 1, time.Minute)
+	v.Put(NewView(nil, []pool.Replica{{ID: "new", Kind: pool.Service, Service: "s", Release: "v2"}}, nil, nil).
+		WithRoutes(nil, map[string]rollout.Release{"s": rel.Next()}))
+	u := hangingReplica{began: make(chan struct{})}
+	r := NewRouter(Ports{View: v, Clock: time.Now, Rand: rand.NewPCG(1, 1), Upstream: u, Repeats: admission.Repeats{Burst: 9}})
+	for range 20 {
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			<-u.began
+			cancel()
+		}()
+		q := &Opaque{ID: "q", Route: &route.Route{Split: []route.Part{{Service: "s"}}, MaxAttempts: 1}, Arrived: time.Now(), Deadline: time.Now().Add(time.Hour), TimeoutAt: time.Now().Add(time.Hour)}
+		if f, err := r.Forward(ctx, q, &clientSink{}); err == nil || f.Stopped != "the client left" {
+			t.Fatalf("%v, stopped %q", err, f.Stopped)
+		}
+	}
+	if l := r.Tallies(); len(l) != 0 {
+		t.Errorf("the release has %+v", l)
+	}
+	if !r.backends.of("new").breaker.Allows(time.Now()) {
+		t.Error("the replica's breaker is open")
+	}
+}
