--- a/cmd/fieldvale-soak/main.go
+++ b/cmd/fieldvale-soak/main.go
@@ -49,7 +49,7 @@
 		}
 		return 2
 	}
-	x, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	x, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	defer cancel()
 	failed := 0
 	for i := range o.Seeds {
