A store that was away is asked again within 1.2 s by every instance

Likely cause, by reading and not shown by a replay: an instance whose ranked sources are silent or know nothing left the store alone for up to 4 s. Ruled out: a version that went back (it never had the newer one). Change: that pause is 1.2 s at most.

--- a/relay/node.go
+++ b/relay/node.go
@@ -27,7 +27,7 @@
 	// alone that failed it: all instances' calls have a price, and those
 	// ranked before it go on asking.
 	firstPause   = 400 * time.Millisecond
-	longestPause = 4 * time.Second
+	longestPause = 1200 * time.Millisecond
 )
 
 // Node follows other instances and is followed.
