Changes are gathered, and a store that is away is asked by few

Each change ended the call of all three watching instances, 130 a second while replicas started; and while the store was away every instance asked it each second or so, because those it had just asked in vain were passed over, which left it with nobody to wait for.

Change: after an answer with changes the store is asked again a tenth of the bound later. An instance waits by its tier, not by who happens to be passed over, and later tiers ask less often. When the watching instances can't tell any more, the second tier asks the store at once and the rest wait for it, 0.3 of the bound at most.

--- a/relay/node.go
+++ b/relay/node.go
@@ -23,11 +23,16 @@
 	// askAgain is how long an instance is passed over that answered without
 	// knowing: it may have to watch the store itself any moment.
 	askAgain = 200 * time.Millisecond
-	// firstPause and longestPause bound how long a follower leaves a store
-	// alone that failed it: all instances' calls have a price, and those
-	// ranked before it go on asking.
+	// firstPause and longestPause bound how long an instance of the first
+	// tier leaves a store alone that failed it. The next tiers leave it alone
+	// longer, once more for each tier before them, but for mostPauses at
+	// most: all calls have a price, and those ranked before go on asking.
 	firstPause   = 400 * time.Millisecond
 	longestPause = 1200 * time.Millisecond
+	mostPauses   = 8
+	// mostGathers bounds, in Times.Gather, how long an instance of the later
+	// tiers waits for the second tier when the watching ones can't tell.
+	mostGathers = 3
 )
 
 // Node follows other instances and is followed.
@@ -47,6 +52,10 @@
 	// before asks them meanwhile. Both belong to the one caller of Changes.
 	storeAt time.Time
 	pause   time.Duration
+	// untold says that nobody could tell what is newest the last time.
+	untold bool
+	// gatherUntil is when changes that came after the last ones are asked for.
+	gatherUntil time.Time
 
 	mu      sync.Mutex
 	members []peer.Member
@@ -79,30 +88,67 @@
 // Where its own way to the store is cut, it asks all tiers. It serves one
 // caller at a time.
 func (n *Node) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
-	before, rest := n.sources()
+	before, rest, tier := n.sources()
 	c, s := n.follow(ctx, before, after)
+	if s == lostTouch {
+		c, s = n.standBack(ctx, tier, after)
+	}
 	if s == known {
+		n.untold = false
 		return c, nil
 	}
 	if s == lostTouch && n.clock().Before(n.storeAt) {
 		if c, s := n.follow(ctx, rest, after); s == known {
+			n.untold = false
 			return c, nil
 		}
-		if len(before) > 0 {
+		if tier > 0 {
 			return store.Changes{}, errors.Mark(errWaits, store.ErrUnavailable)
 		}
 	}
-	return n.watchOrFollow(ctx, prefix, after, wait, rest)
+	return n.watchOrFollow(ctx, prefix, after, wait, rest, tier)
+}
+
+// standBack has an instance of the later tiers wait for those before it when
+// they can't tell any more: the second tier asks the store at once, and tells
+// the others.
+func (n *Node) standBack(ctx context.Context, tier int, after int64) (store.Changes, status) {
+	if n.untold || tier < tiers {
+		return store.Changes{}, lostTouch
+	}
+	n.untold = true
+	for range min(mostGathers, tier-tiers+1) {
+		if !n.sleep(ctx, n.times.Gather) {
+			break
+		}
+		before, _, _ := n.sources()
+		if c, s := n.follow(ctx, before, after); s != lostTouch {
+			return c, s
+		}
+	}
+	return store.Changes{}, lostTouch
+}
+
+// sleep waits for d; it reports false if ctx ended before.
+func (n *Node) sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
 }
 
 // watchOrFollow asks the store, and the rest if it can't be reached.
-func (n *Node) watchOrFollow(ctx context.Context, prefix string, after int64, wait time.Duration, rest []peer.Member) (store.Changes, error) {
+func (n *Node) watchOrFollow(ctx context.Context, prefix string, after int64, wait time.Duration, rest []peer.Member, tier int) (store.Changes, error) {
 	c, err := n.watch(ctx, prefix, after, wait)
 	if err == nil || errors.Is(err, store.ErrCompacted) || ctx.Err() != nil {
-		n.pause = 0
+		n.pause, n.untold = 0, false
 		return c, err
 	}
-	n.leaveStore()
+	n.leaveStore(tier)
 	if f, s := n.follow(ctx, rest, after); s == known {
 		n.storeAt = n.clock().Add(avoidFor)
 		return f, nil
@@ -110,9 +156,10 @@
 	return c, err
 }
 
-// leaveStore puts off the next call of a store that failed, each time longer.
-func (n *Node) leaveStore() {
-	n.pause = min(longestPause, max(firstPause, 2*n.pause))
+// leaveStore sets when a store that failed is asked again.
+func (n *Node) leaveStore(tier int) {
+	times := time.Duration(min(mostPauses, tier+1))
+	n.pause = min(times*longestPause, max(times*firstPause, 2*n.pause))
 	n.storeAt = n.clock().Add(n.pause)
 }
 
@@ -124,10 +171,16 @@
 // that follow each other would all be wrong together.
 func (n *Node) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
 	n.from("store")
+	if d := n.gatherUntil.Sub(n.clock()); d > 0 && !n.sleep(ctx, d) {
+		return store.Changes{}, errors.Wrap(ctx.Err(), "relay.watch")
+	}
 	x, cancel := context.WithTimeout(ctx, wait+storeSlack)
 	defer cancel()
 	c, err := n.store.Changes(x, prefix, after, wait)
 	n.log.SetDirect(err == nil)
+	if len(c.Items) > 0 {
+		n.gatherUntil = n.clock().Add(n.times.Gather)
+	}
 	return c, err
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -328,9 +328,10 @@
 		calls := s.calls
 		s.mu.Unlock()
 		time.Sleep(10 * time.Second)
-		// Four ask each half second or so, the others each second and a half.
-		if n := s.calls - calls; n > 300 {
-			t.Errorf("%d calls in 10 s of a store that is away, want at most 300", n)
+		// Two ask each half second or so, the others the less the further
+		// behind they are ranked.
+		if n := s.calls - calls; n > 130 {
+			t.Errorf("%d calls in 10 s of a store that is away, want at most 130", n)
 		}
 		s.mu.Lock()
 		s.down = false
@@ -345,6 +346,29 @@
 	})
 }
 
+// Changes that come in a crowd cost few calls, and the last one is known to
+// all soon after it was made.
+func TestCrowdsOfChangesAreGathered(t *testing.T) {
+	withFleet(t, 30, func(t *testing.T, f *fleet, s *fakeStore) {
+		calls := s.calls
+		var r int64
+		for range 200 {
+			time.Sleep(20 * time.Millisecond)
+			r = s.put("a", "2")
+		}
+		// Two watch, each 200 ms for 4 s.
+		if n := s.calls - calls; n > 44 {
+			t.Errorf("%d calls for 200 changes in 4 s, want at most 44", n)
+		}
+		time.Sleep(300 * time.Millisecond)
+		for id, on := range f.on {
+			if got, _, _ := on.state(); got != r {
+				t.Errorf("%s is at revision %d 300 ms after revision %d", id, got, r)
+			}
+		}
+	})
+}
+
 // A change that no datagram holds is read from the store by each instance.
 func TestLargeChangesReachAll(t *testing.T) {
 	withFleet(t, 7, func(t *testing.T, f *fleet, s *fakeStore) {
--- a/relay/sources.go
+++ b/relay/sources.go
@@ -33,24 +33,20 @@
 	return max(minWatchers, (members+followersEach-1)/followersEach)
 }
 
-// sources returns the instances that are asked before the store, and those
-// that are asked if the store can't be.
-func (n *Node) sources() (before, rest []peer.Member) {
+// sources returns the instances that are asked before the store, those that
+// are asked if the store can't be, and this instance's own tier: how often the
+// number of watchers stands before it.
+func (n *Node) sources() (before, rest []peer.Member, tier int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r := peer.Rank(watchersKey, n.members)
 	k := watchers(len(r))
-	for tier := range tiers {
-		t := r[min(tier*k, len(r)):min((tier+1)*k, len(r))]
-		if slices.ContainsFunc(t, func(m peer.Member) bool { return m.ID == n.self }) {
-			rest = r[tier*k:]
-			break
-		}
-		before = append(before, peer.Rank(n.self, n.usable(t))...)
-		rest = r[min((tier+1)*k, len(r)):]
+	tier = max(0, slices.IndexFunc(r, func(m peer.Member) bool { return m.ID == n.self })) / k
+	for t := range min(tier, tiers) {
+		before = append(before, peer.Rank(n.self, n.usable(r[t*k:(t+1)*k]))...)
 	}
-	rest = n.usable(rest)
-	return before, rest[:min(len(rest), otherSources)]
+	rest = n.usable(r[min(tier, tiers)*k:])
+	return before, rest[:min(len(rest), otherSources)], tier
 }
 
 // usable leaves out this instance and those passed over.
--- a/relay/times.go
+++ b/relay/times.go
@@ -12,11 +12,14 @@
 	// that watches a sound store never has older: twice Watch, since an
 	// answer that brings a change proves nothing later than its question.
 	MaxAge time.Duration
+	// Gather is how long changes are gathered after one that came from the
+	// store: each call has a price, and changes come in crowds.
+	Gather time.Duration
 }
 
 // TimesFor returns the times with which a change is in force within the bound
 // also at an instance whose source loses the store without notice: it asks
 // the store itself once MaxAge and one question are over.
 func TimesFor(within time.Duration) Times {
-	return Times{Watch: within * 3 / 10, Follow: within * 15 / 100, MaxAge: within * 65 / 100}
+	return Times{Watch: within * 3 / 10, Follow: within * 15 / 100, MaxAge: within * 65 / 100, Gather: within / 10}
 }
