A store that forgets its history is read whole by few

Change: the log of a watching instance knows which keys there are; a whole read is told to its followers as what is new and what is gone. An instance that has to read whole does not count as out of touch meanwhile: what it tells has its age.

--- a/relay/log.go
+++ b/relay/log.go
@@ -35,17 +35,39 @@
 	// instance is out of touch.
 	direct bool
 	lost   bool
+	// keys are all that the store holds.
+	keys map[string]bool
 }
 
 // NewLog returns a log that knows nothing.
-func NewLog() *Log { return &Log{floor: -1, changed: make(chan struct{})} }
+func NewLog() *Log { return &Log{floor: -1, changed: make(chan struct{}), keys: map[string]bool{}} }
 
-// Reset starts the log anew after the store was read whole.
-func (l *Log) Reset(revision int64) {
+// Reset takes all items that the store holds. What is new among them, and what
+// is gone, counts as changed at the revision: followers need not read the
+// store whole when it has forgotten its history.
+func (l *Log) Reset(items []store.Item, revision int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.items, l.floor, l.revision = nil, revision, revision
-	l.wake()
+	was := l.keys
+	l.keys = make(map[string]bool, len(items))
+	var news []store.Item
+	for _, i := range items {
+		l.keys[i.Key] = true
+		if i.Revision > l.revision {
+			news = append(news, i)
+		}
+	}
+	if l.floor < 0 {
+		l.floor, l.revision = revision, revision
+		l.wake()
+		return
+	}
+	for k := range was {
+		if !l.keys[k] {
+			news = append(news, store.Item{Key: k, Revision: revision, Deleted: true})
+		}
+	}
+	l.append(news, revision)
 }
 
 // Add appends changes up to the revision. Of each key the newest item is
@@ -53,6 +75,18 @@
 func (l *Log) Add(items []store.Item, revision int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for _, i := range items {
+		if i.Deleted {
+			delete(l.keys, i.Key)
+		} else {
+			l.keys[i.Key] = true
+		}
+	}
+	l.append(items, revision)
+}
+
+// append puts items that changed up to the revision behind the others.
+func (l *Log) append(items []store.Item, revision int64) {
 	changed := map[string]bool{}
 	for _, i := range items {
 		changed[i.Key] = true
--- a/relay/node.go
+++ b/relay/node.go
@@ -177,7 +177,7 @@
 	x, cancel := context.WithTimeout(ctx, wait+storeSlack)
 	defer cancel()
 	c, err := n.store.Changes(x, prefix, after, wait)
-	n.log.SetDirect(err == nil)
+	n.log.SetDirect(err == nil || errors.Is(err, store.ErrCompacted))
 	if len(c.Items) > 0 {
 		n.gatherUntil = n.clock().Add(n.times.Gather)
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"fieldvale/mirror"
@@ -25,6 +26,18 @@
 	items []store.Item
 	down  bool
 	calls int
+	// reads are the calls that read all keys.
+	reads int
+	// forgotten is the revision before which the history is gone.
+	forgotten int64
+}
+
+// compact forgets the history and ends the calls that wait.
+func (f *fakeStore) compact() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.forgotten = int64(len(f.items)) + 1
+	f.items = append(f.items, store.Item{Key: "z", Revision: f.forgotten})
 }
 
 var errDown = errors.New("down")
@@ -41,6 +54,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
+	f.reads++
 	if f.down {
 		return store.Page{}, errDown
 	}
@@ -55,9 +69,11 @@
 		f.mu.Lock()
 		n := int64(len(f.items))
 		l := append([]store.Item(nil), f.items[min(after, n):]...)
-		d := f.down
+		d, gone := f.down, after < f.forgotten
 		f.mu.Unlock()
 		switch {
+		case gone:
+			return store.Changes{}, store.ErrCompacted
 		case d:
 			return store.Changes{}, errDown
 		case ctx.Err() != nil:
@@ -382,10 +398,47 @@
 	})
 }
 
+// A store that forgets its history is read whole by those that watch it; the
+// others are told what is new and what is gone.
+func TestForgottenHistoryIsReadByFew(t *testing.T) {
+	withFleet(t, 30, func(t *testing.T, f *fleet, s *fakeStore) {
+		reads := s.reads
+		s.compact()
+		r := s.put("a", "2")
+		time.Sleep(1500 * time.Millisecond)
+		for id, on := range f.on {
+			if got, _, _ := on.state(); got != r {
+				t.Errorf("%s is at revision %d 1.5 s after revision %d", id, got, r)
+			}
+		}
+		if n := s.reads - reads; n > 2 {
+			t.Errorf("the store was read whole %d times, want 2 at most", n)
+		}
+	})
+}
+
+func TestLogTellsWhatAWholeReadShows(t *testing.T) {
+	l := NewLog()
+	l.Reset([]store.Item{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, 3)
+	l.Add([]store.Item{{Key: "c", Revision: 4}}, 4)
+	l.SetDirect(true)
+	l.Confirm(time.Now())
+	l.Reset([]store.Item{{Key: "a", Revision: 1}, {Key: "c", Revision: 7}, {Key: "d", Revision: 6}}, 9)
+	c, _, s := l.since(3, time.Now())
+	got := map[string]string{}
+	for _, i := range c.Items {
+		got[i.Key] = fmt.Sprint(i.Revision, i.Deleted)
+	}
+	want := map[string]string{"b": "9 true", "c": "7 false", "d": "6 false"}
+	if d := cmp.Diff(want, got); d != "" || s != known || c.Revision != 9 {
+		t.Errorf("status %d, revision %d: %s", s, c.Revision, d)
+	}
+}
+
 // The log keeps a bounded size, whatever is written.
 func TestLogIsBounded(t *testing.T) {
 	l := NewLog()
-	l.Reset(0)
+	l.Reset(nil, 0)
 	for i := range int64(2000) {
 		l.Add([]store.Item{{Key: "config", Value: make([]byte, 400_000), Revision: 2*i + 1}, {Key: fmt.Sprint(i), Value: make([]byte, 10_000), Revision: 2*i + 2}}, 2*i+2)
 	}
--- a/relay/tee.go
+++ b/relay/tee.go
@@ -19,7 +19,7 @@
 func (t Tee) Changed(u mirror.Update) {
 	t.On.Changed(u)
 	if u.Whole {
-		t.Log.Reset(u.Revision)
+		t.Log.Reset(u.Items, u.Revision)
 		return
 	}
 	t.Log.Add(u.Items, u.Revision)
