Keepers count the slots that runs hold

Cause: a keeper knew what replicas had to read, not how many runs held their slots. With 12 slots each, as on the Shared Memory's grown site, a replica that keeps a popular part was chosen while its slots were full.

Change: a question tells how long a run of its kind holds its slot on average, learnt from the runs of the instance, and the candidates' slots. The keeper expects each run to end by then; a full replica counts with the wait for a slot, a busier one with what it slows all its streams by.

Test: TestLedgerCountsSlots.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -97,9 +97,9 @@
 
 // heard notes that the prompt is read: the replica's time for it is over.
 func (a *attempt) heard() {
-	a.read = true
+	a.read, a.readAt = true, a.w.r.clock()
 	if a.w.f.FirstAt.IsZero() {
-		a.w.f.FirstAt = a.w.r.clock()
+		a.w.f.FirstAt = a.readAt
 	}
 	a.w.read(a.placed, a.sent)
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -21,8 +21,11 @@
 	placed  *placed
 	replica *pool.Replica
 	sent    time.Time
-	// read says that the replica has read the prompt.
-	read bool
+	// kind is what the run's time is learnt by.
+	kind string
+	// read says that the replica has read the prompt, at readAt.
+	read   bool
+	readAt time.Time
 	// served says that the answer was whole and a success.
 	served bool
 	// escalated says that its answer was dropped for a larger model's.
@@ -81,6 +84,7 @@
 	w := a.w
 	r := w.r
 	w.unplace(a.placed)
+	a.held()
 	failed := err != nil && !a.served && !a.left && !errors.Is(err, errCaller)
 	bad := a.ran && !a.served && (failed || w.f.Status >= 500)
 	r.backends.doneOpaque(a.replica.ID, bad, isUnreached(err), r.clock())
@@ -90,6 +94,16 @@
 	a.judge(bad)
 }
 
+// held learns how long the run held its slot after its prompt was read.
+func (a *attempt) held() {
+	switch {
+	case a.escalated:
+		a.w.r.holds.saw(a.kind, 0)
+	case a.served && a.read:
+		a.w.r.holds.saw(a.kind, a.w.r.clock().Sub(a.readAt))
+	}
+}
+
 func orFailure(err error, status int) error {
 	if err != nil {
 		return err
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -167,7 +167,7 @@
 	w.f.Sends++
 	w.f.Replica, w.f.Release, w.f.Model = b.ID, b.Release, d.Model
 	w.tried = append(w.tried, b.ID)
-	a := &attempt{w: w, placed: p, replica: b, sent: w.r.clock()}
+	a := &attempt{w: w, placed: p, replica: b, sent: w.r.clock(), kind: w.holdKey()}
 	err := a.exchange(ctx, d)
 	a.left = errors.Is(ctx.Err(), context.Canceled)
 	a.done(err)
--- a/entry/place.go
+++ b/entry/place.go
@@ -73,7 +73,7 @@
 	}
 	now := w.r.clock()
 	g, c := w.group(e.key, c)
-	x, t, ok := w.r.placer.Choose(ctx, g, placement.Ask{Key: e.key, Replicas: ids(c), Read: max(1, e.own), Shared: e.shared})
+	x, t, ok := w.r.placer.Choose(ctx, g, placement.Ask{Key: e.key, Replicas: ids(c), Read: max(1, e.own), Shared: e.shared, Hold: w.r.holds.of(w.holdKey()), Slots: slots(c)})
 	if !ok {
 		return nil
 	}
@@ -139,6 +139,17 @@
 	return l
 }
 
+func slots(c []*pool.Replica) []int {
+	l := make([]int, len(c))
+	for i, r := range c {
+		l[i] = r.Slots
+	}
+	return l
+}
+
+// holdKey names what holds its slot for one time on average.
+func (w *forwarding) holdKey() string { return w.q.Route.Name + "/" + w.modelName() }
+
 // read notes that the replica has read the prompt.
 func (w *forwarding) read(p *placed, sent time.Time) {
 	if p.idle && p.tokens > 0 {
--- a/entry/router.go
+++ b/entry/router.go
@@ -50,6 +50,7 @@
 	upstream Upstream
 	placer   Placer
 	speeds   *speeds
+	holds    *holds
 	delays   *delays
 	paces    *paces
 	releases *releases
@@ -99,7 +100,7 @@
 		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
-		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), delays: newDelays(), paces: newPaces(),
+		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), delays: newDelays(), paces: newPaces(),
 		releases: newReleases(), windows: map[string]*admission.Window{}, repeats: p.Repeats,
 		acceptConfidence: p.AcceptConfidence,
 	}
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -24,6 +24,10 @@
 	// rereadWeight times the shared part is what reading it again counts on
 	// top of its time: it takes that time from other prompts, too.
 	rereadWeight = 2.5
+	// slotCost times the time that a run holds its slot, for each slot taken of
+	// those there are, is what a busier replica counts for: it makes tokens of
+	// all its streams more slowly, by some 2% for each.
+	slotCost = 0.02
 	// maxKept bounds the parts remembered; at 64 bytes each some 4 MB.
 	maxKept = 1 << 16
 )
@@ -39,6 +43,19 @@
 	// and Shared for the rest, which a replica that keeps it need not read.
 	Read   float64
 	Shared float64
+	// Hold is how long the run holds its slot once the prompt is read, in
+	// milliseconds, as runs of its kind do on average.
+	Hold float64
+	// Slots are those of each candidate; none says nothing of them.
+	Slots []int
+}
+
+// slots returns the candidate's slots; 0 if they are not known.
+func (a Ask) slots(i int) int {
+	if i < len(a.Slots) {
+		return a.Slots[i]
+	}
+	return 0
 }
 
 // Choice is the answer.
@@ -70,6 +87,9 @@
 	mu      sync.Mutex
 	pending map[string]float64
 	open    map[uint64]work
+	// runs are expected to hold slots until they end; busy counts them.
+	runs    runs
+	busy    map[string]int
 	kept    map[keptPart]time.Time
 	next    uint64
 	sweepAt time.Time
@@ -78,7 +98,7 @@
 // NewLedger returns an empty ledger. start makes its tickets differ from
 // those of an earlier life.
 func NewLedger(start uint64) *Ledger {
-	return &Ledger{pending: map[string]float64{}, open: map[uint64]work{}, kept: map[keptPart]time.Time{}, next: start}
+	return &Ledger{pending: map[string]float64{}, open: map[uint64]work{}, kept: map[keptPart]time.Time{}, busy: map[string]int{}, next: start}
 }
 
 // Choose places a prompt where it will be read first, and notes it there.
@@ -86,6 +106,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep(now)
+	l.endRuns(now)
 	c := l.best(a, now)
 	if c.Index < 0 {
 		return c
@@ -101,8 +122,8 @@
 func (l *Ledger) best(a Ask, now time.Time) Choice {
 	best, score := Choice{Index: -1}, 0.0
 	for i, r := range a.Replicas {
-		c := Choice{Index: i, Wait: l.pending[r], Cost: a.Read}
-		s := c.Wait + c.Cost
+		c := Choice{Index: i, Wait: l.pending[r] + l.slotWait(r, a.slots(i), a.Hold), Cost: a.Read}
+		s := c.Wait + c.Cost + slotCost*a.Hold*float64(l.busy[r])
 		if !l.keeps(a.Key, r, now) {
 			c.Cost += a.Shared
 			s += (1 + rereadWeight) * a.Shared
@@ -119,6 +140,10 @@
 	r := a.Replicas[c.Index]
 	l.open[c.Ticket] = work{replica: r, cost: c.Cost, forgetAt: now.Add(forgetFactor*span(c.Wait+c.Cost) + forgetMargin)}
 	l.pending[r] += c.Cost
+	if a.Hold > 0 {
+		l.busy[r]++
+		l.runs.push(run{replica: r, endAt: now.Add(span(c.Wait + c.Cost + a.Hold))})
+	}
 	if a.Key != "" && len(l.kept) < maxKept {
 		l.kept[keptPart{a.Key, r}] = now.Add(keptFor)
 	}
--- a/placement/ledger_test.go
+++ b/placement/ledger_test.go
@@ -23,6 +23,28 @@
 	}
 }
 
+// A replica whose slots are all held is passed over although it keeps the
+// shared part, until its runs are expected to have ended.
+func TestLedgerCountsSlots(t *testing.T) {
+	l := placement.NewLedger(0)
+	a := placement.Ask{Key: "m/k", Replicas: []string{"a", "b"}, Read: 1, Shared: 10, Hold: 1000, Slots: []int{4, 4}}
+	at := map[int]int{}
+	for range 8 {
+		c := l.Choose(a, noon)
+		l.Read(c.Ticket)
+		at[c.Index]++
+	}
+	if at[0] != 4 || at[1] != 4 {
+		t.Errorf("runs by replica: %v, want 4 at each", at)
+	}
+	if c := l.Choose(a, noon); c.Wait < 200 {
+		t.Errorf("wait %.0f ms with all slots held, want 250", c.Wait)
+	}
+	if c := l.Choose(a, noon.Add(5*time.Second)); c.Wait != 0 || c.Index != 0 {
+		t.Errorf("wait %.0f ms at %d after the runs ended, want 0 at 0", c.Wait, c.Index)
+	}
+}
+
 func TestLedgerForgetsWorkThatNobodyEnds(t *testing.T) {
 	l := placement.NewLedger(0)
 	a := placement.Ask{Replicas: []string{"a"}, Read: 100}
--- a/placement/wire.go
+++ b/placement/wire.go
@@ -18,6 +18,8 @@
 	Replicas []string `json:"Replicas"`
 	Read     float64  `json:"Read"`
 	Shared   float64  `json:"Shared"`
+	Hold     float64  `json:"Hold,omitempty"`
+	Slots    []int    `json:"Slots,omitempty"`
 }
 
 type wireChoice struct {
