Instances tell keepers of the faults that they meet

Cause: a replica that is gone had nothing to read in its keeper's ledger, and so was the first choice for each of 85 instances in turn, until every one had found it out for itself; refused requests and repeats used up the allowance.

Change: an instance tells the keeper how a prompt ended: read, or lost because the replica was not reached, was full, or broke. A replica counts as the likelier to fail the more of that came lately; prompts read there and time count against it. Work that was taken back gives its slot back at once.

Ruled out: leaving such replicas out. One instance cut off from a replica would then take it from all.

Tests: TestLedgerAvoidsFaultyReplicas, TestLedgerTakesWorkBack.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"fieldvale/outcome"
+	"fieldvale/placement"
 	"fieldvale/pool"
 	"fieldvale/route"
 )
@@ -83,10 +84,10 @@
 func (a *attempt) done(err error) {
 	w := a.w
 	r := w.r
-	w.unplace(a.placed)
 	a.held()
 	failed := err != nil && !a.served && !a.left && !errors.Is(err, errCaller)
 	bad := a.ran && !a.served && (failed || w.f.Status >= 500)
+	w.unplace(a.placed, a.fault(err, bad))
 	r.backends.doneOpaque(a.replica.ID, bad, isUnreached(err), r.clock())
 	if failed && !errors.Is(err, errPaid) || bad {
 		r.events.attempt(w.q.ID, a.replica.ID, orFailure(err, w.f.Status))
@@ -94,6 +95,22 @@
 	a.judge(bad)
 }
 
+// fault is what the attempt shows of its replica, if its prompt was not read.
+func (a *attempt) fault(err error, bad bool) placement.Fault {
+	o, ok := asOutcome(err)
+	switch {
+	case a.left || err == nil && !bad:
+		return placement.NoFault
+	case isUnreached(err):
+		return placement.Unreached
+	case ok && o.Kind == outcome.NotRun:
+		return placement.Full
+	case bad:
+		return placement.Broken
+	}
+	return placement.NoFault
+}
+
 // held learns how long the run held its slot after its prompt was read.
 func (a *attempt) held() {
 	switch {
--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"fieldvale/placement"
 )
 
 const (
@@ -114,7 +116,7 @@
 		why = doubtBudget
 	}
 	if p != nil {
-		w.unplace(p)
+		w.unplace(p, placement.NoFault)
 		w.r.backends.release(p.replica.ID)
 	}
 	w.model, w.tried = from, tried
--- a/entry/place.go
+++ b/entry/place.go
@@ -156,19 +156,27 @@
 		w.r.speeds.saw(w.speedKey(), w.r.clock().Sub(sent), p.tokens)
 	}
 	w.r.delays.saw(w.f.Service, p.ready, w.r.clock().Sub(sent))
-	w.unplace(p)
+	if w.closes(p) {
+		w.r.placer.Read(p.ticket)
+	}
 }
 
-// unplace takes the prompt off its replica's pending work.
-func (w *forwarding) unplace(p *placed) {
+// unplace takes a prompt that came to nothing off its replica's pending work.
+func (w *forwarding) unplace(p *placed, why placement.Fault) {
+	if w.closes(p) {
+		w.r.placer.Lost(p.ticket, why)
+	}
+}
+
+// closes takes the prompt off its replica's pending work, once, and reports
+// whether a keeper is to be told.
+func (w *forwarding) closes(p *placed) bool {
 	if !p.open {
-		return
+		return false
 	}
 	p.open = false
 	w.r.backends.read(p.replica.ID, p.cost)
-	if w.r.placer != nil {
-		w.r.placer.Read(p.ticket)
-	}
+	return w.r.placer != nil
 }
 
 // speedKey names what reads at one speed.
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -91,8 +91,9 @@
 // fails if that can't be had now.
 type Placer interface {
 	Choose(ctx context.Context, group string, a placement.Ask) (placement.Choice, placement.Ticket, bool)
-	// Read says that the prompt was read, or came to nothing.
+	// Read says that the prompt was read, Lost that it came to nothing.
 	Read(t placement.Ticket)
+	Lost(t placement.Ticket, why placement.Fault)
 }
 
 // ForwardSink takes an answer for the client.
--- a/placement/ask.go
+++ b/placement/ask.go
@@ -37,8 +37,8 @@
 		_ = n.net.Send(from, encode(message{Question: m.Question, Choice: (*wireChoice)(&c)}))
 	case m.Choice != nil:
 		n.deliver(from, m.Question, Choice(*m.Choice))
-	case m.Read != 0:
-		n.ledger.Read(m.Read)
+	default:
+		n.ended(m)
 	}
 }
 
@@ -46,6 +46,6 @@
 // given back: the asker has gone elsewhere, and the work with it.
 func (n *Node) deliver(from string, question uint64, c Choice) {
 	if !n.waiting.Deliver(question, c) {
-		_ = n.net.Send(from, encode(message{Read: c.Ticket}))
+		_ = n.net.Send(from, encode(message{Lost: c.Ticket}))
 	}
 }
--- /dev/null
+++ b/placement/fault.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// Fault is why a prompt came to nothing at its replica.
+type Fault int
+
+// The faults.
+const (
+	// NoFault: it was taken back, or its client left.
+	NoFault Fault = iota
+	// Unreached: the replica could not be connected to.
+	Unreached
+	// Full: the replica turned it away.
+	Full
+	// Broken: the replica took it and gave no sound answer.
+	Broken
+)
+
+const (
+	// faultCost is what a replica counts for that is sure to fail, in
+	// milliseconds: more than the usual wait for a sound one, little enough
+	// that it is tried again where all others wait longer.
+	faultCost = 1500.0
+	// faultHalf is the time in which half of a fault is forgotten: few are
+	// tried at a replica that others avoid, so that only time shows it sound.
+	faultHalf = time.Second
+	// readPart is what is left of a fault by a prompt that was read.
+	readPart = 0.7
+	// noFault is what counts as none.
+	noFault = 0.01
+)
+
+// weights are what each fault adds, as a part of what is missing to a replica
+// that is sure to fail. One that is not reached is gone as a rule; one
+// instance may be cut off from it, but others then read there.
+var weights = map[Fault]float64{Unreached: 0.5, Full: 0.3, Broken: 0.25}
+
+// fault is how likely a replica is to fail, from 0 to 1, as of a moment. All
+// instances tell their keeper of the faults that they meet, so that the fleet
+// need not find each faulty replica out once for every instance.
+type fault struct {
+	likely float64
+	asOf   time.Time
+}
+
+// at returns how likely a fault is now.
+func (f fault) at(now time.Time) float64 {
+	if f.likely == 0 {
+		return 0
+	}
+	return f.likely * math.Exp2(-now.Sub(f.asOf).Seconds()/faultHalf.Seconds())
+}
+
+// with returns the fault with another one counted.
+func (f fault) with(why Fault, now time.Time) fault {
+	x := f.at(now)
+	return fault{likely: x + weights[why]*(1-x), asOf: now}
+}
+
+// withRead returns the fault with a prompt counted that was read.
+func (f fault) withRead(now time.Time) fault {
+	return fault{likely: readPart * f.at(now), asOf: now}
+}
--- a/placement/keeper.go
+++ b/placement/keeper.go
@@ -82,15 +82,31 @@
 	return c, Ticket{keeper: k.ID, addr: k.Addr, id: c.Ticket}, true
 }
 
-// Read says that the prompt was read, or came to nothing.
-func (n *Node) Read(t Ticket) {
+// Read says that the prompt was read.
+func (n *Node) Read(t Ticket) { n.end(t, message{Read: t.id}) }
+
+// Lost says that the prompt came to nothing.
+func (n *Node) Lost(t Ticket, why Fault) { n.end(t, message{Lost: t.id, Fault: int(why)}) }
+
+// end tells the ticket's keeper.
+func (n *Node) end(t Ticket, m message) {
 	switch t.keeper {
 	case "":
 	case n.self:
-		n.ledger.Read(t.id)
+		n.ended(m)
 	default:
 		// A lost notice costs nothing but the ledger's patience.
-		_ = n.net.Send(t.addr, encode(message{Read: t.id}))
+		_ = n.net.Send(t.addr, encode(m))
+	}
+}
+
+// ended takes the end of a ticket in.
+func (n *Node) ended(m message) {
+	if m.Read != 0 {
+		n.ledger.Read(m.Read, n.clock())
+	}
+	if m.Lost != 0 {
+		n.ledger.Lost(m.Lost, Fault(m.Fault), n.clock())
 	}
 }
 
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -75,6 +75,10 @@
 	replica  string
 	cost     float64
 	forgetAt time.Time
+	// run is what holds the slot, nil if its time is not known.
+	run *run
+	// part is what the replica keeps once it has read the prompt.
+	part keptPart
 }
 
 type keptPart struct {
@@ -88,8 +92,10 @@
 	pending map[string]float64
 	open    map[uint64]work
 	// runs are expected to hold slots until they end; busy counts them.
-	runs    runs
-	busy    map[string]int
+	runs runs
+	busy map[string]int
+	// faults are what instances met with at replicas.
+	faults  map[string]fault
 	kept    map[keptPart]time.Time
 	next    uint64
 	sweepAt time.Time
@@ -98,7 +104,7 @@
 // NewLedger returns an empty ledger. start makes its tickets differ from
 // those of an earlier life.
 func NewLedger(start uint64) *Ledger {
-	return &Ledger{pending: map[string]float64{}, open: map[uint64]work{}, kept: map[keptPart]time.Time{}, busy: map[string]int{}, next: start}
+	return &Ledger{pending: map[string]float64{}, open: map[uint64]work{}, kept: map[keptPart]time.Time{}, busy: map[string]int{}, faults: map[string]fault{}, next: start}
 }
 
 // Choose places a prompt where it will be read first, and notes it there.
@@ -123,7 +129,7 @@
 	best, score := Choice{Index: -1}, 0.0
 	for i, r := range a.Replicas {
 		c := Choice{Index: i, Wait: l.pending[r] + l.slotWait(r, a.slots(i), a.Hold), Cost: a.Read}
-		s := c.Wait + c.Cost + slotCost*a.Hold*float64(l.busy[r])
+		s := c.Wait + c.Cost + slotCost*a.Hold*float64(l.busy[r]) + faultCost*l.faults[r].at(now)
 		if !l.keeps(a.Key, r, now) {
 			c.Cost += a.Shared
 			s += (1 + rereadWeight) * a.Shared
@@ -138,14 +144,16 @@
 // note counts the prompt at the replica chosen for it.
 func (l *Ledger) note(a Ask, c Choice, now time.Time) {
 	r := a.Replicas[c.Index]
-	l.open[c.Ticket] = work{replica: r, cost: c.Cost, forgetAt: now.Add(forgetFactor*span(c.Wait+c.Cost) + forgetMargin)}
-	l.pending[r] += c.Cost
+	w := work{replica: r, part: keptPart{a.Key, r}, cost: c.Cost, forgetAt: now.Add(forgetFactor*span(c.Wait+c.Cost) + forgetMargin)}
 	if a.Hold > 0 {
+		w.run = &run{replica: r, endAt: now.Add(span(c.Wait + c.Cost + a.Hold))}
 		l.busy[r]++
-		l.runs.push(run{replica: r, endAt: now.Add(span(c.Wait + c.Cost + a.Hold))})
+		l.runs.push(w.run)
 	}
+	l.open[c.Ticket] = w
+	l.pending[r] += c.Cost
 	if a.Key != "" && len(l.kept) < maxKept {
-		l.kept[keptPart{a.Key, r}] = now.Add(keptFor)
+		l.kept[w.part] = now.Add(keptFor)
 	}
 }
 
@@ -154,10 +162,29 @@
 	return key != "" && now.Before(l.kept[keptPart{key, replica}])
 }
 
-// Read says that the work was read, or came to nothing.
-func (l *Ledger) Read(ticket uint64) {
+// Read says that the work was read.
+func (l *Ledger) Read(ticket uint64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if w, ok := l.open[ticket]; ok {
+		l.faults[w.replica] = l.faults[w.replica].withRead(now)
+	}
+	l.close(ticket)
+}
+
+// Lost says that the work came to nothing.
+func (l *Ledger) Lost(ticket uint64, why Fault, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w, ok := l.open[ticket]
+	if !ok {
+		return
+	}
+	if why != NoFault {
+		l.faults[w.replica] = l.faults[w.replica].with(why, now)
+		delete(l.kept, w.part)
+	}
+	l.endRun(w.run)
 	l.close(ticket)
 }
 
@@ -192,6 +219,11 @@
 			l.close(t)
 		}
 	}
+	for r, f := range l.faults {
+		if f.at(now) < noFault {
+			delete(l.faults, r)
+		}
+	}
 	for k, t := range l.kept {
 		if now.After(t) {
 			delete(l.kept, k)
--- a/placement/ledger_test.go
+++ b/placement/ledger_test.go
@@ -31,7 +31,7 @@
 	at := map[int]int{}
 	for range 8 {
 		c := l.Choose(a, noon)
-		l.Read(c.Ticket)
+		l.Read(c.Ticket, noon)
 		at[c.Index]++
 	}
 	if at[0] != 4 || at[1] != 4 {
@@ -45,6 +45,38 @@
 	}
 }
 
+// What one instance meets with at a replica is known to all that ask the same
+// keeper, and forgotten when others are served there or after some time.
+func TestLedgerAvoidsFaultyReplicas(t *testing.T) {
+	l := placement.NewLedger(0)
+	a := placement.Ask{Key: "m/k", Replicas: []string{"a", "b"}, Read: 10, Shared: 100, Hold: 100, Slots: []int{4, 4}}
+	l.Lost(l.Choose(a, noon).Ticket, placement.Unreached, noon)
+	for range 3 {
+		c := l.Choose(a, noon)
+		if c.Index != 1 || c.Wait != 0 {
+			t.Errorf("went to %d with a wait of %.0f ms, want 1 with none", c.Index, c.Wait)
+		}
+		l.Read(c.Ticket, noon)
+	}
+	later := noon.Add(10 * time.Second)
+	if c := l.Choose(placement.Ask{Replicas: []string{"a", "b"}, Read: 10}, later); c.Index != 0 {
+		t.Errorf("went to %d long after, want 0", c.Index)
+	}
+}
+
+// Work that is taken back is no fault, and gives its slot back.
+func TestLedgerTakesWorkBack(t *testing.T) {
+	l := placement.NewLedger(0)
+	a := placement.Ask{Replicas: []string{"a"}, Read: 10, Hold: 1000, Slots: []int{2}}
+	for range 20 {
+		c := l.Choose(a, noon)
+		if c.Wait != 0 {
+			t.Fatalf("wait %.0f ms, want none", c.Wait)
+		}
+		l.Lost(c.Ticket, placement.NoFault, noon)
+	}
+}
+
 func TestLedgerForgetsWorkThatNobodyEnds(t *testing.T) {
 	l := placement.NewLedger(0)
 	a := placement.Ask{Replicas: []string{"a"}, Read: 100}
@@ -67,8 +99,8 @@
 			if len(open) > 0 && rapid.Bool().Draw(t, "read") {
 				c := open[0]
 				open = open[1:]
-				l.Read(c.Ticket)
-				l.Read(c.Ticket)
+				l.Read(c.Ticket, noon)
+				l.Read(c.Ticket, noon)
 				want -= c.Cost
 				continue
 			}
--- a/placement/wire.go
+++ b/placement/wire.go
@@ -3,12 +3,14 @@
 import "encoding/json"
 
 // message is what instances say to each other about placement: a question,
-// its answer, or the end of a ticket.
+// its answer, or the end of a ticket: read, or lost with a fault.
 type message struct {
 	Question uint64      `json:"q,omitempty"`
 	Ask      *wireAsk    `json:"a,omitempty"`
 	Choice   *wireChoice `json:"c,omitempty"`
 	Read     uint64      `json:"r,omitempty"`
+	Lost     uint64      `json:"l,omitempty"`
+	Fault    int         `json:"f,omitempty"`
 }
 
 // wireAsk and wireChoice are Ask and Choice as they are sent; times are
