Releases are compared over the last seconds as well

Change: a release that shows no trouble in the last three seconds, or none that the old one does not show in them as well, is not stopped.

--- a/entry/releases.go
+++ b/entry/releases.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"fieldvale/rollout"
 )
@@ -80,17 +81,17 @@
 }
 
 // weigh counts one answer.
-func (s *releases) weigh(rel rollout.Release, v verdict, on *Events) {
+func (s *releases) weigh(rel rollout.Release, v verdict, now time.Time, on *Events) {
 	s.update(rel, on, func(t *trial) bool {
 		t.own = v.plus(t.own, rel.Target)
 		t.changed = true
-		return t.judge.Report(ownOrigin, t.own)
+		return t.judge.Report(ownOrigin, t.own, now)
 	})
 }
 
 // report takes another instance's tally in.
-func (s *releases) report(rel rollout.Release, origin string, t rollout.Tally, on *Events) {
-	s.update(rel, on, func(x *trial) bool { return x.judge.Report(origin, t) })
+func (s *releases) report(rel rollout.Release, origin string, t rollout.Tally, now time.Time, on *Events) {
+	s.update(rel, on, func(x *trial) bool { return x.judge.Report(origin, t, now) })
 }
 
 // update changes the release's trial and tells on if the release shows to be
@@ -151,7 +152,7 @@
 	if !ok || rel.Order != t.Order || rel.State != rollout.Running {
 		return
 	}
-	r.releases.report(rel, origin, t.Tally, r.events)
+	r.releases.report(rel, origin, t.Tally, r.clock(), r.events)
 }
 
 // judge counts the outcome for the release that ran it, if one is under way.
@@ -165,6 +166,6 @@
 	v := verdict{release: a.replica.Release, bad: bad}
 	v.slow, v.paced = a.pace(!under || a.replica.Release != rel.Target)
 	if under {
-		r.releases.weigh(rel, v, r.events)
+		r.releases.weigh(rel, v, r.clock(), r.events)
 	}
 }
