--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -52,23 +52,25 @@
 	return time.Unix(1_700_000_000, 0).Add(time.Duration(n) * time.Second / 40)
 }
 
-// Replicas of both releases crash for a moment after a long good run: the new
-// one is not stopped for it. If it alone goes on to fail, it is.
+// Replicas of both releases crash for a moment, when the old one has had a long
+// good run and the new one a short one: it is not stopped for it. If it alone
+// goes on to fail, it is.
 func TestJudgeExcusesACrashOfBoth(t *testing.T) {
 	for seed := range uint64(20) {
 		r := rand.New(rand.NewPCG(seed, 5))
 		j := rollout.NewJudge()
-		var l rollout.Tally
+		l := rollout.Tally{Old: rollout.Evidence{Good: 10_000, Bad: 100}}
+		j.Report("a", l, at(-400))
 		for n := range 700 {
 			bad, oldBad := 0.01, 0.01
 			switch {
-			case n >= 400 && n < 440:
-				bad, oldBad = 0.5, 0.5
+			case n >= 380 && n < 400:
+				bad, oldBad = 0.8, 0.8
 			case n >= 600:
 				bad = 0.5
 			}
 			l.New = draw(r, l.New, bad)
-			for range 20 {
+			for range 6 {
 				l.Old = draw(r, l.Old, oldBad)
 			}
 			j.Report("a", l, at(n))
