A key that goes and comes back in one answer is there

Cause: an answer of the store may bring a key's end and its return. Those were told apart on the way, and ends were applied after the rest, so that the key counted as gone. A replica's entry that came back that way was lost until its next change. Since changes are gathered this is likelier.

Change: of each key, the newest item of an answer counts.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -25,6 +25,7 @@
 
 // Update is what a mirror hands on.
 type Update struct {
+	// Items has the newest item of each key.
 	Items []store.Item
 	// Whole says that Items are all keys there are.
 	Whole    bool
@@ -143,12 +144,31 @@
 	}
 	m.revision = max(m.revision, c.Revision)
 	if len(c.Items) > 0 {
-		m.on.Changed(Update{Items: c.Items, Revision: c.Revision})
+		m.on.Changed(Update{Items: newest(c.Items), Revision: c.Revision})
 	}
 	m.on.Confirmed(m.asOf(sent, c))
 	return nil
 }
 
+// newest returns the last item of each key, in their order. A key that went and
+// came back in one answer is there, not gone.
+func newest(l []store.Item) []store.Item {
+	last := make(map[string]int, len(l))
+	for i, x := range l {
+		last[x.Key] = i
+	}
+	if len(last) == len(l) {
+		return l
+	}
+	n := make([]store.Item, 0, len(last))
+	for i, x := range l {
+		if last[x.Key] == i {
+			n = append(n, x)
+		}
+	}
+	return n
+}
+
 // asOf is the moment for which an answer speaks. One that waited to the end
 // in vain speaks for the end of the wait; any other only for its start, since
 // the answer may have been long under way.
