At the first start of a fleet instances announce themselves before they read

Change: the setting first_start, filled from the platform's field, has an instance announce itself and read the store 0.6 s later.

Test: TestNodeAnnouncesItselfFirst.

--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -19,6 +19,9 @@
 	Peers string
 	// Store is the address of the platform's store.
 	Store string
+	// FirstStart says that the whole fleet is being started for the first
+	// time.
+	FirstStart bool
 	// ApplyWithin is how soon a change in the store must be in force.
 	ApplyWithin time.Duration
 	Level       string
@@ -110,6 +113,7 @@
 	n.Metrics = address(s, "metrics_listen")
 	n.Peers = address(s, "peers_listen")
 	n.Store = address(s, "store")
+	n.FirstStart = s.Truth("first_start")
 	n.ApplyWithin = s.Span("apply_within", defaultApplyWithin)
 	n.StopWithin = s.Span("stop_within", defaultNodeStop)
 	n.Level = readLevel(s)
--- a/cmd/fieldvale-node/announce.go
+++ b/cmd/fieldvale-node/announce.go
@@ -19,6 +19,24 @@
 // which shows whether an earlier life's announcement still stands.
 const findWithin = 2 * time.Second
 
+// firstStartWait is how long an instance waits before its first read of the
+// store when the whole fleet starts: the platform starts all within 0.3 s, and
+// an announcement takes two calls. Without it, none knows the others, and each
+// watches the store.
+const firstStartWait = 600 * time.Millisecond
+
+// follow keeps up with what the store holds.
+func (n *node) follow(ctx context.Context) error {
+	if n.s.FirstStart {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(firstStartWait):
+		}
+	}
+	return n.mirror().Run(ctx)
+}
+
 // self is this instance as others find it.
 func (n *node) self() peer.Member {
 	return peer.Member{ID: n.s.ID, Addr: n.s.Peers, DataCentre: n.s.DataCentre}
@@ -36,6 +54,9 @@
 // to renew it costs a tenth of a call, to make it anew two, and all instances
 // that follow the store would hear of it.
 func (n *node) earlierLife(ctx context.Context) store.Announced {
+	if n.s.FirstStart {
+		return store.Announced{}
+	}
 	t := time.NewTimer(findWithin)
 	defer t.Stop()
 	select {
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -169,7 +169,7 @@
 	g.Go(func() error { return closed(x, n.ingress.Serve(d.front)) })
 	g.Go(func() error { return closed(x, n.serveReady(d.ready)) })
 	g.Go(func() error { return closed(x, n.metrics.Serve(d.metrics, n.ready)) })
-	g.Go(func() error { return n.mirror().Run(x) })
+	g.Go(func() error { return n.follow(x) })
 	g.Go(func() error { return n.socket.Serve(x, n.receive) })
 	g.Go(func() error { return n.announce(x) })
 	g.Go(func() error { return n.duties(x, hup) })
--- a/cmd/fieldvale-node/node_test.go
+++ b/cmd/fieldvale-node/node_test.go
@@ -103,13 +103,17 @@
 }
 
 // start runs the node until it says that it is ready.
-func (s *site) start() {
+func (s *site) start() { s.startWith(func(*settings.Node) {}) }
+
+// startWith starts the node with its settings changed.
+func (s *site) startWith(change func(*settings.Node)) {
 	l, err := logging.New(s.logs, "info", log.Fields{})
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	n := settings.Node{ID: "n1", DataCentre: "z", Listen: freePort(s.t), Ready: freePort(s.t), Metrics: freePort(s.t), Peers: freePort(s.t),
 		Store: s.store.Addr(), Level: "info", StopWithin: 4 * time.Second, ApplyWithin: 2 * time.Second, MemoryMB: 200, HonourFor: 5 * time.Second, RepeatPart: 0.9, RepeatBurst: 54, AcceptConfidence: 50}
+	change(&n)
 	s.node = newNode(n, "", l)
 	var ctx context.Context
 	ctx, s.stop = context.WithCancel(context.Background())
@@ -421,6 +425,17 @@
 	s.eventually("it is announced again", there)
 }
 
+// At the first start of a fleet an instance finds itself on the list when it
+// first reads the store, so that it knows whom to follow.
+func TestNodeAnnouncesItselfFirst(t *testing.T) {
+	s := newSite(t)
+	s.replica("a", "v1")
+	s.startWith(func(n *settings.Node) { n.FirstStart = true })
+	if m := s.node.view.Get().Members; len(m) != 1 || m[0].ID != "n1" {
+		t.Errorf("members %v after the first read, want n1", m)
+	}
+}
+
 // An instance that is started again while its announcement stands renews it.
 func TestNodeTakesItsEarlierAnnouncementOver(t *testing.T) {
 	s := newSite(t)
