relay: the second tier asks a store that is away as often as the first

Where the watching instances end during an outage, the second tier's pause of up to 2.4 s left little of that.

--- a/relay/node.go
+++ b/relay/node.go
@@ -23,10 +23,12 @@
 	// askAgain is how long an instance is passed over that answered without
 	// knowing: it may have to watch the store itself any moment.
 	askAgain = 200 * time.Millisecond
-	// firstPause and longestPause bound how long an instance of the first
-	// tier leaves a store alone that failed it. The next tiers leave it alone
-	// longer, once more for each tier before them, but for mostPauses at
-	// most: all calls have a price, and those ranked before go on asking.
+	// firstPause and longestPause bound how long an instance of the first two
+	// tiers leaves a store alone that failed it: all have to know what is
+	// newest three seconds after its return, also where the watching ones have
+	// ended meanwhile. The next tiers leave it alone longer, once more for
+	// each tier before them, but for mostPauses at most: all calls have a
+	// price, and those ranked before go on asking.
 	firstPause   = 400 * time.Millisecond
 	longestPause = 1200 * time.Millisecond
 	mostPauses   = 8
@@ -168,7 +170,7 @@
 
 // leaveStore sets when a store that failed is asked again.
 func (n *Node) leaveStore(tier int) {
-	times := time.Duration(min(mostPauses, tier+1))
+	times := time.Duration(min(mostPauses, max(1, tier)))
 	n.pause = min(times*longestPause, max(times*firstPause, 2*n.pause))
 	n.storeAt = n.clock().Add(n.pause)
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -363,6 +363,49 @@
 	})
 }
 
+// The watching instances end while the store is away: all others know what is
+// newest three seconds after its return.
+func TestStoreReturnsWithoutItsWatchers(t *testing.T) {
+	withFleet(t, 30, func(t *testing.T, f *fleet, s *fakeStore) {
+		s.mu.Lock()
+		s.down = true
+		s.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		ended := f.endWatchers()
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+		r := s.put("a", "2")
+		time.Sleep(3 * time.Second)
+		for id, on := range f.on {
+			if got, _, lost := on.state(); !ended[id] && (got != r || lost) {
+				t.Errorf("%s is at revision %d of %d, lost %t, 3 s after the store's return", id, got, r, lost)
+			}
+		}
+	})
+}
+
+// endWatchers cuts the watching instances off from all, as if they had ended.
+func (f *fleet) endWatchers() map[string]bool {
+	var m []peer.Member
+	for id := range f.on {
+		m = append(m, peer.Member{ID: id, Addr: id})
+	}
+	ended := map[string]bool{}
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	for _, w := range Watchers(m) {
+		ended[w.ID] = true
+		f.away[w.ID].set(true)
+		for id := range f.on {
+			f.net.cut[w.ID+">"+id] = true
+			f.net.cut[id+">"+w.ID] = true
+		}
+	}
+	return ended
+}
+
 // Changes that come in a crowd cost few calls, and the last one is known to
 // all soon after it was made.
 func TestCrowdsOfChangesAreGathered(t *testing.T) {
