Prompts stay in their data centre where little is shared

Change: a question names the candidates in other data centres; each counts 12 ms more. That is less than reading a long shared part again, and more than a short one.

Test: TestLedgerStaysNear.

--- a/entry/place.go
+++ b/entry/place.go
@@ -73,7 +73,7 @@
 	}
 	now := w.r.clock()
 	g, c := w.group(e.key, c)
-	x, t, ok := w.r.placer.Choose(ctx, g, placement.Ask{Key: e.key, Replicas: ids(c), Read: max(1, e.own), Shared: e.shared, Hold: w.r.holds.of(w.holdKey()), Slots: slots(c)})
+	x, t, ok := w.r.placer.Choose(ctx, g, placement.Ask{Key: e.key, Replicas: ids(c), Read: max(1, e.own), Shared: e.shared, Hold: w.r.holds.of(w.holdKey()), Slots: slots(c), Far: w.r.far(c)})
 	if !ok {
 		return nil
 	}
@@ -147,6 +147,17 @@
 	return l
 }
 
+// far returns the bits of the replicas in other data centres.
+func (r *Router) far(c []*pool.Replica) uint64 {
+	var m uint64
+	for i, x := range c {
+		if x.DataCentre != r.dataCentre {
+			m |= 1 << i
+		}
+	}
+	return m
+}
+
 // holdKey names what holds its slot for one time on average.
 func (w *forwarding) holdKey() string { return w.q.Route.Name + "/" + w.modelName() }
 
--- a/entry/router.go
+++ b/entry/router.go
@@ -47,6 +47,8 @@
 	learner  *cascade.Learner
 	events   *Events
 
+	dataCentre string
+
 	upstream Upstream
 	placer   Placer
 	speeds   *speeds
@@ -82,6 +84,9 @@
 	AcceptConfidence float64
 	// Self is the instance's id.
 	Self string
+	// DataCentre is where this instance is; requests that share little with
+	// others stay there where replicas are alike.
+	DataCentre string
 	// Rand seeds the choice of replicas.
 	Rand rand.Source
 	// Events may be nil.
@@ -96,7 +101,7 @@
 	}
 	return &Router{
 		view: p.View, engines: p.Engines, services: p.Services, claims: p.Claims, rater: p.Rater,
-		biller: p.Biller, clock: p.Clock, self: p.Self,
+		biller: p.Biller, clock: p.Clock, self: p.Self, dataCentre: p.DataCentre,
 		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -28,6 +28,10 @@
 	// those there are, is what a busier replica counts for: it makes tokens of
 	// all its streams more slowly, by some 2% for each.
 	slotCost = 0.02
+	// farCost is what a replica in another data centre counts for, in
+	// milliseconds: the way there and back, and the price of the bytes, for
+	// which it is worth to read some 200 shared tokens again, but not 600.
+	farCost = 12.0
 	// maxKept bounds the parts remembered; at 64 bytes each some 4 MB.
 	maxKept = 1 << 16
 )
@@ -48,6 +52,17 @@
 	Hold float64
 	// Slots are those of each candidate; none says nothing of them.
 	Slots []int
+	// Far has the bits set of the candidates in other data centres than the
+	// asker's.
+	Far uint64
+}
+
+// far is what the candidate counts for by its data centre, in milliseconds.
+func (a Ask) far(i int) float64 {
+	if a.Far>>i&1 == 1 {
+		return farCost
+	}
+	return 0
 }
 
 // slots returns the candidate's slots; 0 if they are not known.
@@ -129,7 +144,7 @@
 	best, score := Choice{Index: -1}, 0.0
 	for i, r := range a.Replicas {
 		c := Choice{Index: i, Wait: l.pending[r] + l.slotWait(r, a.slots(i), a.Hold), Cost: a.Read}
-		s := c.Wait + c.Cost + slotCost*a.Hold*float64(l.busy[r]) + faultCost*l.faults[r].at(now)
+		s := c.Wait + c.Cost + slotCost*a.Hold*float64(l.busy[r]) + faultCost*l.faults[r].at(now) + a.far(i)
 		if !l.keeps(a.Key, r, now) {
 			c.Cost += a.Shared
 			s += (1 + rereadWeight) * a.Shared
--- a/placement/ledger_test.go
+++ b/placement/ledger_test.go
@@ -77,6 +77,23 @@
 	}
 }
 
+// A prompt stays in its data centre unless one elsewhere keeps so much of it
+// that reading it again would take longer.
+func TestLedgerStaysNear(t *testing.T) {
+	for _, c := range []struct {
+		shared float64
+		want   int
+	}{{3, 1}, {10, 0}} {
+		l := placement.NewLedger(0)
+		a := placement.Ask{Key: "m/k", Replicas: []string{"a", "b"}, Read: 10, Shared: c.shared}
+		l.Read(l.Choose(a, noon).Ticket, noon)
+		a.Far = 1 << 0
+		if got := l.Choose(a, noon); got.Index != c.want {
+			t.Errorf("with %.0f ms shared and kept elsewhere: went to %d, want %d", c.shared, got.Index, c.want)
+		}
+	}
+}
+
 func TestLedgerForgetsWorkThatNobodyEnds(t *testing.T) {
 	l := placement.NewLedger(0)
 	a := placement.Ask{Replicas: []string{"a"}, Read: 100}
--- a/placement/wire.go
+++ b/placement/wire.go
@@ -22,6 +22,7 @@
 	Shared   float64  `json:"Shared"`
 	Hold     float64  `json:"Hold,omitempty"`
 	Slots    []int    `json:"Slots,omitempty"`
+	Far      uint64   `json:"Far,omitempty"`
 }
 
 type wireChoice struct {
