--- a/placement/fault.go
+++ b/placement/fault.go
@@ -30,10 +30,26 @@
 	faultHalf = time.Second
 	// readPart is what is left of a fault by a prompt that was read.
 	readPart = 0.7
+	// avoidedFrom is how likely a fault must be for a line in the log: the
+	// replica then counts for more than most others' waits.
+	avoidedFrom = 0.5
 	// noFault is what counts as none.
 	noFault = 0.01
 )
 
+// String returns the fault's name in the log.
+func (f Fault) String() string {
+	switch f {
+	case Unreached:
+		return "not reached"
+	case Full:
+		return "full"
+	case Broken:
+		return "broken"
+	}
+	return "none"
+}
+
 // weights are what each fault adds, as a part of what is missing to a replica
 // that is sure to fail. One that is not reached is gone as a rule; one
 // instance may be cut off from it, but others then read there.
--- a/placement/keeper.go
+++ b/placement/keeper.go
@@ -106,7 +106,9 @@
 		n.ledger.Read(m.Read, n.clock())
 	}
 	if m.Lost != 0 {
-		n.ledger.Lost(m.Lost, Fault(m.Fault), n.clock())
+		if r := n.ledger.Lost(m.Lost, Fault(m.Fault), n.clock()); r != "" {
+			n.log("replica_avoided", "replica", r, "reason", Fault(m.Fault))
+		}
 	}
 }
 
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -187,20 +187,27 @@
 	l.close(ticket)
 }
 
-// Lost says that the work came to nothing.
-func (l *Ledger) Lost(ticket uint64, why Fault, now time.Time) {
+// Lost says that the work came to nothing. It returns the replica if it is
+// avoided from now on, empty if not or if it was before.
+func (l *Ledger) Lost(ticket uint64, why Fault, now time.Time) (avoided string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w, ok := l.open[ticket]
 	if !ok {
-		return
+		return ""
 	}
 	if why != NoFault {
-		l.faults[w.replica] = l.faults[w.replica].with(why, now)
+		was := l.faults[w.replica]
+		f := was.with(why, now)
+		l.faults[w.replica] = f
 		delete(l.kept, w.part)
+		if was.at(now) < avoidedFrom && f.likely >= avoidedFrom {
+			avoided = w.replica
+		}
 	}
 	l.endRun(w.run)
 	l.close(ticket)
+	return avoided
 }
 
 // noWork is what sums of floating-point costs leave at a replica that has
--- a/placement/ledger_test.go
+++ b/placement/ledger_test.go
@@ -50,7 +50,9 @@
 func TestLedgerAvoidsFaultyReplicas(t *testing.T) {
 	l := placement.NewLedger(0)
 	a := placement.Ask{Key: "m/k", Replicas: []string{"a", "b"}, Read: 10, Shared: 100, Hold: 100, Slots: []int{4, 4}}
-	l.Lost(l.Choose(a, noon).Ticket, placement.Unreached, noon)
+	if r := l.Lost(l.Choose(a, noon).Ticket, placement.Unreached, noon); r != "a" {
+		t.Errorf("%q is avoided from now on, want a", r)
+	}
 	for range 3 {
 		c := l.Choose(a, noon)
 		if c.Index != 1 || c.Wait != 0 {
