Shared parts are read again only after longer waits

Cause: the keeper had a prompt's shared part read again at another replica once 0.35 s of work waited where it is kept.

Tests: TestLedgerWeighsWaitingAgainstReadingAgain with the new bound (over 900 ms), TestLedgerStaysNear.

--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -22,8 +22,10 @@
 	forgetFactor = 4
 	forgetMargin = 2 * time.Second
 	// rereadWeight times the shared part is what reading it again counts on
-	// top of its time: it takes that time from other prompts, too.
-	rereadWeight = 2.5
+	// top of its time: it takes that time from other prompts, too, and has a
+	// price. From 6 to 16 are alike; 2.5 read a quarter to a third more again
+	// and served less under load (docs/MEASURES.md).
+	rereadWeight = 8.0
 	// slotCost times the time that a run holds its slot, for each slot taken of
 	// those there are, is what a busier replica counts for: it makes tokens of
 	// all its streams more slowly, by some 2% for each.
@@ -31,7 +33,7 @@
 	// farCost is what a replica in another data centre counts for, in
 	// milliseconds: the way there and back, and the price of the bytes, for
 	// which it is worth to read some 200 shared tokens again, but not 600.
-	farCost = 12.0
+	farCost = 30.0
 	// maxKept bounds the parts remembered; at 64 bytes each some 4 MB.
 	maxKept = 1 << 16
 )
