Ticks and readiness cost nothing by the number of replicas

Cause: ten times a second, and at each question for readiness, an instance sorted all its replicas twice to see whether one had been dropped: 5.6 ms and 4 MB a tick before 3,000 replicas (benchmark), a third of a small instance's share.

Ruled out as the cause by the same benchmark: a change of one entry, 3.6 ms, is made anew some three times a second at most since changes are gathered. It takes 0.46 ms now, as ids are sorted again only when one comes or goes.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -6,7 +6,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"fieldvale/pool"
@@ -19,6 +18,9 @@
 // Set is the replicas known, by id. It is not safe for concurrent use.
 type Set struct {
 	replicas map[string]pool.Replica
+	// ids are those of replicas in their order; nil if they have to be sorted
+	// again.
+	ids []string
 	// missing are replicas whose entry went while that proves nothing.
 	missing map[string]bool
 	// doubtUntil is when a missing entry means again that the replica went;
@@ -34,6 +36,9 @@
 
 // Put adds a replica or takes its newer entry.
 func (s *Set) Put(r pool.Replica) {
+	if _, ok := s.replicas[r.ID]; !ok {
+		s.ids = nil
+	}
 	s.replicas[r.ID] = r
 	delete(s.missing, r.ID)
 }
@@ -49,7 +54,13 @@
 		s.missing[id] = true
 		return
 	}
+	s.drop(id)
+}
+
+// drop takes a replica out.
+func (s *Set) drop(id string) {
 	delete(s.replicas, id)
+	s.ids = nil
 }
 
 // Retain removes all replicas but those with the given ids.
@@ -83,13 +94,23 @@
 	}
 	gone := slices.Collect(maps.Keys(s.missing))
 	for _, id := range gone {
-		delete(s.replicas, id)
+		s.drop(id)
 	}
 	clear(s.missing)
 	return gone
 }
 
+// Len returns how many replicas there are.
+func (s *Set) Len() int { return len(s.replicas) }
+
 // Replicas returns the replicas in the order of their ids.
 func (s *Set) Replicas() []pool.Replica {
-	return slices.SortedFunc(maps.Values(s.replicas), func(a, b pool.Replica) int { return strings.Compare(a.ID, b.ID) })
+	if s.ids == nil {
+		s.ids = slices.Sorted(maps.Keys(s.replicas))
+	}
+	l := make([]pool.Replica, len(s.ids))
+	for i, id := range s.ids {
+		l[i] = s.replicas[id]
+	}
+	return l
 }
--- a/state/state.go
+++ b/state/state.go
@@ -102,11 +102,14 @@
 	return slices.SortedFunc(maps.Values(s.members), func(a, b peer.Member) int { return strings.Compare(a.ID, b.ID) })
 }
 
-// settle drops the replicas whose entries did not return with the store.
-func (s *State) settle(now time.Time) {
-	for _, id := range s.replicas.Settle(now) {
+// settle drops the replicas whose entries did not return with the store, and
+// reports whether there were any.
+func (s *State) settle(now time.Time) bool {
+	gone := s.replicas.Settle(now)
+	for _, id := range gone {
 		s.log("replica_gone", "replica", id, "reason", "its entry did not return with the store")
 	}
+	return len(gone) > 0
 }
 
 // publish puts what is known in force.
@@ -124,9 +127,7 @@
 func (s *State) Tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := len(s.replicas.Replicas())
-	s.settle(s.clock())
-	if len(s.replicas.Replicas()) != n {
+	if s.settle(s.clock()) {
 		s.publish()
 	}
 }
@@ -163,5 +164,5 @@
 func (s *State) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table != nil && len(s.replicas.Replicas()) > 0 && s.lease.Fresh(s.clock(), freshPart)
+	return s.table != nil && s.replicas.Len() > 0 && s.lease.Fresh(s.clock(), freshPart)
 }
