Backends remember the replicas that are used, and no others

Cause: choosing among candidates made a record of every replica, and above 2,000 records each further request dropped all that had nothing running: before 3,001 replicas every request made and dropped 3,000 records, and breakers were forgotten as soon as they opened.

Change: a replica that was never used has no record. Test: TestBackendsKeepWhatIsUsed; before, a replica whose breaker had opened was a candidate again.

--- /dev/null
+++ b/entry/backends_test.go
@@ -0,0 +1,34 @@
+package entry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fieldvale/pool"
+)
+
+// Before thousands of replicas an instance keeps what it knows of those that it
+// uses, and nothing of the others.
+func TestBackendsKeepWhatIsUsed(t *testing.T) {
+	b := newBackends(rand.NewPCG(1, 1))
+	var l []*pool.Replica
+	for i := range 3 * forgetAbove {
+		l = append(l, &pool.Replica{ID: fmt.Sprint(i), Service: "s", Slots: 4})
+	}
+	now := time.Unix(1_700_000_000, 0)
+	for range 40 {
+		b.put(l[7], 1, now)
+		b.doneOpaque("7", true, true, now)
+	}
+	for range 5 {
+		if c := b.candidates(l, nil, now); len(c) != len(l)-1 {
+			t.Fatalf("%d candidates of %d, want all but the one that fails", len(c), len(l))
+		}
+		b.put(l[3], 1, now)
+	}
+	if n := len(b.state); n != 2 {
+		t.Errorf("%d replicas are remembered, want 2", n)
+	}
+}
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -64,11 +64,19 @@
 	}
 }
 
+// unused is the state of a replica that was not used yet.
+var unused backend
+
 // gather makes the candidates anew.
 func (b *backends) gather(r []*pool.Replica, tried []string, allowed func(*backend) bool) {
 	b.scratch = b.scratch[:0]
 	for _, x := range r {
-		s := b.of(x.ID)
+		// Nothing is kept of replicas that were never used: there may be
+		// thousands.
+		s := b.state[x.ID]
+		if s == nil {
+			s = &unused
+		}
 		if allowed(s) && !contains(tried, x.ID) {
 			b.scratch = append(b.scratch, pool.Candidate{Replica: x, Local: s.running, Pending: s.pending})
 		}
