--- /dev/null
+++ b/relay/away_test.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"fieldvale/peer"
+)
+
+// The instances that watch are turned away by the store, each on its own way,
+// and others are not: all know of a change within its bound.
+func TestChangesReachAllWhenWatchersAreTurnedAway(t *testing.T) {
+	withFleet(t, 7, func(t *testing.T, f *fleet, s *fakeStore) {
+		var m []peer.Member
+		for id := range f.on {
+			m = append(m, peer.Member{ID: id, Addr: id})
+		}
+		for _, w := range Watchers(m) {
+			f.away[w.ID].set(true)
+		}
+		for i := range 12 {
+			time.Sleep(time.Duration(150+70*i) * time.Millisecond)
+			r := s.put("a", "2")
+			time.Sleep(2 * time.Second)
+			for id, on := range f.on {
+				if got, _, _ := on.state(); got < r {
+					t.Errorf("%s is at revision %d 2 s after revision %d", id, got, r)
+				}
+			}
+		}
+	})
+}
+
+// While the store is away few instances go on asking it, and all are back
+// soon after it.
+func TestStoreThatIsAwayIsLeftAlone(t *testing.T) {
+	withFleet(t, 30, func(t *testing.T, f *fleet, s *fakeStore) {
+		s.mu.Lock()
+		s.down = true
+		calls := s.calls
+		s.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		// Two ask each half second or so, the others the less the further
+		// behind they are ranked.
+		if n := s.calls - calls; n > 130 {
+			t.Errorf("%d calls in 10 s of a store that is away, want at most 130", n)
+		}
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+		r := s.put("a", "2")
+		time.Sleep(2 * time.Second)
+		for id, on := range f.on {
+			if got, _, lost := on.state(); got != r || lost {
+				t.Errorf("%s is at revision %d of %d, lost %t, 2 s after the store's return", id, got, r, lost)
+			}
+		}
+	})
+}
+
+// The watching instances end while the store is away: all others know what is
+// newest three seconds after its return.
+func TestStoreReturnsWithoutItsWatchers(t *testing.T) {
+	withFleet(t, 30, func(t *testing.T, f *fleet, s *fakeStore) {
+		s.mu.Lock()
+		s.down = true
+		s.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		ended := f.endWatchers()
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+		r := s.put("a", "2")
+		time.Sleep(3 * time.Second)
+		for id, on := range f.on {
+			if got, _, lost := on.state(); !ended[id] && (got != r || lost) {
+				t.Errorf("%s is at revision %d of %d, lost %t, 3 s after the store's return", id, got, r, lost)
+			}
+		}
+	})
+}
+
+// A store that forgets its history is read whole by those that watch it; the
+// others are told what is new and what is gone.
+func TestForgottenHistoryIsReadByFew(t *testing.T) {
+	withFleet(t, 30, func(t *testing.T, f *fleet, s *fakeStore) {
+		reads := s.reads
+		s.compact()
+		r := s.put("a", "2")
+		time.Sleep(1500 * time.Millisecond)
+		for id, on := range f.on {
+			if got, _, _ := on.state(); got != r {
+				t.Errorf("%s is at revision %d 1.5 s after revision %d", id, got, r)
+			}
+		}
+		if n := s.reads - reads; n > 2 {
+			t.Errorf("the store was read whole %d times, want 2 at most", n)
+		}
+	})
+}
--- /dev/null
+++ b/relay/fleet_test.go
@@ -0,0 +1,251 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/mirror"
+	"fieldvale/peer"
+	"fieldvale/standin/seed"
+	"fieldvale/store"
+)
+
+var _ = seed.Fix()
+
+// fakeStore is a feed whose history is kept whole.
+type fakeStore struct {
+	mu    sync.Mutex
+	items []store.Item
+	down  bool
+	calls int
+	// reads are the calls that read all keys.
+	reads int
+	// forgotten is the revision before which the history is gone.
+	forgotten int64
+}
+
+// compact forgets the history and ends the calls that wait.
+func (f *fakeStore) compact() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.forgotten = int64(len(f.items)) + 1
+	f.items = append(f.items, store.Item{Key: "z", Revision: f.forgotten})
+}
+
+var errDown = errors.New("down")
+
+func (f *fakeStore) put(key, value string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := int64(len(f.items) + 1)
+	f.items = append(f.items, store.Item{Key: key, Value: []byte(value), Revision: r})
+	return r
+}
+
+func (f *fakeStore) Read(context.Context, string, string) (store.Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	f.reads++
+	if f.down {
+		return store.Page{}, errDown
+	}
+	return store.Page{Items: append([]store.Item(nil), f.items...), Revision: int64(len(f.items))}, nil
+}
+
+func (f *fakeStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (store.Changes, error) {
+	f.mu.Lock()
+	f.calls++
+	f.mu.Unlock()
+	for end := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
+		f.mu.Lock()
+		n := int64(len(f.items))
+		l := append([]store.Item(nil), f.items[min(after, n):]...)
+		d, gone := f.down, after < f.forgotten
+		f.mu.Unlock()
+		switch {
+		case gone:
+			return store.Changes{}, store.ErrCompacted
+		case d:
+			return store.Changes{}, errDown
+		case ctx.Err() != nil:
+			return store.Changes{}, ctx.Err()
+		case len(l) > 0 || !time.Now().Before(end):
+			return store.Changes{Items: l, Revision: n}, nil
+		}
+	}
+}
+
+// network delivers datagrams after a delay; cut holds the ways that are cut.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*Node
+	cut   map[string]bool
+	delay time.Duration
+}
+
+type way struct {
+	n    *network
+	from string
+}
+
+func (w way) Send(to string, b []byte) error {
+	w.n.mu.Lock()
+	defer w.n.mu.Unlock()
+	x := w.n.nodes[to]
+	if x == nil || w.n.cut[w.from+">"+to] {
+		return nil
+	}
+	time.AfterFunc(w.n.delay, func() { x.Receive(w.from, b) })
+	return nil
+}
+
+// listener notes what a follower learns.
+type listener struct {
+	mu        sync.Mutex
+	revision  int64
+	confirmed time.Time
+	lost      bool
+}
+
+func (l *listener) Changed(u mirror.Update) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.revision = u.Revision
+}
+
+func (l *listener) Confirmed(t time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t.After(l.confirmed) {
+		l.confirmed = t
+	}
+}
+
+func (l *listener) Lost(error) { l.set(true) }
+
+func (l *listener) Regained() { l.set(false) }
+
+func (l *listener) set(b bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost = b
+}
+
+func (l *listener) state() (int64, time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision, l.confirmed, l.lost
+}
+
+type flag struct {
+	mu sync.Mutex
+	on bool
+}
+
+func (f *flag) set(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.on = on
+}
+
+func (f *flag) get() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.on
+}
+
+// gate is one instance's way to the store. A call that waits when the way is
+// cut hears nothing any more.
+type gate struct {
+	*fakeStore
+	away *flag
+}
+
+func (g gate) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
+	if g.away.get() {
+		return store.Changes{}, errDown
+	}
+	c, err := g.fakeStore.Changes(ctx, prefix, after, wait)
+	if g.away.get() {
+		<-ctx.Done()
+		return store.Changes{}, ctx.Err()
+	}
+	return c, err
+}
+
+type fleet struct {
+	net *network
+	// away says whose way to the store is cut.
+	away map[string]*flag
+	on   map[string]*listener
+}
+
+// start runs n instances; each has its own way to the store, so that the
+// store can turn single ones away.
+func start(ctx context.Context, g *sync.WaitGroup, n int, shared *fakeStore) *fleet {
+	f := &fleet{net: &network{nodes: map[string]*Node{}, cut: map[string]bool{}, delay: time.Millisecond}, away: map[string]*flag{}, on: map[string]*listener{}}
+	var m []peer.Member
+	for i := range n {
+		id := fmt.Sprint("n", i)
+		m = append(m, peer.Member{ID: id, Addr: id})
+	}
+	for _, x := range m {
+		l, on := NewLog(), &listener{}
+		f.away[x.ID] = &flag{}
+		r := NewNode(x.ID, 1, l, gate{shared, f.away[x.ID]}, way{f.net, x.ID}, time.Now, func(string, ...any) {}, times)
+		r.SetMembers(m)
+		f.net.mu.Lock()
+		f.net.nodes[x.ID] = r
+		f.net.mu.Unlock()
+		f.on[x.ID] = on
+		g.Go(func() { _ = mirror.New(r, "", times.Watch, time.Now, Tee{Log: l, On: on}).Run(ctx) })
+	}
+	return f
+}
+
+var times = TimesFor(2 * time.Second)
+
+// withFleet runs n instances over one store for some seconds, lets play go on
+// from there, and ends them.
+func withFleet(t *testing.T, n int, play func(t *testing.T, f *fleet, s *fakeStore)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		s := &fakeStore{}
+		s.put("a", "1")
+		f := start(ctx, &g, n, s)
+		time.Sleep(5 * time.Second)
+		play(t, f, s)
+		cancel()
+		g.Wait()
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// endWatchers cuts the watching instances off from all, as if they had ended.
+func (f *fleet) endWatchers() map[string]bool {
+	var m []peer.Member
+	for id := range f.on {
+		m = append(m, peer.Member{ID: id, Addr: id})
+	}
+	ended := map[string]bool{}
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	for _, w := range Watchers(m) {
+		ended[w.ID] = true
+		f.away[w.ID].set(true)
+		for id := range f.on {
+			f.net.cut[w.ID+">"+id] = true
+			f.net.cut[id+">"+w.ID] = true
+		}
+	}
+	return ended
+}
