--- a/relay/away_test.go
+++ b/relay/away_test.go
@@ -3,19 +3,13 @@
 import (
 	"testing"
 	"time"
-
-	"fieldvale/peer"
 )
 
 // The instances that watch are turned away by the store, each on its own way,
 // and others are not: all know of a change within its bound.
 func TestChangesReachAllWhenWatchersAreTurnedAway(t *testing.T) {
 	withFleet(t, 7, func(t *testing.T, f *fleet, s *fakeStore) {
-		var m []peer.Member
-		for id := range f.on {
-			m = append(m, peer.Member{ID: id, Addr: id})
-		}
-		for _, w := range Watchers(m) {
+		for _, w := range Watchers(f.members()) {
 			f.away[w.ID].set(true)
 		}
 		for i := range 12 {
@@ -35,19 +29,14 @@
 // soon after it.
 func TestStoreThatIsAwayIsLeftAlone(t *testing.T) {
 	withFleet(t, 30, func(t *testing.T, f *fleet, s *fakeStore) {
-		s.mu.Lock()
-		s.down = true
-		calls := s.calls
-		s.mu.Unlock()
+		calls := s.setDown(true)
 		time.Sleep(10 * time.Second)
 		// Two ask each half second or so, the others the less the further
 		// behind they are ranked.
-		if n := s.calls - calls; n > 130 {
+		if n := s.made() - calls; n > 130 {
 			t.Errorf("%d calls in 10 s of a store that is away, want at most 130", n)
 		}
-		s.mu.Lock()
-		s.down = false
-		s.mu.Unlock()
+		s.setDown(false)
 		r := s.put("a", "2")
 		time.Sleep(2 * time.Second)
 		for id, on := range f.on {
@@ -62,15 +51,11 @@
 // newest three seconds after its return.
 func TestStoreReturnsWithoutItsWatchers(t *testing.T) {
 	withFleet(t, 30, func(t *testing.T, f *fleet, s *fakeStore) {
-		s.mu.Lock()
-		s.down = true
-		s.mu.Unlock()
+		s.setDown(true)
 		time.Sleep(5 * time.Second)
 		ended := f.endWatchers()
 		time.Sleep(time.Second)
-		s.mu.Lock()
-		s.down = false
-		s.mu.Unlock()
+		s.setDown(false)
 		r := s.put("a", "2")
 		time.Sleep(3 * time.Second)
 		for id, on := range f.on {
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -48,6 +48,22 @@
 	return r
 }
 
+// made returns how many calls there were.
+func (f *fakeStore) made() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// setDown has the store fail all calls, or none, and returns how many calls
+// there were until then.
+func (f *fakeStore) setDown(down bool) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+	return f.calls
+}
+
 func (f *fakeStore) Read(context.Context, string, string) (store.Page, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -230,16 +246,21 @@
 	})
 }
 
-// endWatchers cuts the watching instances off from all, as if they had ended.
-func (f *fleet) endWatchers() map[string]bool {
+// members returns the fleet's instances, in any order.
+func (f *fleet) members() []peer.Member {
 	var m []peer.Member
 	for id := range f.on {
 		m = append(m, peer.Member{ID: id, Addr: id})
 	}
+	return m
+}
+
+// endWatchers cuts the watching instances off from all, as if they had ended.
+func (f *fleet) endWatchers() map[string]bool {
 	ended := map[string]bool{}
 	f.net.mu.Lock()
 	defer f.net.mu.Unlock()
-	for _, w := range Watchers(m) {
+	for _, w := range Watchers(f.members()) {
 		ended[w.ID] = true
 		f.away[w.ID].set(true)
 		for id := range f.on {
