--- a/relay/node.go
+++ b/relay/node.go
@@ -23,15 +23,6 @@
 	// askAgain is how long an instance is passed over that answered without
 	// knowing: it may have to watch the store itself any moment.
 	askAgain = 200 * time.Millisecond
-	// firstPause and longestPause bound how long an instance of the first two
-	// tiers leaves a store alone that failed it: all have to know what is
-	// newest three seconds after its return, also where the watching ones have
-	// ended meanwhile. The next tiers leave it alone longer, once more for
-	// each tier before them, but for mostPauses at most: all calls have a
-	// price, and those ranked before go on asking.
-	firstPause   = 400 * time.Millisecond
-	longestPause = 1200 * time.Millisecond
-	mostPauses   = 8
 	// mostGathers bounds, in Times.Gather, how long an instance of the later
 	// tiers waits for the second tier when the watching ones can't tell.
 	mostGathers = 3
@@ -51,11 +42,9 @@
 	pieces  pieces
 	packs   packs
 
-	// storeAt is when the store is asked again after it failed, and pause
-	// how long it was left alone the last time. An instance that others stand
-	// before asks them meanwhile. Both belong to the one caller of Changes.
-	storeAt time.Time
-	pause   time.Duration
+	// backoff, untold, large and gatherUntil belong to the one caller of
+	// Changes. backoff is when the store may be asked again.
+	backoff backoff
 	// untold says that nobody could tell what is newest the last time.
 	untold bool
 	// large says that the store failed where changes were too large for others
@@ -104,7 +93,7 @@
 		n.told()
 		return c, nil
 	}
-	if s == lostTouch && n.clock().Before(n.storeAt) {
+	if s == lostTouch && n.backoff.waits(n.clock()) {
 		if c, s := n.follow(ctx, rest, after); s == known {
 			n.told()
 			return c, nil
@@ -157,24 +146,17 @@
 func (n *Node) watchOrFollow(ctx context.Context, prefix string, after int64, wait time.Duration, rest []peer.Member, tier int) (store.Changes, error) {
 	c, err := n.watch(ctx, prefix, after, wait)
 	if err == nil || errors.Is(err, store.ErrCompacted) || ctx.Err() != nil {
-		n.pause, n.untold = 0, false
+		n.backoff, n.untold = n.backoff.withAnswer(), false
 		return c, err
 	}
-	n.leaveStore(tier)
+	n.backoff = n.backoff.withFailure(tier, n.clock())
 	if f, s := n.follow(ctx, rest, after); s == known {
-		n.storeAt = n.clock().Add(avoidFor)
+		n.backoff = n.backoff.withSource(n.clock())
 		return f, nil
 	}
 	return c, err
 }
 
-// leaveStore sets when a store that failed is asked again.
-func (n *Node) leaveStore(tier int) {
-	times := time.Duration(min(mostPauses, max(1, tier)))
-	n.pause = min(times*longestPause, max(times*firstPause, 2*n.pause))
-	n.storeAt = n.clock().Add(n.pause)
-}
-
 // errWaits says that neither the store nor another instance was reached, and
 // that it is not yet time to ask the store again.
 var errWaits = errors.New("relay: the store was not reached, and other instances can't tell")
