--- /dev/null
+++ b/relay/follow.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"fieldvale/peer"
+	"fieldvale/store"
+)
+
+const (
+	// askAgain is how long an instance is passed over that answered without
+	// knowing: it may have to watch the store itself any moment.
+	askAgain = 200 * time.Millisecond
+	// mostGathers bounds, in Times.Gather, how long an instance of the later
+	// tiers waits for the second tier when the watching ones can't tell.
+	mostGathers = 3
+)
+
+// follow asks one instance after another. It gives up at one that knows of
+// changes which only the store can tell.
+func (n *Node) follow(ctx context.Context, sources []peer.Member, after int64) (store.Changes, status) {
+	for _, m := range sources {
+		a, ok := n.ask(ctx, m, after)
+		if ok && a.Status == known && a.age() <= n.times.MaxAge {
+			return n.taken(m, a), known
+		}
+		if ctx.Err() != nil {
+			return store.Changes{}, lostTouch
+		}
+		switch {
+		case !ok:
+			n.pass(m, avoidFor)
+		case a.Status == tooLarge || a.Status == forgotten:
+			return store.Changes{}, a.Status
+		case a.Status == lostTouch || a.Status == known:
+			n.pass(m, askAgain)
+		}
+	}
+	return store.Changes{}, lostTouch
+}
+
+// taken returns the changes of an instance's answer, and notes that it is
+// followed.
+func (n *Node) taken(m peer.Member, a answer) store.Changes {
+	n.from(m.ID)
+	n.log.SetDirect(false)
+	c := a.changes()
+	c.Waited = n.times.Follow
+	return c
+}
+
+// waitForBefore has an instance of the later tiers wait for those before it
+// when they can't tell any more: the second tier asks the store at once, and
+// tells the others.
+func (n *Node) waitForBefore(ctx context.Context, tier int, after int64) (store.Changes, status) {
+	if n.untold || tier < tiers {
+		return store.Changes{}, lostTouch
+	}
+	n.untold = true
+	for range min(mostGathers, tier-tiers+1) {
+		if !sleep(ctx, n.times.Gather) {
+			break
+		}
+		before, _, _ := n.sources()
+		if c, s := n.follow(ctx, before, after); s != lostTouch {
+			return c, s
+		}
+	}
+	return store.Changes{}, lostTouch
+}
+
+// from logs whom the instance follows when that changes.
+func (n *Node) from(source string) {
+	n.mu.Lock()
+	was := n.source
+	n.source = source
+	n.mu.Unlock()
+	if was != source {
+		n.event("following", "source", source, "before", was)
+	}
+}
--- a/relay/node.go
+++ b/relay/node.go
@@ -12,21 +12,9 @@
 	"fieldvale/store"
 )
 
-const (
-	// avoidFor is how long an instance that could not tell, or a store that
-	// could not be reached while others could tell, is passed over.
-	avoidFor = 2 * time.Second
-	// storeSlack is how much longer than asked for the store may take before
-	// it counts as lost; well above its usual 4 ms and below the second in
-	// which an instance has to notice.
-	storeSlack = 700 * time.Millisecond
-	// askAgain is how long an instance is passed over that answered without
-	// knowing: it may have to watch the store itself any moment.
-	askAgain = 200 * time.Millisecond
-	// mostGathers bounds, in Times.Gather, how long an instance of the later
-	// tiers waits for the second tier when the watching ones can't tell.
-	mostGathers = 3
-)
+// avoidFor is how long an instance that could not tell, or a store that
+// could not be reached while others could tell, is passed over.
+const avoidFor = 2 * time.Second
 
 // Node follows other instances and is followed.
 type Node struct {
@@ -87,7 +75,7 @@
 	before, rest, tier := n.sources()
 	c, s := n.follow(ctx, before, after)
 	if s == lostTouch {
-		c, s = n.standBack(ctx, tier, after)
+		c, s = n.waitForBefore(ctx, tier, after)
 	}
 	if s == known {
 		n.told()
@@ -109,109 +97,3 @@
 
 // told notes that another instance could tell what is newest.
 func (n *Node) told() { n.untold, n.large = false, false }
-
-// standBack has an instance of the later tiers wait for those before it when
-// they can't tell any more: the second tier asks the store at once, and tells
-// the others.
-func (n *Node) standBack(ctx context.Context, tier int, after int64) (store.Changes, status) {
-	if n.untold || tier < tiers {
-		return store.Changes{}, lostTouch
-	}
-	n.untold = true
-	for range min(mostGathers, tier-tiers+1) {
-		if !n.sleep(ctx, n.times.Gather) {
-			break
-		}
-		before, _, _ := n.sources()
-		if c, s := n.follow(ctx, before, after); s != lostTouch {
-			return c, s
-		}
-	}
-	return store.Changes{}, lostTouch
-}
-
-// sleep waits for d; it reports false if ctx ended before.
-func (n *Node) sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
-// watchOrFollow asks the store, and the rest if it can't be reached.
-func (n *Node) watchOrFollow(ctx context.Context, prefix string, after int64, wait time.Duration, rest []peer.Member, tier int) (store.Changes, error) {
-	c, err := n.watch(ctx, prefix, after, wait)
-	if err == nil || errors.Is(err, store.ErrCompacted) || ctx.Err() != nil {
-		n.backoff, n.untold = n.backoff.withAnswer(), false
-		return c, err
-	}
-	n.backoff = n.backoff.withFailure(tier, n.clock())
-	if f, s := n.follow(ctx, rest, after); s == known {
-		n.backoff = n.backoff.withSource(n.clock())
-		return f, nil
-	}
-	return c, err
-}
-
-// errWaits says that neither the store nor another instance was reached, and
-// that it is not yet time to ask the store again.
-var errWaits = errors.New("relay: the store was not reached, and other instances can't tell")
-
-// watch asks the store. Only what it says may be told to others: instances
-// that follow each other would all be wrong together.
-func (n *Node) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
-	n.from("store")
-	if d := n.gatherUntil.Sub(n.clock()); d > 0 && !n.sleep(ctx, d) {
-		return store.Changes{}, errors.Wrap(ctx.Err(), "relay.watch")
-	}
-	x, cancel := context.WithTimeout(ctx, wait+storeSlack)
-	defer cancel()
-	c, err := n.store.Changes(x, prefix, after, wait)
-	n.log.SetDirect(err == nil || errors.Is(err, store.ErrCompacted))
-	if len(c.Items) > 0 {
-		n.gatherUntil = n.clock().Add(n.times.Gather)
-	}
-	return c, err
-}
-
-// follow asks one instance after another. It gives up at one that knows of
-// changes which only the store can tell.
-func (n *Node) follow(ctx context.Context, sources []peer.Member, after int64) (store.Changes, status) {
-	for _, m := range sources {
-		a, ok := n.ask(ctx, m, after)
-		if ok && a.Status == known && a.age() <= n.times.MaxAge {
-			n.from(m.ID)
-			n.log.SetDirect(false)
-			c := a.changes()
-			c.Waited = n.times.Follow
-			return c, known
-		}
-		if ctx.Err() != nil {
-			return store.Changes{}, lostTouch
-		}
-		switch {
-		case !ok:
-			n.pass(m, avoidFor)
-		case a.Status == tooLarge || a.Status == forgotten:
-			return store.Changes{}, a.Status
-		case a.Status == lostTouch || a.Status == known:
-			n.pass(m, askAgain)
-		}
-	}
-	return store.Changes{}, lostTouch
-}
-
-// from logs whom the instance follows when that changes.
-func (n *Node) from(source string) {
-	n.mu.Lock()
-	was := n.source
-	n.source = source
-	n.mu.Unlock()
-	if was != source {
-		n.event("following", "source", source, "before", was)
-	}
-}
