--- a/relay/log.go
+++ b/relay/log.go
@@ -149,9 +149,9 @@
 	l.changed = make(chan struct{})
 }
 
-// since returns what changed after the revision and how old that knowledge
-// is at now; ok is false if the log can't tell.
-func (l *Log) since(after int64, now time.Time) (c store.Changes, wait <-chan struct{}, s status) {
+// since returns what changed after the revision, how old that knowledge is at
+// now, and whether the log can tell. changed is closed at the next change.
+func (l *Log) since(after int64, now time.Time) (c store.Changes, changed <-chan struct{}, s status) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.Revision = l.revision
@@ -179,6 +179,6 @@
 	forgotten
 	// lostTouch: the instance itself can't tell what is newest.
 	lostTouch
-	// tooLarge: the changes do not fit a datagram.
+	// tooLarge: the changes are more than maxPacked.
 	tooLarge
 )
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -59,13 +60,9 @@
 	if len(b) == 0 || b[0] != piece {
 		return b, nil
 	}
-	if len(b) < pieceHead {
-		return nil, errors.New("relay.join: a short piece")
-	}
-	id := binary.BigEndian.Uint64(b[1:])
-	i, n := int(binary.BigEndian.Uint16(b[9:])), int(binary.BigEndian.Uint16(b[11:]))
-	if n == 0 || n > maxPieces || i >= n {
-		return nil, errors.Newf("relay.join: piece %d of %d", i, n)
+	id, i, n, err := readHead(b)
+	if err != nil {
+		return nil, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -78,11 +75,20 @@
 		return nil, nil
 	}
 	p.drop(x)
-	var m []byte
-	for _, y := range x.pieces {
-		m = append(m, y...)
+	return slices.Concat(x.pieces...), nil
+}
+
+// readHead returns the piece's message, its index and the count.
+func readHead(b []byte) (id uint64, i, n int, err error) {
+	if len(b) < pieceHead {
+		return 0, 0, 0, errors.New("relay.join: a short piece")
+	}
+	id = binary.BigEndian.Uint64(b[1:])
+	i, n = int(binary.BigEndian.Uint16(b[9:])), int(binary.BigEndian.Uint16(b[11:]))
+	if n == 0 || n > maxPieces || i >= n {
+		return 0, 0, 0, errors.Newf("relay.join: piece %d of %d", i, n)
 	}
-	return m, nil
+	return id, i, n, nil
 }
 
 // of returns the message's pieces so far.
@@ -100,11 +106,7 @@
 	return x
 }
 
+// drop forgets the message.
 func (p *pieces) drop(x *partial) {
-	for i, y := range p.l {
-		if y == x {
-			p.l = append(p.l[:i], p.l[i+1:]...)
-			return
-		}
-	}
+	p.l = slices.DeleteFunc(p.l, func(y *partial) bool { return y == x })
 }
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -117,7 +117,7 @@
 	})
 }
 
-// A change that no datagram holds is read from the store by each instance.
+// A change of a large value reaches all at once.
 func TestLargeChangesReachAll(t *testing.T) {
 	withFleet(t, 7, func(t *testing.T, f *fleet, s *fakeStore) {
 		r := s.put("a", string(make([]byte, 500_000)))
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -29,8 +29,7 @@
 	headLength = 4
 )
 
-// question asks for what changed after a revision, answer is what is said
-// to it. Ages and waits are milliseconds.
+// question asks for what changed after a revision. Its wait is milliseconds.
 type question struct {
 	ID    uint64 `json:"id"`
 	After int64  `json:"after"`
@@ -39,6 +38,7 @@
 	Large bool `json:"large,omitempty"`
 }
 
+// answer is what is said to a question. Its age is milliseconds.
 type answer struct {
 	ID       uint64 `json:"id"`
 	Status   status `json:"status"`
@@ -55,6 +55,7 @@
 	Deleted  bool   `json:"d,omitempty"`
 }
 
+// newAnswer returns the answer without the items. Its age is rounded up.
 func newAnswer(id uint64, c store.Changes, s status) answer {
 	return answer{ID: id, Status: s, Revision: c.Revision, Age: c.Age.Milliseconds() + 1}
 }
@@ -69,7 +70,7 @@
 	return c
 }
 
-// message is one of the two.
+// message is a question or an answer.
 type message struct {
 	Question *question `json:"q,omitempty"`
 	Answer   *answer   `json:"a,omitempty"`
