--- /dev/null
+++ b/cmd/fieldvale-node/site_test.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+
+	"fieldvale/adapter/logging"
+	"fieldvale/adapter/settings"
+	"fieldvale/adapter/socket"
+	"fieldvale/platform/sitetest"
+)
+
+// site is a node before stand-ins of the platform's store and replicas.
+type site struct {
+	t        *testing.T
+	store    *sitetest.Store
+	replicas map[string]*sitetest.Replica
+	node     *node
+	stop     context.CancelFunc
+	done     chan error
+	logs     *syncBuffer
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// freePort returns an address that is kept for the node.
+func freePort(t *testing.T) string {
+	a, err := socket.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { socket.Release(a) })
+	return a
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: sitetest.NewStore(), replicas: map[string]*sitetest.Replica{}, logs: &syncBuffer{}, done: make(chan error, 1)}
+	t.Cleanup(s.store.Close)
+	s.config(1, "k1", "k2")
+	return s
+}
+
+// config writes a configuration with a route of each kind.
+func (s *site) config(version int, keys ...string) {
+	route := func(name, kind, service string, more map[string]any) map[string]any {
+		m := map[string]any{"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 3000,
+			"target_latency_ms": 500, "service": service, "max_attempts": 2, "priority": 1}
+		for k, v := range more {
+			m[k] = v
+		}
+		return m
+	}
+	s.store.Put("op/config", map[string]any{
+		"version": version,
+		"routes": []any{
+			route("once", "non_idempotent", "svc", map[string]any{"max_attempts": 1}),
+			route("again", "idempotent", "svc", nil),
+			route("stream", "streaming", "svc", map[string]any{"stream_resume": true, "max_attempts": 3}),
+			route("open", "idempotent", "svc", map[string]any{"public": true}),
+		},
+		"services": []any{map[string]any{"name": "svc", "max_conns": 10}},
+		"limits":   map[string]any{"max_body_bytes": 2000},
+		"tenants":  []any{map[string]any{"name": "acme", "api_keys": keys}},
+	})
+}
+
+func (s *site) replica(id, version string) *sitetest.Replica {
+	r, err := sitetest.NewReplica(id)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(r.Close)
+	s.replicas[id] = r
+	s.store.Put("servers/"+id, r.Entry("svc", version, "ready"))
+	return r
+}
+
+// start runs the node until it says that it is ready.
+func (s *site) start() { s.startWith(func(*settings.Node) {}) }
+
+// startWith starts the node with its settings changed.
+func (s *site) startWith(change func(*settings.Node)) {
+	l, err := logging.New(s.logs, "info", log.Fields{})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	n := settings.Node{ID: "n1", DataCentre: "z", Listen: freePort(s.t), Ready: freePort(s.t), Metrics: freePort(s.t), Peers: freePort(s.t),
+		Store: s.store.Addr(), Level: "info", StopWithin: 4 * time.Second, ApplyWithin: 2 * time.Second, MemoryMB: 200, HonourFor: 5 * time.Second, RepeatPart: 0.9, RepeatBurst: 54, AcceptConfidence: 50}
+	change(&n)
+	s.node = newNode(n, "", l)
+	var ctx context.Context
+	ctx, s.stop = context.WithCancel(context.Background())
+	go func() { s.done <- s.node.run(ctx, nil) }()
+	s.t.Cleanup(s.stop)
+	s.eventually("the node is ready", func() bool { return s.readiness() == http.StatusOK })
+}
+
+func (s *site) readiness() int {
+	r, err := http.Get("http://" + s.node.s.Ready + "/-/readiness")
+	if err != nil {
+		return 0
+	}
+	r.Body.Close()
+	return r.StatusCode
+}
+
+// patience bounds what must happen at some time; generous, as it costs
+// nothing when it happens at once.
+const patience = 20 * time.Second
+
+func (s *site) eventually(what string, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	s.t.Fatalf("not within %s: %s\n%s", patience, what, s.logs)
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// closes says that the answer asked for another connection.
+	closes bool
+	err    error
+}
+
+// send sends one request with the head's lines added.
+func (s *site) send(method, path, body string, head ...string) reply {
+	q, err := http.NewRequest(method, "http://"+s.node.s.Listen+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	q.Host = "h.example"
+	q.Header.Set("X-Fieldvale-Request-Attempt-Id", fmt.Sprint("id", time.Now().UnixNano()))
+	q.Header.Set("X-Fieldvale-Deadline-Ms", "5000")
+	for _, h := range head {
+		k, v, _ := strings.Cut(h, ": ")
+		if v == "" {
+			q.Header.Del(k)
+			continue
+		}
+		q.Header.Set(k, v)
+	}
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	r, err := c.Do(q)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	return reply{status: r.StatusCode, header: r.Header, body: string(b), closes: r.Close, err: err}
+}
+
+const key = "X-Api-Key: k1"
--- /dev/null
+++ b/cmd/fieldvale-node/store_test.go
@@ -0,0 +1,53 @@
+package main
+
+import "testing"
+
+func TestNodeFollowsChanges(t *testing.T) {
+	s := newSite(t)
+	a := s.replica("a", "v1")
+	s.start()
+	status := func(k string) int { return s.send("POST", "/once/", "", "X-Api-Key: "+k).status }
+	s.config(2, "k2")
+	s.eventually("a key that was taken away is refused", func() bool { return status("k1") == 401 })
+	s.store.Forget()
+	s.config(3, "k1", "k2")
+	s.eventually("a change after lost history is in force", func() bool { return status("k1") == 200 })
+	s.config(2, "k2")
+	b := s.replica("b", "v1")
+	s.store.Put("servers/a", a.Entry("svc", "v1", "draining"))
+	s.eventually("a draining replica gets nothing", func() bool {
+		n := len(a.Seen())
+		for range 6 {
+			status("k2")
+		}
+		return len(a.Seen()) == n && len(b.Seen()) > 0
+	})
+	if g := status("k1"); g != 200 {
+		t.Errorf("an older configuration was taken: %d", g)
+	}
+}
+
+// An instance that can't confirm its configuration honours no key, says so
+// truly, and is not ready; it is back with the store.
+func TestNodeWithoutTheStore(t *testing.T) {
+	s := newSite(t)
+	s.replica("a", "v1")
+	s.start()
+	s.store.Lock()
+	s.store.Refuse = 503
+	s.store.Unlock()
+	s.eventually("keys are not honoured", func() bool {
+		r := s.send("POST", "/once/", "", key)
+		return r.status == 503 && r.header.Get("Retry-After") != ""
+	})
+	if r := s.send("GET", "/open/", ""); r.status != 200 {
+		t.Errorf("a request without a key: %d", r.status)
+	}
+	if g := s.readiness(); g != 503 {
+		t.Errorf("readiness %d", g)
+	}
+	s.store.Lock()
+	s.store.Refuse = 0
+	s.store.Unlock()
+	s.eventually("it is back", func() bool { return s.readiness() == 200 && s.send("POST", "/once/", "", key).status == 200 })
+}
