--- a/cmd/fieldvale-node/announce_test.go
+++ b/cmd/fieldvale-node/announce_test.go
@@ -6,13 +6,14 @@
 	"testing"
 
 	"fieldvale/adapter/settings"
+	"fieldvale/platform/sitetest"
 )
 
 func TestNodeAnnouncesItselfAnew(t *testing.T) {
 	s := newSite(t)
 	s.replica("a", "v1")
 	s.start()
-	there := func() bool { return strings.Contains(s.store.Value("fieldvale/instance/n1"), s.node.s.Peers) }
+	there := func() bool { return strings.Contains(s.store.Announcement("n1"), s.node.s.Peers) }
 	s.eventually("it is announced", there)
 	s.store.LapseAll()
 	s.eventually("it is announced again", there)
@@ -34,19 +35,19 @@
 	s := newSite(t)
 	s.replica("i-1", "v1")
 	s.start()
-	s.eventually("announced", func() bool { return s.store.Value("fieldvale/instance/"+s.node.s.ID) != "" })
+	s.eventually("announced", func() bool { return s.store.Announcement(s.node.s.ID) != "" })
 	s.stop()
 	if err := <-s.done; err != nil {
 		t.Fatal(err)
 	}
 	s.done <- nil
-	leases, kept := s.store.Calls("/-/kv-lease"), s.store.Calls("/-/kv-keep/1")
+	leases, kept := s.store.Calls(sitetest.PathLease), s.store.Calls(sitetest.PathKeep+"1")
 	again := newNode(s.node.s, "", s.node.log)
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- again.run(ctx, nil) }()
-	s.eventually("renewed", func() bool { return s.store.Calls("/-/kv-keep/1") > kept })
-	if n := s.store.Calls("/-/kv-lease") - leases; n != 0 {
+	s.eventually("renewed", func() bool { return s.store.Calls(sitetest.PathKeep+"1") > kept })
+	if n := s.store.Calls(sitetest.PathLease) - leases; n != 0 {
 		t.Errorf("%d leases were made, want none", n)
 	}
 	stop()
--- a/cmd/fieldvale-node/node_test.go
+++ b/cmd/fieldvale-node/node_test.go
@@ -17,8 +17,8 @@
 	s := newSite(t)
 	a := s.replica("a", "v1")
 	s.start()
-	r := s.send("POST", "/once/x%20y?q=1&r", "body", key, "X-Fieldvale-Tenant: forged", "X-Fieldvale-Kv-Hold: 7", "X-Fieldvale-Expect-Replica: other", "X-Fieldvale-Pin-Ms: 5", "Kv-From: 1.2.3.4:5/6", "X-Other: kept")
-	if r.status != 200 || r.body != "ok" || r.header.Get("X-Fieldvale-Replica-Stamp") != "a" {
+	r := s.send("POST", "/once/x%20y?q=1&r", "body", key, sitetest.HeaderTenant+": forged", sitetest.HeaderHold+": 7", sitetest.HeaderExpectReplica+": other", sitetest.HeaderPin+": 5", sitetest.HeaderKvFrom+": 1.2.3.4:5/6", "X-Other: kept")
+	if r.status != 200 || r.body != "ok" || r.header.Get(sitetest.HeaderStamp) != "a" {
 		t.Fatalf("%+v", r)
 	}
 	l := a.Seen()
@@ -27,8 +27,8 @@
 	}
 	h := l[0].Header
 	for k, want := range map[string]string{
-		"X-Api-Key": "", "X-Fieldvale-Tenant": "acme", "X-Fieldvale-Kv-Hold": "", "X-Fieldvale-Pin-Ms": "", "Kv-From": "",
-		"X-Fieldvale-Expect-Replica": "a", "X-Other": "kept",
+		sitetest.HeaderKey: "", sitetest.HeaderTenant: "acme", sitetest.HeaderHold: "", sitetest.HeaderPin: "", sitetest.HeaderKvFrom: "",
+		sitetest.HeaderExpectReplica: "a", "X-Other": "kept",
 	} {
 		if g := h.Get(k); g != want {
 			t.Errorf("%s: %q, want %q", k, g, want)
@@ -47,9 +47,9 @@
 	}{
 		{"no route", "/none/", "", []string{key}, 404},
 		{"no key", "/once/", "", nil, 401},
-		{"an unknown key", "/once/", "", []string{"X-Api-Key: no"}, 401},
-		{"no id", "/once/", "", []string{key, "X-Fieldvale-Request-Attempt-Id: "}, 400},
-		{"a bad deadline", "/once/", "", []string{key, "X-Fieldvale-Deadline-Ms: soon"}, 400},
+		{"an unknown key", "/once/", "", []string{sitetest.HeaderKey + ": no"}, 401},
+		{"no id", "/once/", "", []string{key, sitetest.HeaderRequest + ": "}, 400},
+		{"a bad deadline", "/once/", "", []string{key, sitetest.HeaderDeadline + ": soon"}, 400},
 		{"a long body", "/once/", strings.Repeat("x", 3000), []string{key}, 413},
 		{"a public route without a key", "/open/", "", nil, 200},
 	} {
@@ -184,7 +184,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	fmt.Fprint(c, "GET /again/ HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: k1\r\nX-Fieldvale-Request-Attempt-Id: leaves\r\nX-Fieldvale-Deadline-Ms: 60000\r\n\r\n")
+	fmt.Fprint(c, "GET /again/ HTTP/1.1\r\nHost: h.example\r\n"+key+"\r\n"+sitetest.HeaderRequest+": leaves\r\n"+sitetest.HeaderDeadline+": 60000\r\n\r\n")
 	s.eventually("the replica has the request", func() bool { return len(a.Seen()) == 1 })
 	_ = c.Close()
 	select {
--- a/cmd/fieldvale-node/releases_test.go
+++ b/cmd/fieldvale-node/releases_test.go
@@ -19,8 +19,8 @@
 	}
 	bad.Unlock()
 	s.start()
-	s.store.Put("op/rollout/svc", map[string]any{"service": "svc", "target_version": "v2", "duration_s": 600})
-	s.eventually("the operator reads that it runs", func() bool { return strings.Contains(s.store.Value("status/rollout/svc"), "in_progress") })
+	s.store.PutRelease("svc", "v2", 600)
+	s.eventually("the operator reads that it runs", func() bool { return strings.Contains(s.store.Release("svc"), sitetest.ReleaseRuns) })
 	// The finding is written until the store takes it.
 	s.store.Lock()
 	s.store.FailWrites = 3
@@ -29,7 +29,7 @@
 		for range 50 {
 			s.send("GET", "/open/", "")
 		}
-		return strings.Contains(s.store.Value("status/rollout/svc"), "rolled_back")
+		return strings.Contains(s.store.Release("svc"), sitetest.ReleaseRolledBack)
 	})
 	n := len(bad.Seen())
 	for range 200 {
@@ -45,9 +45,9 @@
 	s.replica("old", "v1")
 	s.replica("new", "v2")
 	s.start()
-	s.store.Put("op/rollout/svc", map[string]any{"service": "svc", "target_version": "v2", "duration_s": 2})
+	s.store.PutRelease("svc", "v2", 2)
 	s.eventually("the operator reads that it is complete", func() bool {
 		s.send("GET", "/open/", "")
-		return strings.Contains(s.store.Value("status/rollout/svc"), "completed")
+		return strings.Contains(s.store.Release("svc"), sitetest.ReleaseCompleted)
 	})
 }
--- a/cmd/fieldvale-node/site_test.go
+++ b/cmd/fieldvale-node/site_test.go
@@ -60,34 +60,10 @@
 func newSite(t *testing.T) *site {
 	s := &site{t: t, store: sitetest.NewStore(), replicas: map[string]*sitetest.Replica{}, logs: &syncBuffer{}, done: make(chan error, 1)}
 	t.Cleanup(s.store.Close)
-	s.config(1, "k1", "k2")
+	s.store.PutConfig(1, "k1", "k2")
 	return s
 }
 
-// config writes a configuration with a route of each kind.
-func (s *site) config(version int, keys ...string) {
-	route := func(name, kind, service string, more map[string]any) map[string]any {
-		m := map[string]any{"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 3000,
-			"target_latency_ms": 500, "service": service, "max_attempts": 2, "priority": 1}
-		for k, v := range more {
-			m[k] = v
-		}
-		return m
-	}
-	s.store.Put("op/config", map[string]any{
-		"version": version,
-		"routes": []any{
-			route("once", "non_idempotent", "svc", map[string]any{"max_attempts": 1}),
-			route("again", "idempotent", "svc", nil),
-			route("stream", "streaming", "svc", map[string]any{"stream_resume": true, "max_attempts": 3}),
-			route("open", "idempotent", "svc", map[string]any{"public": true}),
-		},
-		"services": []any{map[string]any{"name": "svc", "max_conns": 10}},
-		"limits":   map[string]any{"max_body_bytes": 2000},
-		"tenants":  []any{map[string]any{"name": "acme", "api_keys": keys}},
-	})
-}
-
 func (s *site) replica(id, version string) *sitetest.Replica {
 	r, err := sitetest.NewReplica(id)
 	if err != nil {
@@ -95,7 +71,7 @@
 	}
 	s.t.Cleanup(r.Close)
 	s.replicas[id] = r
-	s.store.Put("servers/"+id, r.Entry("svc", version, "ready"))
+	s.store.PutReplica(r, "svc", version, sitetest.ReplicaReady)
 	return r
 }
 
@@ -158,8 +134,8 @@
 		s.t.Fatal(err)
 	}
 	q.Host = "h.example"
-	q.Header.Set("X-Fieldvale-Request-Attempt-Id", fmt.Sprint("id", time.Now().UnixNano()))
-	q.Header.Set("X-Fieldvale-Deadline-Ms", "5000")
+	q.Header.Set(sitetest.HeaderRequest, fmt.Sprint("id", time.Now().UnixNano()))
+	q.Header.Set(sitetest.HeaderDeadline, "5000")
 	for _, h := range head {
 		k, v, _ := strings.Cut(h, ": ")
 		if v == "" {
@@ -178,4 +154,4 @@
 	return reply{status: r.StatusCode, header: r.Header, body: string(b), closes: r.Close, err: err}
 }
 
-const key = "X-Api-Key: k1"
+const key = sitetest.HeaderKey + ": k1"
--- a/cmd/fieldvale-node/store_test.go
+++ b/cmd/fieldvale-node/store_test.go
@@ -1,20 +1,24 @@
 package main
 
-import "testing"
+import (
+	"testing"
+
+	"fieldvale/platform/sitetest"
+)
 
 func TestNodeFollowsChanges(t *testing.T) {
 	s := newSite(t)
 	a := s.replica("a", "v1")
 	s.start()
-	status := func(k string) int { return s.send("POST", "/once/", "", "X-Api-Key: "+k).status }
-	s.config(2, "k2")
+	status := func(k string) int { return s.send("POST", "/once/", "", sitetest.HeaderKey+": "+k).status }
+	s.store.PutConfig(2, "k2")
 	s.eventually("a key that was taken away is refused", func() bool { return status("k1") == 401 })
 	s.store.Forget()
-	s.config(3, "k1", "k2")
+	s.store.PutConfig(3, "k1", "k2")
 	s.eventually("a change after lost history is in force", func() bool { return status("k1") == 200 })
-	s.config(2, "k2")
+	s.store.PutConfig(2, "k2")
 	b := s.replica("b", "v1")
-	s.store.Put("servers/a", a.Entry("svc", "v1", "draining"))
+	s.store.PutReplica(a, "svc", "v1", sitetest.ReplicaDraining)
 	s.eventually("a draining replica gets nothing", func() bool {
 		n := len(a.Seen())
 		for range 6 {
