--- a/entry/delays.go
+++ b/entry/delays.go
@@ -1,15 +1,15 @@
 package entry
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 const (
 	// delayWeight is of one prompt in the running mean.
 	delayWeight = 0.05
 	// minDelayRatio and maxDelayRatio bound what one prompt shows.
 	minDelayRatio, maxDelayRatio = 0.3, 5
+	// firstDelayRatio is what is expected before any prompt was seen: that
+	// events come when the work before them is done.
+	firstDelayRatio = 1
 	// minReady is the least estimate in milliseconds that says something of
 	// how estimates compare with what comes.
 	minReady = 100
@@ -17,21 +17,13 @@
 
 // delays learns by how much first events come later than the work before
 // them says: replicas make tokens of other streams in between.
-type delays struct {
-	mu sync.Mutex
-	m  map[string]float64
-}
+type delays struct{ m *means }
 
-func newDelays() *delays { return &delays{m: map[string]float64{}} }
+func newDelays() *delays { return &delays{m: newMeans(delayWeight)} }
 
 // expect returns the time to the first event for an estimate in milliseconds.
 func (d *delays) expect(service string, ready float64) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	r, ok := d.m[service]
-	if !ok {
-		r = 1
-	}
+	r := d.m.of(service, firstDelayRatio)
 	return time.Duration(r * ready * float64(time.Millisecond))
 }
 
@@ -40,12 +32,6 @@
 	if ready < minReady {
 		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	r, ok := d.m[service]
-	if !ok {
-		r = 1
-	}
 	x := min(maxDelayRatio, max(minDelayRatio, took.Seconds()*1000/ready))
-	d.m[service] = r + delayWeight*(x-r)
+	d.m.learn(service, firstDelayRatio, func(float64) float64 { return x })
 }
--- a/entry/holds.go
+++ b/entry/holds.go
@@ -1,9 +1,6 @@
 package entry
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 const (
 	// firstHold is how long a run is taken to hold its slot after its first
@@ -14,32 +11,16 @@
 	holdWeight = 0.03
 )
 
-// holds learns how long runs hold their slots once their prompt is read.
-// Answers that were dropped at once count as well.
-type holds struct {
-	mu sync.Mutex
-	m  map[string]float64
-}
+// holds learns how long runs hold their slots once their prompt is read, in
+// milliseconds by kind. Answers that were dropped at once count as well.
+type holds struct{ m *means }
 
-func newHolds() *holds { return &holds{m: map[string]float64{}} }
+func newHolds() *holds { return &holds{m: newMeans(holdWeight)} }
 
 // of returns the milliseconds of a run of that kind.
-func (h *holds) of(kind string) float64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if v, ok := h.m[kind]; ok {
-		return v
-	}
-	return firstHold
-}
+func (h *holds) of(kind string) float64 { return h.m.of(kind, firstHold) }
 
 // saw learns from a run that has ended.
 func (h *holds) saw(kind string, took time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	v, ok := h.m[kind]
-	if !ok {
-		v = firstHold
-	}
-	h.m[kind] = v + holdWeight*(took.Seconds()*1000-v)
+	h.m.learn(kind, firstHold, func(float64) float64 { return took.Seconds() * 1000 })
 }
--- a/entry/speeds.go
+++ b/entry/speeds.go
@@ -1,9 +1,6 @@
 package entry
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 const (
 	// firstSpeed is the milliseconds that the smallest model takes to read a
@@ -19,36 +16,25 @@
 )
 
 // speeds learns how long models take to read a token, in milliseconds.
-type speeds struct {
-	mu sync.Mutex
-	m  map[string]float64
-}
+type speeds struct{ m *means }
 
-func newSpeeds() *speeds { return &speeds{m: map[string]float64{}} }
+func newSpeeds() *speeds { return &speeds{m: newMeans(speedWeight)} }
 
 // of returns the milliseconds for a token; size is the model's rank.
 func (s *speeds) of(key string, size int) float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if v, ok := s.m[key]; ok {
-		return v
-	}
-	v := firstSpeed
+	first := firstSpeed
 	for range size {
-		v *= firstSlowdown
+		first *= firstSlowdown
 	}
-	s.m[key] = v
-	return v
+	return s.m.of(key, first)
 }
 
-// saw learns from a prompt that was read with nothing before it.
+// saw learns from a prompt that was read with nothing before it. Its key's
+// speed was asked for before.
 func (s *speeds) saw(key string, took time.Duration, tokens float64) {
 	if tokens < minSpeedTokens {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	v := s.m[key]
 	x := took.Seconds() * 1000 / tokens
-	s.m[key] = v + speedWeight*(min(x, 4*v)-v)
+	s.m.learn(key, 0, func(mean float64) float64 { return min(x, 4*mean) })
 }
