--- /dev/null
+++ b/placement/choice.go
@@ -0,0 +1,50 @@
+package placement
+
+// Ask is the question where a prompt should go.
+type Ask struct {
+	// Key names what the prompt shares with others, with its model; empty
+	// for nothing.
+	Key string
+	// Replicas are the candidates, the preferred first.
+	Replicas []string
+	// Read is the replica's time for what nobody shares, in milliseconds,
+	// and Shared for the rest, which a replica that keeps it need not read.
+	Read   float64
+	Shared float64
+	// Hold is how long the run holds its slot once the prompt is read, in
+	// milliseconds, as runs of its kind do on average.
+	Hold float64
+	// Slots are those of each candidate; none says nothing of them.
+	Slots []int
+	// Far has the bits set of the candidates in other data centres than the
+	// asker's.
+	Far uint64
+}
+
+// far is what the candidate counts for by its data centre, in milliseconds.
+func (a Ask) far(i int) float64 {
+	if a.Far>>i&1 == 1 {
+		return farCost
+	}
+	return 0
+}
+
+// slots returns the candidate's slots; 0 if they are not known.
+func (a Ask) slots(i int) int {
+	if i < len(a.Slots) {
+		return a.Slots[i]
+	}
+	return 0
+}
+
+// Choice is the answer.
+type Choice struct {
+	// Index is into the candidates.
+	Index int
+	// Wait is the work before the prompt, in milliseconds.
+	Wait float64
+	// Cost is the prompt's own time there, in milliseconds.
+	Cost float64
+	// Ticket names the work in the ledger.
+	Ticket uint64
+}
--- a/placement/keeper.go
+++ b/placement/keeper.go
@@ -95,7 +95,7 @@
 	case n.self:
 		n.ended(m)
 	default:
-		// A lost notice costs nothing but the ledger's patience.
+		// If the datagram is lost, the ledger forgets the work after a time.
 		_ = n.net.Send(t.addr, encode(m))
 	}
 }
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -36,57 +36,13 @@
 	farCost = 30.0
 	// maxKept bounds the parts remembered; at 64 bytes each some 4 MB.
 	maxKept = 1 << 16
+	// noWork is what sums of floating-point costs leave at a replica that has
+	// nothing to read, in milliseconds.
+	noWork = 1e-6
+	// sweepEvery bounds how often what is over is looked for.
+	sweepEvery = 500 * time.Millisecond
 )
 
-// Ask is the question where a prompt should go.
-type Ask struct {
-	// Key names what the prompt shares with others, with its model; empty
-	// for nothing.
-	Key string
-	// Replicas are the candidates, the preferred first.
-	Replicas []string
-	// Read is the replica's time for what nobody shares, in milliseconds,
-	// and Shared for the rest, which a replica that keeps it need not read.
-	Read   float64
-	Shared float64
-	// Hold is how long the run holds its slot once the prompt is read, in
-	// milliseconds, as runs of its kind do on average.
-	Hold float64
-	// Slots are those of each candidate; none says nothing of them.
-	Slots []int
-	// Far has the bits set of the candidates in other data centres than the
-	// asker's.
-	Far uint64
-}
-
-// far is what the candidate counts for by its data centre, in milliseconds.
-func (a Ask) far(i int) float64 {
-	if a.Far>>i&1 == 1 {
-		return farCost
-	}
-	return 0
-}
-
-// slots returns the candidate's slots; 0 if they are not known.
-func (a Ask) slots(i int) int {
-	if i < len(a.Slots) {
-		return a.Slots[i]
-	}
-	return 0
-}
-
-// Choice is the answer.
-type Choice struct {
-	// Index is into the candidates.
-	Index int
-	// Wait is the work before the prompt, in milliseconds.
-	Wait float64
-	// Cost is the prompt's own time there, in milliseconds.
-	Cost float64
-	// Ticket names the work in the ledger.
-	Ticket uint64
-}
-
 // work is a prompt that a replica is to read.
 type work struct {
 	replica  string
@@ -140,24 +96,32 @@
 	return c
 }
 
-// best returns the choice with the least time, counting what reading a shared
-// part again takes from others; its index is below 0 if there is none.
+// best returns the choice with the least time, as it counts; its index is
+// below 0 if there is none.
 func (l *Ledger) best(a Ask, now time.Time) Choice {
-	best, score := Choice{Index: -1}, 0.0
-	for i, r := range a.Replicas {
-		c := Choice{Index: i, Wait: l.pending[r] + l.slotWait(r, a.slots(i), a.Hold), Cost: a.Read}
-		s := c.Wait + c.Cost + slotCost*a.Hold*float64(l.busy[r]) + faultCost*l.faults[r].at(now) + a.far(i)
-		if !l.keeps(a.Key, r, now) {
-			c.Cost += a.Shared
-			s += (1 + rereadWeight) * a.Shared
-		}
-		if best.Index < 0 || s < score {
-			best, score = c, s
+	best, least := Choice{Index: -1}, 0.0
+	for i := range a.Replicas {
+		if c, t := l.at(a, i, now); best.Index < 0 || t < least {
+			best, least = c, t
 		}
 	}
 	return best
 }
 
+// at returns the choice of one candidate and the time that it counts for, in
+// milliseconds: its own and what it takes from others, as by reading a shared
+// part again.
+func (l *Ledger) at(a Ask, i int, now time.Time) (Choice, float64) {
+	r := a.Replicas[i]
+	c := Choice{Index: i, Wait: l.pending[r] + l.slotWait(r, a.slots(i), a.Hold), Cost: a.Read}
+	t := c.Wait + c.Cost + slotCost*a.Hold*float64(l.busy[r]) + faultCost*l.faults[r].at(now) + a.far(i)
+	if !l.keeps(a.Key, r, now) {
+		c.Cost += a.Shared
+		t += (1 + rereadWeight) * a.Shared
+	}
+	return c, t
+}
+
 // note counts the prompt at the replica chosen for it.
 func (l *Ledger) note(a Ask, c Choice, now time.Time) {
 	r := a.Replicas[c.Index]
@@ -199,11 +163,8 @@
 		return ""
 	}
 	if why != NoFault {
-		was := l.faults[w.replica]
-		f := was.with(why, now)
-		l.faults[w.replica] = f
 		delete(l.kept, w.part)
-		if was.at(now) < avoidedFrom && f.likely >= avoidedFrom {
+		if l.failed(w.replica, why, now) {
 			avoided = w.replica
 		}
 	}
@@ -212,9 +173,14 @@
 	return avoided
 }
 
-// noWork is what sums of floating-point costs leave at a replica that has
-// nothing to read, in milliseconds.
-const noWork = 1e-6
+// failed counts a fault of the replica. It reports whether the replica is
+// avoided by it and was not before.
+func (l *Ledger) failed(replica string, why Fault, now time.Time) bool {
+	was := l.faults[replica]
+	f := was.with(why, now)
+	l.faults[replica] = f
+	return was.at(now) < avoidedFrom && f.likely >= avoidedFrom
+}
 
 // close takes the work off its replica.
 func (l *Ledger) close(ticket uint64) {
@@ -229,9 +195,6 @@
 	}
 }
 
-// sweepEvery bounds how often what is over is looked for.
-const sweepEvery = 500 * time.Millisecond
-
 // sweep drops what is over.
 func (l *Ledger) sweep(now time.Time) {
 	if now.Before(l.sweepAt) {
