--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -5,45 +5,6 @@
 	"time"
 )
 
-// Tally is what one instance saw of a service while it changes its release:
-// answers that were good or bad, and answers that came as fast as usual
-// (Good) or several times slower (Bad). Counts only grow.
-type Tally struct {
-	New, Old         Evidence
-	NewPace, OldPace Evidence
-}
-
-// Plus adds two tallies.
-func (t Tally) Plus(o Tally) Tally {
-	return Tally{New: t.New.plus(o.New), Old: t.Old.plus(o.Old), NewPace: t.NewPace.plus(o.NewPace), OldPace: t.OldPace.plus(o.OldPace)}
-}
-
-// Max returns the larger of each count.
-func (t Tally) Max(o Tally) Tally {
-	return Tally{New: t.New.Max(o.New), Old: t.Old.Max(o.Old), NewPace: t.NewPace.Max(o.NewPace), OldPace: t.OldPace.Max(o.OldPace)}
-}
-
-// minus returns what was counted since o.
-func (t Tally) minus(o Tally) Tally {
-	return Tally{New: t.New.minus(o.New), Old: t.Old.minus(o.Old), NewPace: t.NewPace.minus(o.NewPace), OldPace: t.OldPace.minus(o.OldPace)}
-}
-
-func (e Evidence) minus(o Evidence) Evidence {
-	return Evidence{Good: e.Good - o.Good, Bad: e.Bad - o.Bad}
-}
-
-func (e Evidence) plus(o Evidence) Evidence {
-	return Evidence{Good: e.Good + o.Good, Bad: e.Bad + o.Bad}
-}
-
-// rate is the part of bad outcomes; 0 if there are none.
-func (e Evidence) rate() float64 {
-	if e.Good+e.Bad == 0 {
-		return 0
-	}
-	return float64(e.Bad) / float64(e.Good+e.Bad)
-}
-
 var (
 	// answerRates are what the test of a release's answers tells apart: a
 	// third of them bad must stop it; one in twenty may be the replicas' usual
@@ -106,8 +67,8 @@
 	l := j.lately(now)
 	was := j.bad
 	j.bad = was ||
-		j.answers.Tripped() && !excused(j.total.New, j.total.Old) && !excusedLately(l.New, l.Old, answerRates) ||
-		j.pace.Tripped() && !excused(j.total.NewPace, j.total.OldPace) && !excusedLately(l.NewPace, l.OldPace, paceRates)
+		j.answers.Tripped() && !excused(j.total.answers()) && !excusedLately(l.answers(), answerRates) ||
+		j.pace.Tripped() && !excused(j.total.pace()) && !excusedLately(l.pace(), paceRates)
 	return j.bad && !was
 }
 
@@ -134,17 +95,17 @@
 
 // excused reports whether the old release is about as bad: then the trouble
 // is not the new one's.
-func excused(now, old Evidence) bool {
-	if old.Good+old.Bad < minBaseline {
+func excused(e pair) bool {
+	if e.old.Good+e.old.Bad < minBaseline {
 		return false
 	}
-	p := min(maxExcuse, old.rate())
-	n := float64(now.Good + now.Bad)
-	return now.rate() < excuse*p || float64(now.Bad) < n*p+chance*math.Sqrt(n*p*(1-p))
+	p := min(maxExcuse, e.old.rate())
+	n := float64(e.now.Good + e.now.Bad)
+	return e.now.rate() < excuse*p || float64(e.now.Bad) < n*p+chance*math.Sqrt(n*p*(1-p))
 }
 
 // excusedLately reports whether a release shows no trouble in the last span,
 // or none that the old one does not show in it as well.
-func excusedLately(now, old Evidence, r Rates) bool {
-	return now.rate() <= r.Good || excused(now, old)
+func excusedLately(e pair, r Rates) bool {
+	return e.now.rate() <= r.Good || excused(e)
 }
