--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -85,6 +85,7 @@
 	return nil
 }
 
+// step makes the next call, or the calls of a whole read.
 func (m *Mirror) step(ctx context.Context) error {
 	if m.revision < 0 {
 		return m.readAll(ctx)
@@ -110,32 +111,32 @@
 // readAll reads page after page. The changes are followed from the first
 // page's revision on, so that what changed between two pages comes again.
 func (m *Mirror) readAll(ctx context.Context) error {
-	var u Update
 	sent := m.clock()
-	after := ""
-	for {
-		x, cancel := context.WithTimeout(ctx, readTimeout)
-		p, err := m.feed.Read(x, m.prefix, after)
-		cancel()
-		if err != nil {
+	p, err := m.read(ctx, "")
+	if err != nil {
+		return err
+	}
+	u := Update{Items: p.Items, Whole: true, Revision: p.Revision}
+	for p.More && len(p.Items) > 0 {
+		if p, err = m.read(ctx, p.Items[len(p.Items)-1].Key); err != nil {
 			return err
 		}
-		if after == "" {
-			u.Revision = p.Revision
-		}
 		u.Items = append(u.Items, p.Items...)
-		if !p.More || len(p.Items) == 0 {
-			break
-		}
-		after = p.Items[len(p.Items)-1].Key
 	}
-	u.Whole = true
 	m.revision = u.Revision
 	m.on.Changed(u)
 	m.on.Confirmed(sent)
 	return nil
 }
 
+// read reads the page of the keys after the given one.
+func (m *Mirror) read(ctx context.Context, after string) (store.Page, error) {
+	x, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return m.feed.Read(x, m.prefix, after)
+}
+
+// follow takes in what one call for changes brings.
 func (m *Mirror) follow(ctx context.Context) error {
 	sent := m.clock()
 	c, err := m.feed.Changes(ctx, m.prefix, m.revision, m.wait)
