--- a/cmd/fieldvale-node/announce.go
+++ b/cmd/fieldvale-node/announce.go
@@ -11,33 +11,16 @@
 	"fieldvale/store"
 )
 
-// announceFor is how long an instance that is gone is still listed; a silent
-// keeper is passed over long before. It is renewed at a third. Instances that
-// the store turns away for 12 s keep their place; each of them that lost it
-// cost two calls and a change that all heard of.
-const announceFor = 20 * time.Second
-
-// findWithin is how long an instance waits for its first read of the store,
-// which shows whether an earlier life's announcement still stands.
-const findWithin = 2 * time.Second
-
-// firstStartWait is how long an instance waits before its first read of the
-// store when the whole fleet starts: the platform starts all within 0.3 s, and
-// an announcement takes two calls. Without it, none knows the others, and each
-// watches the store.
-const firstStartWait = 600 * time.Millisecond
-
-// follow keeps up with what the store holds.
-func (n *node) follow(ctx context.Context) error {
-	if n.s.FirstStart {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(firstStartWait):
-		}
-	}
-	return n.mirror().Run(ctx)
-}
+const (
+	// announceFor is how long an instance that is gone is still listed; a
+	// silent keeper is passed over long before. It is renewed at a third.
+	// Instances that the store turns away for 12 s keep their place; each of
+	// them that lost it cost two calls and a change that all heard of.
+	announceFor = 20 * time.Second
+	// findWithin is how long an instance waits for its first read of the
+	// store, which shows whether an earlier life's announcement still stands.
+	findWithin = 2 * time.Second
+)
 
 // self is this instance as others find it.
 func (n *node) self() peer.Member {
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -21,7 +21,6 @@
 	"fieldvale/admission"
 	"fieldvale/entry"
 	"fieldvale/lease"
-	"fieldvale/mirror"
 	"fieldvale/peer"
 	"fieldvale/placement"
 	"fieldvale/platform"
@@ -193,12 +192,6 @@
 	return err
 }
 
-// mirror returns the mirror that follows what the store holds.
-func (n *node) mirror() *mirror.Mirror {
-	on := relay.Tee{Log: n.changes, On: platform.NewListener(n.state, n.self(), n.found, n.event)}
-	return mirror.New(n.relay, platform.Prefix, relay.TimesFor(n.s.ApplyWithin).Watch, n.clock, on)
-}
-
 // closed drops the errors of a server that was stopped.
 func closed(ctx context.Context, err error) error {
 	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
