--- a/cmd/fieldvale-node/announce.go
+++ b/cmd/fieldvale-node/announce.go
@@ -18,7 +18,7 @@
 	// them that lost it cost two calls and a change that all heard of.
 	announceFor = 20 * time.Second
 	// findWithin is how long an instance waits for its first read of the
-	// store, which shows whether an earlier life's announcement still stands.
+	// store, which shows whether an earlier run's announcement still stands.
 	findWithin = 2 * time.Second
 )
 
@@ -35,10 +35,10 @@
 	}
 }
 
-// earlierLife returns the announcement of an instance that was started again:
+// earlierAnnouncement returns the announcement of an instance that was started again:
 // to renew it costs a tenth of a call, to make it anew two, and all instances
 // that follow the store would hear of it.
-func (n *node) earlierLife(ctx context.Context) store.Announced {
+func (n *node) earlierAnnouncement(ctx context.Context) store.Announced {
 	if n.s.FirstStart {
 		return store.Announced{}
 	}
@@ -59,7 +59,7 @@
 	if err != nil {
 		return errors.Wrap(err, "node.announce")
 	}
-	a := n.earlierLife(ctx)
+	a := n.earlierAnnouncement(ctx)
 	for ctx.Err() == nil {
 		a, err = n.renew(ctx, a, v)
 		if err != nil {
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -95,7 +95,7 @@
 }
 
 // startID begins an instance's ids, so that they differ from those of its
-// earlier life; it leaves room to count on.
+// earlier run; it leaves room to count on.
 func startID() uint64 { return rand.Uint64() >> 16 }
 
 // limitMemory has the collector keep the process within its memory.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -11,7 +11,7 @@
 	"fieldvale/store"
 )
 
-// feed answers with one crowd of changes, then with none.
+// feed answers with one burst of changes, then with none.
 type feed struct {
 	changes []store.Item
 }
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -75,7 +75,7 @@
 }
 
 // NewLedger returns an empty ledger. start makes its tickets differ from
-// those of an earlier life.
+// those of an earlier run.
 func NewLedger(start uint64) *Ledger {
 	return &Ledger{pending: map[string]float64{}, open: map[uint64]work{}, kept: map[keptPart]time.Time{}, busy: map[string]int{}, faults: map[string]fault{}, next: start}
 }
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -54,10 +54,10 @@
 // when they can't tell any more: the second tier asks the store at once, and
 // tells the others.
 func (n *Node) waitForBefore(ctx context.Context, tier int, after int64) (store.Changes, status) {
-	if n.untold || tier < tiers {
+	if n.lost || tier < tiers {
 		return store.Changes{}, lostTouch
 	}
-	n.untold = true
+	n.lost = true
 	for range min(mostGathers, tier-tiers+1) {
 		if !sleep(ctx, n.times.Gather) {
 			break
--- a/relay/node.go
+++ b/relay/node.go
@@ -30,11 +30,11 @@
 	pieces  pieces
 	packs   packs
 
-	// backoff, untold, large and gatherUntil belong to the one caller of
+	// backoff, lost, large and gatherUntil belong to the one caller of
 	// Changes. backoff is when the store may be asked again.
 	backoff backoff
-	// untold says that nobody could tell what is newest the last time.
-	untold bool
+	// lost says that nobody could tell what is newest the last time.
+	lost bool
 	// large says that the store failed where changes were too large for others
 	// to pass on: they are asked for them all the same.
 	large bool
@@ -96,4 +96,4 @@
 }
 
 // told notes that another instance could tell what is newest.
-func (n *Node) told() { n.untold, n.large = false, false }
+func (n *Node) told() { n.lost, n.large = false, false }
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -94,9 +94,9 @@
 	}
 }
 
-// Changes that come in a crowd cost few calls, and the last one is known to
+// Changes that come in a burst cost few calls, and the last one is known to
 // all soon after it was made.
-func TestCrowdsOfChangesAreGathered(t *testing.T) {
+func TestBurstsOfChangesAreGathered(t *testing.T) {
 	withFleet(t, 30, func(t *testing.T, f *fleet, s *fakeStore) {
 		calls := s.made()
 		var r int64
--- a/relay/times.go
+++ b/relay/times.go
@@ -13,7 +13,7 @@
 	// answer that brings a change proves nothing later than its question.
 	MaxAge time.Duration
 	// Gather is how long changes are gathered after one that came from the
-	// store: each call has a price, and changes come in crowds.
+	// store: each call has a price, and changes come in bursts.
 	Gather time.Duration
 }
 
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -23,7 +23,7 @@
 func (n *Node) watchOrFollow(ctx context.Context, prefix string, after int64, wait time.Duration, rest []peer.Member, tier int) (store.Changes, error) {
 	c, err := n.watch(ctx, prefix, after, wait)
 	if err == nil || errors.Is(err, store.ErrCompacted) || ctx.Err() != nil {
-		n.backoff, n.untold = n.backoff.withAnswer(), false
+		n.backoff, n.lost = n.backoff.withAnswer(), false
 		return c, err
 	}
 	n.backoff = n.backoff.withFailure(tier, n.clock())
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -17,7 +17,7 @@
 }
 
 // New returns no waiters. start makes the ids of their questions differ from
-// those of an earlier life.
+// those of an earlier run.
 func New[T any](start uint64) *Waiters[T] {
 	return &Waiters[T]{next: start, open: map[uint64]chan T{}}
 }
