--- a/cmd/fieldvale-node/announce.go
+++ b/cmd/fieldvale-node/announce.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// earlierAnnouncement returns the announcement of an instance that was started again:
+// earlierAnnouncement returns that of an instance that was started again:
 // to renew it costs a tenth of a call, to make it anew two, and all instances
 // that follow the store would hear of it.
 func (n *node) earlierAnnouncement(ctx context.Context) store.Announced {
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -174,24 +174,28 @@
 	g.Go(func() error { return n.duties(x, hup) })
 	g.Go(func() error { return n.write(x) })
 	g.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-x.Done():
-			// One of the servers has failed: the others end, and the process
-			// with them.
-			d.close()
-			return nil
-		}
-		err := n.stop()
-		cancel()
-		d.close()
-		return err
+		defer d.close()
+		return n.stopAfter(ctx, x, cancel)
 	})
 	err = g.Wait()
 	n.event("stopped")
 	return err
 }
 
+// stopAfter stops in order once ctx has ended, and then ends the servers with
+// cancel. If one of them has failed, which ends running, the others end as
+// well, and the process with them.
+func (n *node) stopAfter(ctx, running context.Context, cancel func()) error {
+	select {
+	case <-ctx.Done():
+	case <-running.Done():
+		return nil
+	}
+	err := n.stop()
+	cancel()
+	return err
+}
+
 // closed drops the errors of a server that was stopped.
 func closed(ctx context.Context, err error) error {
 	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
