--- a/placement/choice.go
+++ b/placement/choice.go
@@ -41,7 +41,8 @@
 type Choice struct {
 	// Index is into the candidates.
 	Index int
-	// Wait is the work before the prompt, in milliseconds.
+	// Wait is the time before the prompt is read, in milliseconds: for the work
+	// before it and for a free slot.
 	Wait float64
 	// Cost is the prompt's own time there, in milliseconds.
 	Cost float64
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -77,10 +77,14 @@
 // NewLedger returns an empty ledger. start makes its tickets differ from
 // those of an earlier run.
 func NewLedger(start uint64) *Ledger {
-	return &Ledger{pending: map[string]float64{}, open: map[uint64]work{}, kept: map[keptPart]time.Time{}, busy: map[string]int{}, faults: map[string]fault{}, next: start}
+	return &Ledger{
+		pending: map[string]float64{}, open: map[uint64]work{}, busy: map[string]int{},
+		faults: map[string]fault{}, kept: map[keptPart]time.Time{}, next: start,
+	}
 }
 
-// Choose places a prompt where it will be read first, and notes it there.
+// Choose places a prompt where it counts for the least time, and notes it
+// there.
 func (l *Ledger) Choose(a Ask, now time.Time) Choice {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/relay/ask.go
+++ b/relay/ask.go
@@ -27,7 +27,8 @@
 // ask asks one instance what changed and waits for its answer.
 func (n *Node) ask(ctx context.Context, m peer.Member, after int64) (answer, bool) {
 	return n.waiting.Ask(ctx, n.times.Follow+answerSlack, func(id uint64) error {
-		return n.send(m.Addr, id, message{Question: &question{ID: id, After: after, Wait: n.times.Follow.Milliseconds(), Large: n.large}}, nil)
+		q := question{ID: id, After: after, Wait: n.times.Follow.Milliseconds(), Large: n.large}
+		return n.send(m.Addr, id, message{Question: &q}, nil)
 	})
 }
 
--- a/relay/node.go
+++ b/relay/node.go
@@ -51,7 +51,10 @@
 
 // NewNode returns the instance with that id. l is what it tells others.
 func NewNode(self string, start uint64, l *Log, s store.Feed, net Transport, clock func() time.Time, event func(event string, fields ...any), t Times) *Node {
-	return &Node{times: t, self: self, log: l, store: s, net: net, clock: clock, event: event, avoid: map[string]time.Time{}, waiting: reply.New[answer](start)}
+	return &Node{
+		self: self, log: l, store: s, net: net, clock: clock, event: event, times: t,
+		waiting: reply.New[answer](start), avoid: map[string]time.Time{},
+	}
 }
 
 // SetMembers replaces the list of the fleet's instances.
