--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -21,7 +21,6 @@
 	"fieldvale/admission"
 	"fieldvale/entry"
 	"fieldvale/lease"
-	"fieldvale/mirror"
 	"fieldvale/peer"
 	"fieldvale/placement"
 	"fieldvale/platform"
@@ -96,7 +95,7 @@
 }
 
 // startID begins an instance's ids, so that they differ from those of its
-// earlier life; it leaves room to count on.
+// earlier run; it leaves room to count on.
 func startID() uint64 { return rand.Uint64() >> 16 }
 
 // limitMemory has the collector keep the process within its memory.
@@ -175,28 +174,26 @@
 	g.Go(func() error { return n.duties(x, hup) })
 	g.Go(func() error { return n.write(x) })
 	g.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-x.Done():
-			// One of the servers has failed: the others end, and the process
-			// with them.
-			d.close()
-			return nil
-		}
-		err := n.stop()
-		cancel()
-		d.close()
-		return err
+		defer d.close()
+		return n.stopAfter(ctx, x, cancel)
 	})
 	err = g.Wait()
 	n.event("stopped")
 	return err
 }
 
-// mirror returns the mirror that follows what the store holds.
-func (n *node) mirror() *mirror.Mirror {
-	on := relay.Tee{Log: n.changes, On: platform.NewListener(n.state, n.self(), n.found, n.event)}
-	return mirror.New(n.relay, platform.Prefix, relay.TimesFor(n.s.ApplyWithin).Watch, n.clock, on)
+// stopAfter stops in order once ctx has ended, and then ends the servers with
+// cancel. If one of them has failed, which ends running, the others end as
+// well, and the process with them.
+func (n *node) stopAfter(ctx, running context.Context, cancel func()) error {
+	select {
+	case <-ctx.Done():
+	case <-running.Done():
+		return nil
+	}
+	err := n.stop()
+	cancel()
+	return err
 }
 
 // closed drops the errors of a server that was stopped.
--- a/relay/node.go
+++ b/relay/node.go
@@ -12,30 +12,9 @@
 	"fieldvale/store"
 )
 
-const (
-	// avoidFor is how long an instance that could not tell, or a store that
-	// could not be reached while others could tell, is passed over.
-	avoidFor = 2 * time.Second
-	// storeSlack is how much longer than asked for the store may take before
-	// it counts as lost; well above its usual 4 ms and below the second in
-	// which an instance has to notice.
-	storeSlack = 700 * time.Millisecond
-	// askAgain is how long an instance is passed over that answered without
-	// knowing: it may have to watch the store itself any moment.
-	askAgain = 200 * time.Millisecond
-	// firstPause and longestPause bound how long an instance of the first two
-	// tiers leaves a store alone that failed it: all have to know what is
-	// newest three seconds after its return, also where the watching ones have
-	// ended meanwhile. The next tiers leave it alone longer, once more for
-	// each tier before them, but for mostPauses at most: all calls have a
-	// price, and those ranked before go on asking.
-	firstPause   = 400 * time.Millisecond
-	longestPause = 1200 * time.Millisecond
-	mostPauses   = 8
-	// mostGathers bounds, in Times.Gather, how long an instance of the later
-	// tiers waits for the second tier when the watching ones can't tell.
-	mostGathers = 3
-)
+// avoidFor is how long an instance that could not tell, or a store that
+// could not be reached while others could tell, is passed over.
+const avoidFor = 2 * time.Second
 
 // Node follows other instances and is followed.
 type Node struct {
@@ -51,13 +30,11 @@
 	pieces  pieces
 	packs   packs
 
-	// storeAt is when the store is asked again after it failed, and pause
-	// how long it was left alone the last time. An instance that others stand
-	// before asks them meanwhile. Both belong to the one caller of Changes.
-	storeAt time.Time
-	pause   time.Duration
-	// untold says that nobody could tell what is newest the last time.
-	untold bool
+	// backoff, lost, large and gatherUntil belong to the one caller of
+	// Changes. backoff is when the store may be asked again.
+	backoff backoff
+	// lost says that nobody could tell what is newest the last time.
+	lost bool
 	// large says that the store failed where changes were too large for others
 	// to pass on: they are asked for them all the same.
 	large bool
@@ -74,7 +51,10 @@
 
 // NewNode returns the instance with that id. l is what it tells others.
 func NewNode(self string, start uint64, l *Log, s store.Feed, net Transport, clock func() time.Time, event func(event string, fields ...any), t Times) *Node {
-	return &Node{times: t, self: self, log: l, store: s, net: net, clock: clock, event: event, avoid: map[string]time.Time{}, waiting: reply.New[answer](start)}
+	return &Node{
+		self: self, log: l, store: s, net: net, clock: clock, event: event, times: t,
+		waiting: reply.New[answer](start), avoid: map[string]time.Time{},
+	}
 }
 
 // SetMembers replaces the list of the fleet's instances.
@@ -98,13 +78,13 @@
 	before, rest, tier := n.sources()
 	c, s := n.follow(ctx, before, after)
 	if s == lostTouch {
-		c, s = n.standBack(ctx, tier, after)
+		c, s = n.waitForBefore(ctx, tier, after)
 	}
 	if s == known {
 		n.told()
 		return c, nil
 	}
-	if s == lostTouch && n.clock().Before(n.storeAt) {
+	if s == lostTouch && n.backoff.waits(n.clock()) {
 		if c, s := n.follow(ctx, rest, after); s == known {
 			n.told()
 			return c, nil
@@ -119,117 +99,4 @@
 }
 
 // told notes that another instance could tell what is newest.
-func (n *Node) told() { n.untold, n.large = false, false }
-
-// standBack has an instance of the later tiers wait for those before it when
-// they can't tell any more: the second tier asks the store at once, and tells
-// the others.
-func (n *Node) standBack(ctx context.Context, tier int, after int64) (store.Changes, status) {
-	if n.untold || tier < tiers {
-		return store.Changes{}, lostTouch
-	}
-	n.untold = true
-	for range min(mostGathers, tier-tiers+1) {
-		if !n.sleep(ctx, n.times.Gather) {
-			break
-		}
-		before, _, _ := n.sources()
-		if c, s := n.follow(ctx, before, after); s != lostTouch {
-			return c, s
-		}
-	}
-	return store.Changes{}, lostTouch
-}
-
-// sleep waits for d; it reports false if ctx ended before.
-func (n *Node) sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
-// watchOrFollow asks the store, and the rest if it can't be reached.
-func (n *Node) watchOrFollow(ctx context.Context, prefix string, after int64, wait time.Duration, rest []peer.Member, tier int) (store.Changes, error) {
-	c, err := n.watch(ctx, prefix, after, wait)
-	if err == nil || errors.Is(err, store.ErrCompacted) || ctx.Err() != nil {
-		n.pause, n.untold = 0, false
-		return c, err
-	}
-	n.leaveStore(tier)
-	if f, s := n.follow(ctx, rest, after); s == known {
-		n.storeAt = n.clock().Add(avoidFor)
-		return f, nil
-	}
-	return c, err
-}
-
-// leaveStore sets when a store that failed is asked again.
-func (n *Node) leaveStore(tier int) {
-	times := time.Duration(min(mostPauses, max(1, tier)))
-	n.pause = min(times*longestPause, max(times*firstPause, 2*n.pause))
-	n.storeAt = n.clock().Add(n.pause)
-}
-
-// errWaits says that neither the store nor another instance was reached, and
-// that it is not yet time to ask the store again.
-var errWaits = errors.New("relay: the store was not reached, and other instances can't tell")
-
-// watch asks the store. Only what it says may be told to others: instances
-// that follow each other would all be wrong together.
-func (n *Node) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
-	n.from("store")
-	if d := n.gatherUntil.Sub(n.clock()); d > 0 && !n.sleep(ctx, d) {
-		return store.Changes{}, errors.Wrap(ctx.Err(), "relay.watch")
-	}
-	x, cancel := context.WithTimeout(ctx, wait+storeSlack)
-	defer cancel()
-	c, err := n.store.Changes(x, prefix, after, wait)
-	n.log.SetDirect(err == nil || errors.Is(err, store.ErrCompacted))
-	if len(c.Items) > 0 {
-		n.gatherUntil = n.clock().Add(n.times.Gather)
-	}
-	return c, err
-}
-
-// follow asks one instance after another. It gives up at one that knows of
-// changes which only the store can tell.
-func (n *Node) follow(ctx context.Context, sources []peer.Member, after int64) (store.Changes, status) {
-	for _, m := range sources {
-		a, ok := n.ask(ctx, m, after)
-		if ok && a.Status == known && a.age() <= n.times.MaxAge {
-			n.from(m.ID)
-			n.log.SetDirect(false)
-			c := a.changes()
-			c.Waited = n.times.Follow
-			return c, known
-		}
-		if ctx.Err() != nil {
-			return store.Changes{}, lostTouch
-		}
-		switch {
-		case !ok:
-			n.pass(m, avoidFor)
-		case a.Status == tooLarge || a.Status == forgotten:
-			return store.Changes{}, a.Status
-		case a.Status == lostTouch || a.Status == known:
-			n.pass(m, askAgain)
-		}
-	}
-	return store.Changes{}, lostTouch
-}
-
-// from logs whom the instance follows when that changes.
-func (n *Node) from(source string) {
-	n.mu.Lock()
-	was := n.source
-	n.source = source
-	n.mu.Unlock()
-	if was != source {
-		n.event("following", "source", source, "before", was)
-	}
-}
+func (n *Node) told() { n.lost, n.large = false, false }
