Shared parts are read again sooner where the first event would come late

For the largest model a long shared part weighed as much as 3 s of waiting.

Change: a question tells the time left to the route's target; what is expected over 0.3 of it counts nine times.

Test: TestLedgerReadsAgainInsteadOfBeingLate.

--- a/entry/place.go
+++ b/entry/place.go
@@ -66,9 +66,20 @@
 	return placement.Ask{
 		Key: e.key, Replicas: ids(c), Slots: slots(c), Far: w.r.far(c),
 		Read: max(1, e.own), Shared: e.shared, Hold: w.r.holds.of(w.holdKey()),
+		Within: w.within(),
 	}
 }
 
+// within is the time left to the route's target, in milliseconds, and at least
+// one where there is a target; 0 where there is none.
+func (w *forwarding) within() float64 {
+	if w.q.Route.Target <= 0 {
+		return 0
+	}
+	left := w.q.Arrived.Add(w.q.Route.Target).Sub(w.r.clock())
+	return max(1, left.Seconds()*1000)
+}
+
 // placeHere chooses by this instance's own work.
 func (w *forwarding) placeHere(l []*pool.Replica, key string, cost float64) *placed {
 	b := w.r.backends.takeOpaque(l, key, w.tried, cost, w.r.clock())
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -19,6 +19,18 @@
 	// Far has the bits set of the candidates in other data centres than the
 	// asker's.
 	Far uint64
+	// Within is the time left in which the first event should come, in
+	// milliseconds; 0 for no such time.
+	Within float64
+}
+
+// late is what a first event after that time counts for, in milliseconds: long
+// waits turn out longer than expected, so that it begins before.
+func (a Ask) late(expected float64) float64 {
+	if a.Within <= 0 {
+		return 0
+	}
+	return lateWeight * max(0, expected-latePart*a.Within)
 }
 
 // far is what the candidate counts for by its data centre, in milliseconds.
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -34,6 +34,12 @@
 	// milliseconds: the way there and back, and the price of the bytes, for
 	// which it is worth to read some 200 shared tokens again, but not 600.
 	farCost = 30.0
+	// latePart of the time that a prompt has is what it may be expected to
+	// take without counting as late, lateWeight what each millisecond over
+	// that counts for on top: then it is better to read a long shared part
+	// again, whatever that takes from others.
+	latePart   = 0.3
+	lateWeight = 8.0
 	// maxKept bounds the parts remembered; at 64 bytes each some 4 MB.
 	maxKept = 1 << 16
 	// noWork is what sums of floating-point costs leave at a replica that has
@@ -123,7 +129,7 @@
 		c.Cost += a.Shared
 		t += (1 + rereadWeight) * a.Shared
 	}
-	return c, t
+	return c, t + a.late(c.Wait+c.Cost)
 }
 
 // note counts the prompt at the replica chosen for it.
--- a/placement/ledger_test.go
+++ b/placement/ledger_test.go
@@ -100,6 +100,21 @@
 	}
 }
 
+// A shared part is read again sooner where the first event would come late.
+func TestLedgerReadsAgainInsteadOfBeingLate(t *testing.T) {
+	l := placement.NewLedger(0)
+	a := placement.Ask{Key: "m/k", Replicas: []string{"a", "b"}, Read: 50, Shared: 100, Within: 1000}
+	n := 0
+	for l.Choose(a, noon).Index == 0 {
+		n++
+	}
+	// Over 300 ms count nine times: at 400 ms of work, as much as reading all
+	// again does.
+	if n < 5 || n > 8 {
+		t.Errorf("%d prompts before the shared part was read again, want about 7", n)
+	}
+}
+
 func TestLedgerForgetsWorkThatNobodyEnds(t *testing.T) {
 	l := placement.NewLedger(0)
 	a := placement.Ask{Replicas: []string{"a"}, Read: 100}
--- a/placement/wire.go
+++ b/placement/wire.go
@@ -23,6 +23,7 @@
 	Hold     float64  `json:"Hold,omitempty"`
 	Slots    []int    `json:"Slots,omitempty"`
 	Far      uint64   `json:"Far,omitempty"`
+	Within   float64  `json:"Within,omitempty"`
 }
 
 type wireChoice struct {
