--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -48,13 +48,6 @@
 	return r
 }
 
-// made returns how many calls there were.
-func (f *fakeStore) made() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.calls
-}
-
 // setDown has the store fail all calls, or none, and returns how many calls
 // there were until then.
 func (f *fakeStore) setDown(down bool) int {
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -16,7 +16,7 @@
 
 func TestChangesReachAllAndAgesAddUp(t *testing.T) {
 	withFleet(t, 7, func(t *testing.T, f *fleet, s *fakeStore) {
-		calls := s.made()
+		calls := s.calls
 		r := s.put("a", "2")
 		time.Sleep(100 * time.Millisecond)
 		for id, on := range f.on {
@@ -26,7 +26,7 @@
 		}
 		time.Sleep(15 * time.Second)
 		// Two watch, 25 calls each in 15 s.
-		if n := s.made() - calls; n > 60 {
+		if n := s.calls - calls; n > 60 {
 			t.Errorf("%d calls of the store in 15 s of an idle fleet, want about 50", n)
 		}
 		for id, on := range f.on {
@@ -98,14 +98,14 @@
 // all soon after it was made.
 func TestBurstsOfChangesAreGathered(t *testing.T) {
 	withFleet(t, 30, func(t *testing.T, f *fleet, s *fakeStore) {
-		calls := s.made()
+		calls := s.calls
 		var r int64
 		for range 200 {
 			time.Sleep(20 * time.Millisecond)
 			r = s.put("a", "2")
 		}
 		// Two watch, each 200 ms for 4 s.
-		if n := s.made() - calls; n > 44 {
+		if n := s.calls - calls; n > 44 {
 			t.Errorf("%d calls for 200 changes in 4 s, want at most 44", n)
 		}
 		time.Sleep(300 * time.Millisecond)
@@ -137,7 +137,7 @@
 		withFleet(t, 7, func(t *testing.T, f *fleet, s *fakeStore) {
 			last := peer.Rank(watchersKey, f.members())[6].ID
 			f.away[last].set(true)
-			calls := s.made()
+			calls := s.calls
 			v := make([]byte, size)
 			r := rand.New(rand.NewPCG(1, 1))
 			for i := range v {
@@ -151,7 +151,7 @@
 				}
 			}
 			// Two watch, each 600 ms.
-			if n := s.made() - calls; size < maxPacked && n > 6 {
+			if n := s.calls - calls; size < maxPacked && n > 6 {
 				t.Errorf("%d calls of the store for %d bytes", n, size)
 			}
 		})
