An instance of any rank that the store turns away gets large changes

Cause: that a change is too large was noted only when those ranked before said so.

Change: it is noted wherever it is said. Tests: TestLargeChangesPassBetweenInstances plays ranks 0, 1, 2, 3 and 6 now; it failed for rank 0 before. TestLargeChangesReachAll has bytes that do not compress again: zeros are packed to 870 bytes since changes are packed.

--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -263,3 +264,13 @@
 	}
 	return ended
 }
+
+// random returns so many bytes that do not compress.
+func random(size int) string {
+	r := rand.New(rand.NewPCG(1, 1))
+	b := make([]byte, size)
+	for i := range b {
+		b[i] = byte(r.Uint32())
+	}
+	return string(b)
+}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -32,6 +32,8 @@
 		case !ok:
 			n.pass(m, avoidFor)
 		case a.Status == tooLarge || a.Status == forgotten:
+			// Unless the store answers now, it is asked for all the same.
+			n.large = a.Status == tooLarge
 			return store.Changes{}, a.Status
 		case a.Status == lostTouch || a.Status == known:
 			n.pass(m, askAgain)
--- a/relay/node.go
+++ b/relay/node.go
@@ -93,9 +93,7 @@
 			return store.Changes{}, errors.Mark(errWaits, store.ErrUnavailable)
 		}
 	}
-	c, err := n.watchOrFollow(ctx, prefix, after, wait, rest, tier)
-	n.large = err != nil && s == tooLarge
-	return c, err
+	return n.watchOrFollow(ctx, prefix, after, wait, rest, tier)
 }
 
 // told notes that another instance could tell what is newest.
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -23,12 +23,14 @@
 func (n *Node) watchOrFollow(ctx context.Context, prefix string, after int64, wait time.Duration, rest []peer.Member, tier int) (store.Changes, error) {
 	c, err := n.watch(ctx, prefix, after, wait)
 	if err == nil || errors.Is(err, store.ErrCompacted) || ctx.Err() != nil {
-		n.backoff, n.lost = n.backoff.withAnswer(), false
+		n.backoff = n.backoff.withAnswer()
+		n.told()
 		return c, err
 	}
 	n.backoff = n.backoff.withFailure(tier, n.clock())
 	if f, s := n.follow(ctx, rest, after); s == known {
 		n.backoff = n.backoff.withSource(n.clock())
+		n.told()
 		return f, nil
 	}
 	return c, err
