--- a/cmd/fieldvale-node/site_test.go
+++ b/cmd/fieldvale-node/site_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/apex/log"
 
+	"fieldvale/adapter/datagram"
 	"fieldvale/adapter/logging"
 	"fieldvale/adapter/settings"
 	"fieldvale/adapter/socket"
@@ -57,6 +58,21 @@
 	return a
 }
 
+// freeDatagramPort returns an address for datagrams that was free a moment ago;
+// one that is kept for connections may be another's for datagrams.
+func freeDatagramPort(t *testing.T) string {
+	d, err := datagram.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := d.Serve(x, nil); err != nil {
+		t.Fatal(err)
+	}
+	return d.Addr()
+}
+
 func newSite(t *testing.T) *site {
 	s := &site{t: t, store: sitetest.NewStore(), replicas: map[string]*sitetest.Replica{}, logs: &syncBuffer{}, done: make(chan error, 1)}
 	t.Cleanup(s.store.Close)
@@ -84,7 +100,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	n := settings.Node{ID: "n1", DataCentre: "z", Listen: freePort(s.t), Ready: freePort(s.t), Metrics: freePort(s.t), Peers: freePort(s.t),
+	n := settings.Node{ID: "n1", DataCentre: "z", Listen: freePort(s.t), Ready: freePort(s.t), Metrics: freePort(s.t), Peers: freeDatagramPort(s.t),
 		Store: s.store.Addr(), Level: "info", StopWithin: 4 * time.Second, ApplyWithin: 2 * time.Second, MemoryMB: 200, HonourFor: 5 * time.Second, RepeatPart: 0.9, RepeatBurst: 54, AcceptConfidence: 50}
 	change(&n)
 	s.node = newNode(n, "", l)
@@ -92,7 +108,14 @@
 	ctx, s.stop = context.WithCancel(context.Background())
 	go func() { s.done <- s.node.run(ctx, nil) }()
 	s.t.Cleanup(s.stop)
-	s.eventually("the node is ready", func() bool { return s.readiness() == http.StatusOK })
+	s.eventually("the node is ready", func() bool {
+		select {
+		case err := <-s.done:
+			s.t.Fatalf("the node ended: %v", err)
+		default:
+		}
+		return s.readiness() == http.StatusOK
+	})
 }
 
 func (s *site) readiness() int {
