--- a/relay/node.go
+++ b/relay/node.go
@@ -96,5 +96,5 @@
 	return n.watchOrFollow(ctx, prefix, after, wait, rest, tier)
 }
 
-// told notes that another instance could tell what is newest.
+// told notes that what is newest is known again.
 func (n *Node) told() { n.lost, n.large = false, false }
