Configurations above 12 kB packed are read from the store

A configuration with 1,456 routes more went packed, under 32 kB, to some 27 followers of each watching instance at once, over links of 10 Mbit/s: the links were full, pieces were lost, and the followers asked for all of it again; those watching went silent to their keepers, too. Followers turned to the store after three seconds.

Change: 12 kB, two pieces, 0.4 s of such a link for 40 followers.

--- a/relay/ask.go
+++ b/relay/ask.go
@@ -13,10 +13,11 @@
 	// instance, or the store, is asked.
 	answerSlack = 150 * time.Millisecond
 	// maxPacked bounds the packed items of an answer, in bytes, unless the
-	// store can't be read: 60 followers get them at once, which takes 1.6 s of
-	// a link of 10 Mbit/s, the slowest known. Larger changes are read from
-	// the store.
-	maxPacked = 32 << 10
+	// store can't be read: 40 followers get them at once, which takes 0.4 s of
+	// a link of 10 Mbit/s, the slowest known. With 32 kB a link was full for
+	// three seconds, as followers that had missed a piece asked again. Larger
+	// changes are read from the store.
+	maxPacked = 12 << 10
 )
 
 // Transport sends datagrams to other instances. One may be lost.
