--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -98,6 +98,32 @@
 	nodes map[string]*Node
 	cut   map[string]bool
 	delay time.Duration
+	// rate is what each instance's link sends in a second, in bytes; 0 for no
+	// bound. What would wait longer than fullAfter is lost.
+	rate  float64
+	until map[string]time.Time
+}
+
+// fullAfter is how long the queue of a link is.
+const fullAfter = 200 * time.Millisecond
+
+// queue returns how long the datagram waits for its sender's link, and whether
+// it is sent at all; n.mu is held.
+func (n *network) queue(from string, bytes int) (time.Duration, bool) {
+	if n.rate == 0 {
+		return 0, true
+	}
+	now := time.Now()
+	at := n.until[from]
+	if at.Before(now) {
+		at = now
+	}
+	if at.Sub(now) > fullAfter {
+		return 0, false
+	}
+	at = at.Add(time.Duration(float64(bytes) / n.rate * float64(time.Second)))
+	n.until[from] = at
+	return at.Sub(now), true
 }
 
 type way struct {
@@ -112,7 +138,10 @@
 	if x == nil || w.n.cut[w.from+">"+to] {
 		return nil
 	}
-	time.AfterFunc(w.n.delay, func() { x.Receive(w.from, b) })
+	d, ok := w.n.queue(w.from, len(b))
+	if ok {
+		time.AfterFunc(d+w.n.delay, func() { x.Receive(w.from, b) })
+	}
 	return nil
 }
 
@@ -200,7 +229,7 @@
 // start runs n instances; each has its own way to the store, so that the
 // store can turn single ones away.
 func start(ctx context.Context, g *sync.WaitGroup, n int, shared *fakeStore) *fleet {
-	f := &fleet{net: &network{nodes: map[string]*Node{}, cut: map[string]bool{}, delay: time.Millisecond}, away: map[string]*flag{}, on: map[string]*listener{}}
+	f := &fleet{net: &network{nodes: map[string]*Node{}, cut: map[string]bool{}, delay: time.Millisecond, until: map[string]time.Time{}}, away: map[string]*flag{}, on: map[string]*listener{}}
 	var m []peer.Member
 	for i := range n {
 		id := fmt.Sprint("n", i)
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -152,3 +152,21 @@
 		})
 	}
 }
+
+// A change that fits many datagrams reaches all in time over slow links.
+func TestLargeChangesReachAllOverSlowLinks(t *testing.T) {
+	withFleet(t, 80, func(t *testing.T, f *fleet, s *fakeStore) {
+		f.net.mu.Lock()
+		f.net.rate = 10e6 / 8
+		f.net.mu.Unlock()
+		for _, size := range []int{9_000, 28_000} {
+			r := s.put("a", random(size))
+			time.Sleep(time.Second)
+			for id, on := range f.on {
+				if got, _, _ := on.state(); got != r {
+					t.Errorf("%s is at revision %d 1 s after revision %d of %d bytes", id, got, r, size)
+				}
+			}
+		}
+	})
+}
