Keys are honoured beyond their lease where the operator asks for no strictness

Ruled out: a longer honour_for for all (breaks strict deployments).

Change: setting [keys] strict, true if it is not given; without it the newest configuration known goes on deciding. An instance that has read none still refuses, readiness still goes by age, one line says when the configuration is unconfirmed and when it is confirmed again.

Strict deployments: unchanged paths.

--- a/adapter/inifile/inifile.go
+++ b/adapter/inifile/inifile.go
@@ -129,11 +129,11 @@
 	return f
 }
 
-// Truth returns true or false, false if the key is not there.
-func (s *Section) Truth(key string) bool {
+// Truth returns true or false, or d if the key is not there.
+func (s *Section) Truth(key string, d bool) bool {
 	t := s.Text(key)
 	if t == "" {
-		return false
+		return d
 	}
 	b, err := strconv.ParseBool(t)
 	if err != nil {
--- a/adapter/policyfile/policyfile.go
+++ b/adapter/policyfile/policyfile.go
@@ -72,7 +72,7 @@
 		case "task":
 			c.Tasks = append(c.Tasks, catalog.Task{Name: s.Name, Allowance: s.Span("allowance", catalog.DefaultAllowance)})
 		case "service":
-			c.Services = append(c.Services, catalog.Service{Name: s.Name, Once: s.List("once"), ChecksKey: s.Truth("checks_key")})
+			c.Services = append(c.Services, catalog.Service{Name: s.Name, Once: s.List("once"), ChecksKey: s.Truth("checks_key", false)})
 		}
 	})
 	slices.SortFunc(c.Customers, func(a, b catalog.Customer) int { return strings.Compare(a.Name, b.Name) })
@@ -98,7 +98,7 @@
 	if err != nil {
 		s.Fail("name", "%q is not MODEL@VERSION", s.Name)
 	}
-	return catalog.Version{ID: v, CostIn: s.Number("cost_in"), CostOut: s.Number("cost_out"), Default: s.Truth("default")}
+	return catalog.Version{ID: v, CostIn: s.Number("cost_in"), CostOut: s.Number("cost_out"), Default: s.Truth("default", false)}
 }
 
 func parseCases(text string) ([]policy.Case, []error) {
--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -32,6 +32,9 @@
 	// HonourFor is the longest that a key may be honoured after it was taken
 	// away.
 	HonourFor time.Duration
+	// KeysLenient has keys honoured beyond that where the configuration can't
+	// be confirmed.
+	KeysLenient bool
 	// RepeatPart and RepeatBurst bound how many more requests than came in
 	// may reach a service, fleet-wide.
 	RepeatPart  float64
@@ -90,6 +93,7 @@
 		}
 	case "keys":
 		n.HonourFor = s.Span("honour_for", defaultHonourFor)
+		n.KeysLenient = !s.Truth("strict", true)
 	case "models":
 		n.readModels(s)
 	case "repeats":
@@ -113,7 +117,7 @@
 	n.Metrics = address(s, "metrics_listen")
 	n.Peers = address(s, "peers_listen")
 	n.Store = address(s, "store")
-	n.FirstStart = s.Truth("first_start")
+	n.FirstStart = s.Truth("first_start", false)
 	n.ApplyWithin = s.Span("apply_within", defaultApplyWithin)
 	n.StopWithin = s.Span("stop_within", defaultNodeStop)
 	n.Level = readLevel(s)
--- a/adapter/settings/settings_test.go
+++ b/adapter/settings/settings_test.go
@@ -86,3 +86,26 @@
 		t.Error(e)
 	}
 }
+
+func TestKeysAreStrictUnlessSaid(t *testing.T) {
+	const node = "[node]\nid = x\ndata_centre = d\nlisten = 127.0.0.1:1\nready_listen = 127.0.0.1:2\nmetrics_listen = 127.0.0.1:3\npeers_listen = 127.0.0.1:4\nstore = 127.0.0.1:5\n"
+	for _, c := range []struct {
+		keys    string
+		lenient bool
+		sound   bool
+	}{
+		{"", false, true},
+		{"[keys]\nhonour_for = 5s\n", false, true},
+		{"[keys]\nstrict = true\n", false, true},
+		{"[keys]\nstrict = false\n", true, true},
+		{"[keys]\nstrict = perhaps\n", true, false},
+	} {
+		n, e := settings.LoadNode(write(t, node+c.keys))
+		if (len(e) == 0) != c.sound {
+			t.Errorf("%q: faults %v, want sound %t", c.keys, e, c.sound)
+		}
+		if c.sound && n.KeysLenient != c.lenient {
+			t.Errorf("%q: lenient %t, want %t", c.keys, n.KeysLenient, c.lenient)
+		}
+	}
+}
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -82,7 +82,7 @@
 		s: s, path: path, log: l, clock: time.Now, metrics: metrics.New(), view: entry.NewCurrent(),
 		records: make(chan state.Record), earlier: make(chan store.Announced, 1), pool: exchange.New(), stopping: make(chan struct{}),
 	}
-	n.lease = lease.New(time.Duration(honourPart*float64(s.HonourFor)), n.clock())
+	n.lease = lease.New(time.Duration(honourPart*float64(s.HonourFor)), keyRule(s), n.clock())
 	n.placer = placement.NewNode(s.ID, startID(), tagged{n, tagPlacement}, n.clock, n.event)
 	n.store = platform.NewStore(exchange.New(), s.Store)
 	n.changes = relay.NewLog()
@@ -94,6 +94,15 @@
 	return n
 }
 
+// keyRule is what the settings say of keys while the configuration can't be
+// confirmed.
+func keyRule(s settings.Node) lease.Rule {
+	if s.KeysLenient {
+		return lease.Lenient
+	}
+	return lease.Strict
+}
+
 // startID begins an instance's ids, so that they differ from those of its
 // earlier run; it leaves room to count on.
 func startID() uint64 { return rand.Uint64() >> 16 }
@@ -161,7 +170,7 @@
 	if err != nil {
 		return errors.Wrap(err, "node.run")
 	}
-	n.event("started", "peers", n.s.Peers, "listen", d.front.Addr(), "ready", d.ready.Addr(), "metrics", d.metrics.Addr(), "store", n.s.Store)
+	n.event("started", "peers", n.s.Peers, "listen", d.front.Addr(), "ready", d.ready.Addr(), "metrics", d.metrics.Addr(), "store", n.s.Store, "keys", keyRule(n.s), "honour_for", n.s.HonourFor)
 	x, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, x := errgroup.WithContext(x)
--- a/cmd/fieldvale-node/store_test.go
+++ b/cmd/fieldvale-node/store_test.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"strings"
 	"testing"
+	"time"
 
+	"fieldvale/adapter/settings"
 	"fieldvale/platform/sitetest"
 )
 
@@ -55,3 +58,35 @@
 	s.store.Unlock()
 	s.eventually("it is back", func() bool { return s.readiness() == 200 && s.send("POST", "/once/", "", key).status == 200 })
 }
+
+// Where the operator asks for no strictness, an outage of the store turns
+// nobody away: keys are honoured by the newest configuration that is known,
+// each line says how old it is, and a key that was taken away meanwhile ends
+// with the outage.
+func TestLenientNodeWithoutTheStore(t *testing.T) {
+	s := newSite(t)
+	s.replica("a", "v1")
+	s.startWith(func(n *settings.Node) { n.HonourFor, n.KeysLenient = time.Second, true })
+	s.store.Lock()
+	s.store.Refuse = 503
+	s.store.Unlock()
+	s.store.PutConfig(2, "k2")
+	s.eventually("the outage outlasts the lease", func() bool {
+		if r := s.send("POST", "/once/", "", key); r.status != 200 {
+			t.Fatalf("a key during the outage: %d", r.status)
+		}
+		return strings.Contains(s.logs.String(), "event=config_unconfirmed")
+	})
+	for range 5 {
+		if r := s.send("POST", "/once/", "", key); r.status != 200 {
+			t.Errorf("a key after the lease: %d", r.status)
+		}
+	}
+	if r := s.send("POST", "/once/", "", sitetest.HeaderKey+": unknown"); r.status != 401 {
+		t.Errorf("an unknown key: %d", r.status)
+	}
+	s.store.Lock()
+	s.store.Refuse = 0
+	s.store.Unlock()
+	s.eventually("the key that was taken away is refused", func() bool { return s.send("POST", "/once/", "", key).status == 401 })
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -10,9 +10,28 @@
 	"time"
 )
 
+// Rule says what becomes of keys when the last confirmation is too old.
+type Rule int
+
+const (
+	// Strict: none is honoured any more.
+	Strict Rule = iota
+	// Lenient: the newest configuration that is known goes on deciding.
+	Lenient
+)
+
+// String returns the rule's name in settings and logs.
+func (r Rule) String() string {
+	if r == Lenient {
+		return "lenient"
+	}
+	return "strict"
+}
+
 // Lease is the right to honour keys. It is safe for concurrent use.
 type Lease struct {
 	length time.Duration
+	rule   Rule
 	start  time.Time
 	// confirmed is nanoseconds from start to the latest confirmed moment;
 	// below 0 there was none.
@@ -25,8 +44,8 @@
 // New returns a lease that no confirmation has begun. length is how long a
 // confirmation holds. now must carry Go's monotonic reading: a time of day
 // that jumps has no say.
-func New(length time.Duration, now time.Time) *Lease {
-	l := &Lease{length: length, start: now}
+func New(length time.Duration, r Rule, now time.Time) *Lease {
+	l := &Lease{length: length, rule: r, start: now}
 	l.confirmed.Store(never)
 	return l
 }
@@ -53,10 +72,11 @@
 	return now.Sub(l.start) - time.Duration(n), true
 }
 
-// Holds reports whether keys may be honoured now.
+// Holds reports whether keys may be honoured now. Under either rule none may
+// before the first confirmation: what an instance has then is nobody's word.
 func (l *Lease) Holds(now time.Time) bool {
-	a, ok := l.Age(now)
-	return ok && a < l.length
+	_, ok := l.Age(now)
+	return ok && (l.rule == Lenient || l.Fresh(now, 1))
 }
 
 // Fresh reports whether less than the given part of the lease is used up.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -9,7 +9,7 @@
 
 func TestLease(t *testing.T) {
 	at := func(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
-	l := lease.New(4*time.Second, at(0))
+	l := lease.New(4*time.Second, lease.Strict, at(0))
 	if l.Holds(at(0)) {
 		t.Error("holds before any confirmation")
 	}
@@ -26,3 +26,25 @@
 		t.Errorf("age %s, %t, want 1s", a, ok)
 	}
 }
+
+// An outage longer than the lease turns nobody away under the lenient rule,
+// but an instance that never knew a configuration honours nothing, and the age
+// goes on telling how old the knowledge is.
+func TestLenientLease(t *testing.T) {
+	start := time.Unix(1000, 0)
+	l := lease.New(4*time.Second, lease.Lenient, start)
+	if l.Holds(start) {
+		t.Error("holds before any confirmation")
+	}
+	l.Confirm(start)
+	later := start.Add(time.Hour)
+	if !l.Holds(later) {
+		t.Error("does not hold an hour after the confirmation")
+	}
+	if l.Fresh(later, 1) {
+		t.Error("is fresh an hour after the confirmation")
+	}
+	if a, ok := l.Age(later); !ok || a != time.Hour {
+		t.Errorf("age %s, %t, want 1h", a, ok)
+	}
+}
--- a/state/state.go
+++ b/state/state.go
@@ -30,6 +30,8 @@
 	releases map[string]*release
 	members  map[string]peer.Member
 	lost     bool
+	// unconfirmed says that the configuration's lease has run out.
+	unconfirmed bool
 	// onMembers is told of each change of the fleet.
 	onMembers func([]peer.Member)
 }
@@ -127,9 +129,26 @@
 func (s *State) Tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.settle(s.clock()) {
+	now := s.clock()
+	if s.settle(now) {
 		s.publish()
 	}
+	s.checkLease(now)
+}
+
+// checkLease logs when the configuration's lease has run out and when it is
+// confirmed again.
+func (s *State) checkLease(now time.Time) {
+	if s.table == nil || s.unconfirmed != s.lease.Fresh(now, 1) {
+		return
+	}
+	s.unconfirmed = !s.unconfirmed
+	a, _ := s.lease.Age(now)
+	if s.unconfirmed {
+		s.log("config_unconfirmed", "version", s.table.Version, "age", a, "keys_honoured", s.lease.Holds(now))
+		return
+	}
+	s.log("config_confirmed", "version", s.table.Version, "age", a)
 }
 
 // Confirm says that nothing newer than what was applied existed at asOf.
