Bytes between data centres and tokens read again count by their number

Cause: a replica in another data centre counted 30 ms whatever crossed (17 kB of a prompt, twice with a second run), and reading a shared part again counted by the model's time alone, so that a small model's prompts left their data centre to save a tenth of a second of reading.

Change: the asker states what leaving its data centre and reading again count for: 40 ms a kB of body, heads and the mean answer of the route; twice the reading's time and 0.1 ms a token.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -87,6 +87,7 @@
 		}
 		if isEnd(err) {
 			a.served = true
+			a.w.r.answers.saw(a.w.q.Route.Name, a.bytes)
 			return a.begin(reply)
 		}
 		if err := a.pass(reply, e); err != nil {
@@ -128,6 +129,7 @@
 	}
 	a.w.f.Events++
 	a.events++
+	a.bytes += len(e.Data)
 	if e.ID != "" {
 		a.w.after = e.ID
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -31,8 +31,9 @@
 	served bool
 	// escalated says that its answer was dropped for a larger model's.
 	escalated bool
-	// events is how many were passed on.
+	// events is how many were passed on, and bytes what they had.
 	events int
+	bytes  int
 	// left says that the client left meanwhile: what broke off then was no
 	// fault of the replica.
 	left bool
--- /dev/null
+++ b/entry/distance.go
@@ -0,0 +1,53 @@
+package entry
+
+const (
+	// awayTrip is what a replica in another data centre counts for by its
+	// distance, in milliseconds: the way there and back, and some.
+	awayTrip = 5.0
+	// awayPerKB is what each kB between data centres counts for, in
+	// milliseconds of a replica's time: links between them are short and dear.
+	// With it prompts of 17 kB stay near unless they would wait for some 0.8 s
+	// longer, and short ones hardly care. Bytes between data centres cost 0.041
+	// of a day's worth without it, 0.028 with it; from 20 to 85 are alike
+	// (docs/DECIDING.md).
+	awayPerKB = 40.0
+	// headKB is what the heads of a request and of its answer have, in kB.
+	headKB = 0.8
+	// firstAnswerKB is what an answer is taken to have before any was seen;
+	// rough, as it only lasts for the first ones.
+	firstAnswerKB = 2.0
+	// answerWeight is of one answer in the running mean of its kind.
+	answerWeight = 0.05
+	// againTimes the shared part's time, and againPerToken in milliseconds, is
+	// what reading it again counts for on top of its time. The first is what it
+	// takes from other prompts; the second is its price, the same for a small
+	// model that reads it in no time. Eight times the time alone was 0.005
+	// worse on the mean of 24 days (docs/DECIDING.md).
+	againTimes    = 2.0
+	againPerToken = 0.1
+)
+
+// answerSizes learns how many kB answers have, by route.
+type answerSizes struct{ m *means }
+
+func newAnswerSizes() *answerSizes { return &answerSizes{m: newMeans(answerWeight)} }
+
+// of returns the kB of an answer of the route.
+func (s *answerSizes) of(route string) float64 { return s.m.of(route, firstAnswerKB) }
+
+// saw learns from a whole answer.
+func (s *answerSizes) saw(route string, bytes int) {
+	s.m.learn(route, firstAnswerKB, func(float64) float64 { return float64(bytes) / 1000 })
+}
+
+// away is what a replica in another data centre counts for, in milliseconds.
+func (w *forwarding) away() float64 {
+	kB := float64(len(w.q.Body))/1000 + headKB + w.r.answers.of(w.q.Route.Name)
+	return awayTrip + awayPerKB*kB
+}
+
+// readAgain is what reading the shared part counts for on top of its time, in
+// milliseconds.
+func (w *forwarding) readAgain(e estimate) float64 {
+	return againTimes*e.shared + againPerToken*float64(w.q.Prompt.SharedTokens())
+}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -11,14 +11,18 @@
 	// and Shared for the rest, which a replica that keeps it need not read.
 	Read   float64
 	Shared float64
+	// Again is what reading the shared part counts for on top of its time, in
+	// milliseconds: it takes the time from others and has a price.
+	Again float64
 	// Hold is how long the run holds its slot once the prompt is read, in
 	// milliseconds, as runs of its kind do on average.
 	Hold float64
 	// Slots are those of each candidate; none says nothing of them.
 	Slots []int
 	// Far has the bits set of the candidates in other data centres than the
-	// asker's.
-	Far uint64
+	// asker's, Away what such a one counts for on top, in milliseconds.
+	Far  uint64
+	Away float64
 	// Within is the time left in which the first event should come, in
 	// milliseconds; 0 for no such time.
 	Within float64
@@ -36,7 +40,7 @@
 // far is what the candidate counts for by its data centre, in milliseconds.
 func (a Ask) far(i int) float64 {
 	if a.Far>>i&1 == 1 {
-		return farCost
+		return a.Away
 	}
 	return 0
 }
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -21,19 +21,10 @@
 	// long the ledger holds work of which nobody says that it was read.
 	forgetFactor = 4
 	forgetMargin = 2 * time.Second
-	// rereadWeight times the shared part is what reading it again counts on
-	// top of its time: it takes that time from other prompts, too, and has a
-	// price. From 6 to 16 are alike; 2.5 read a quarter to a third more again
-	// and served less under load (docs/MEASURES.md).
-	rereadWeight = 8.0
 	// slotCost times the time that a run holds its slot, for each slot taken of
 	// those there are, is what a busier replica counts for: it makes tokens of
 	// all its streams more slowly, by some 2% for each.
 	slotCost = 0.02
-	// farCost is what a replica in another data centre counts for, in
-	// milliseconds: the way there and back, and the price of the bytes, for
-	// which it is worth to read some 200 shared tokens again, but not 600.
-	farCost = 30.0
 	// latePart of the time that a prompt has is what it may be expected to
 	// take without counting as late, lateWeight what each millisecond over
 	// that counts for on top: then it is better to read a long shared part
@@ -127,7 +118,7 @@
 	t := c.Wait + c.Cost + slotCost*a.Hold*float64(l.busy[r]) + faultCost*l.faults[r].at(now) + a.far(i)
 	if !l.keeps(a.Key, r, now) {
 		c.Cost += a.Shared
-		t += (1 + rereadWeight) * a.Shared
+		t += a.Shared + a.Again
 	}
 	return c, t + a.late(c.Wait+c.Cost)
 }
--- a/placement/wire.go
+++ b/placement/wire.go
@@ -20,9 +20,11 @@
 	Replicas []string `json:"Replicas"`
 	Read     float64  `json:"Read"`
 	Shared   float64  `json:"Shared"`
+	Again    float64  `json:"Again,omitempty"`
 	Hold     float64  `json:"Hold,omitempty"`
 	Slots    []int    `json:"Slots,omitempty"`
 	Far      uint64   `json:"Far,omitempty"`
+	Away     float64  `json:"Away,omitempty"`
 	Within   float64  `json:"Within,omitempty"`
 }
 
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -52,7 +52,9 @@
 func TestUnconfirmedConfigurationIsLogged(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var log []string
-	note := func(event string, fields ...any) { log = append(log, strings.TrimSpace(fmt.Sprintln(append([]any{event}, fields...)...))) }
+	note := func(event string, fields ...any) {
+		log = append(log, strings.TrimSpace(fmt.Sprintln(append([]any{event}, fields...)...)))
+	}
 	l := lease.New(time.Second, lease.Lenient, now)
 	s := New(entry.NewCurrent(), l, func() time.Time { return now }, note, func([]peer.Member) {})
 	s.Apply(Change{Table: route.New(7, nil, nil, nil, route.Limits{})})
