Requests without a prompt stay in their data centre

Cause: plain requests were placed by this instance's own pending work alone, two in three in another data centre, where their bytes and the way cost and nothing was gained: replicas of plain services are a tenth busy.

Change: another data centre counts by its bytes here too, and never for more than a fifth of the route's target.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -65,6 +65,7 @@
 	w.f.Status = reply.Head().Status
 	w.started = true
 	a.served = true
+	w.r.answers.saw(w.q.Route.Name, len(b))
 	if err := w.out.Head(reply.Head()); err != nil {
 		return callerGone(err)
 	}
--- a/entry/backends_test.go
+++ b/entry/backends_test.go
@@ -9,6 +9,25 @@
 	"fieldvale/pool"
 )
 
+// A request that no keeper places stays in its data centre until this
+// instance's own work there counts for more than the way.
+func TestRequestsStayInTheirDataCentre(t *testing.T) {
+	b := newBackends(rand.NewPCG(1, 1))
+	l := []*pool.Replica{{ID: "far", DataCentre: "b", Slots: 4}, {ID: "near", DataCentre: "a", Slots: 4}}
+	now := time.Unix(1_700_000_000, 0)
+	q := local{cost: 1, away: 30, dataCentre: "a"}
+	near := 0
+	for b.takeOpaque(l, q, nil, now).ID == "near" {
+		near++
+	}
+	if near < 8 || near > 12 {
+		t.Errorf("%d requests stayed, want about 10", near)
+	}
+	if c := b.takeOpaque(l, q, []string{"near"}, now); c.ID != "far" {
+		t.Errorf("a second try went to %s, want far", c.ID)
+	}
+}
+
 // Before thousands of replicas an instance keeps what it knows of those that it
 // uses, and nothing of the others.
 func TestBackendsKeepWhatIsUsed(t *testing.T) {
--- a/entry/distance.go
+++ b/entry/distance.go
@@ -11,6 +11,10 @@
 	// of a day's worth without it, 0.028 with it; from 20 to 85 are alike
 	// (docs/DECIDING.md).
 	awayPerKB = 40.0
+	// awayPart of the route's target is the most that it counts for: nobody
+	// should be late for it. It matters where targets are short: plain requests
+	// of 2 kB are wanted in 100 to 200 ms.
+	awayPart = 0.2
 	// headKB is what the heads of a request and of its answer have, in kB.
 	headKB = 0.8
 	// firstAnswerKB is what an answer is taken to have before any was seen;
@@ -43,7 +47,11 @@
 // away is what a replica in another data centre counts for, in milliseconds.
 func (w *forwarding) away() float64 {
 	kB := float64(len(w.q.Body))/1000 + headKB + w.r.answers.of(w.q.Route.Name)
-	return awayTrip + awayPerKB*kB
+	x := awayTrip + awayPerKB*kB
+	if t := w.q.Route.Target; t > 0 {
+		x = min(x, awayPart*t.Seconds()*1000)
+	}
+	return x
 }
 
 // readAgain is what reading the shared part counts for on top of its time, in
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -10,18 +10,35 @@
 // may have above the least busy replica before the next choice takes over.
 const homeSlack = 150
 
+// local is an opaque request that is placed by this instance's own work.
+type local struct {
+	// affinity ties it to a home; empty for none.
+	affinity string
+	// cost is its time at the replica, in milliseconds.
+	cost float64
+	// away is what another data centre than this one counts for, in
+	// milliseconds.
+	away       float64
+	dataCentre string
+}
+
 // takeOpaque chooses a replica for an opaque request and counts it there; nil
 // if none is left. Breakers have no say when they leave none.
-func (b *backends) takeOpaque(r []*pool.Replica, affinity string, tried []string, cost float64, now time.Time) *pool.Replica {
+func (b *backends) takeOpaque(r []*pool.Replica, q local, tried []string, now time.Time) *pool.Replica {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.gatherSound(r, tried, now)
-	i := b.homes.Choose(pool.Ask{Affinity: affinity}, b.scratch)
+	for i, c := range b.scratch {
+		if c.Replica.DataCentre != q.dataCentre {
+			b.scratch[i].Away = q.away
+		}
+	}
+	i := b.homes.Choose(pool.Ask{Affinity: q.affinity}, b.scratch)
 	if i < 0 {
 		return nil
 	}
 	c := b.scratch[i].Replica
-	b.add(c, cost, now)
+	b.add(c, q.cost, now)
 	return c
 }
 
--- a/entry/place.go
+++ b/entry/place.go
@@ -82,7 +82,8 @@
 
 // placeHere chooses by this instance's own work.
 func (w *forwarding) placeHere(l []*pool.Replica, key string, cost float64) *placed {
-	b := w.r.backends.takeOpaque(l, key, w.tried, cost, w.r.clock())
+	q := local{affinity: key, cost: cost, away: w.away(), dataCentre: w.r.dataCentre}
+	b := w.r.backends.takeOpaque(l, q, w.tried, w.r.clock())
 	if b == nil {
 		return nil
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -74,6 +74,8 @@
 	// Pending is the work of this instance that waits or is being read
 	// there, in milliseconds of the replica's time as far as that is known.
 	Pending float64
+	// Away is what the replica counts for by its distance, in milliseconds.
+	Away float64
 }
 
 // Work estimates the requests on the replica now: what others had there when
