A request that would only be answered after its deadline is refused at once

Cause: a request whose best replica had more to do than the request had time for was sent there and waited in vain until its deadline.

Change: if the first event is expected after the deadline and nobody has worked on the request, it is refused at once, and the client told to come back when the replicas will have done enough, spread by half of that time.

Kept: it is what callers were promised.

--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"fieldvale/placement"
 )
 
 const (
@@ -116,8 +114,7 @@
 		why = doubtBudget
 	}
 	if p != nil {
-		w.unplace(p, placement.NoFault)
-		w.r.backends.release(p.replica.ID)
+		w.giveBack(p)
 	}
 	w.model, w.tried = from, tried
 	return why
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -91,6 +91,10 @@
 	if errors.Is(err, errGiveUp) {
 		return w.ends(true, "no replica left")
 	}
+	if errors.Is(err, errHopeless) {
+		w.cause = err
+		return w.ends(true, "too late already")
+	}
 	if errors.Is(err, errCaller) || errors.Is(ctx.Err(), context.Canceled) {
 		return w.ends(true, "the client left")
 	}
@@ -159,6 +163,10 @@
 	if p == nil {
 		return errors.CombineErrors(errGiveUp, w.cause)
 	}
+	if w.hopeless(p) {
+		w.giveBack(p)
+		return errHopeless
+	}
 	b := p.replica
 	d := Dispatch{Request: w.q, After: w.after, Deadline: w.q.until(), Priority: w.q.priority()}
 	if w.model >= 0 {
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -20,6 +20,7 @@
 	"fieldvale/admission"
 	"fieldvale/outcome"
 	"fieldvale/peer"
+	"fieldvale/placement"
 	"fieldvale/pool"
 	"fieldvale/prompt"
 	"fieldvale/rollout"
@@ -35,6 +36,7 @@
 //	refuse                    the replica says that it did not run it
 //	unreached                 the replica can't be connected to
 //	reset                     the connection is reset after the request
+//	busy MS                   the work that waits at the replicas
 //	want sends=M1,M2 after=... client=... run=...
 func TestForwardScripts(t *testing.T) {
 	l, err := filepath.Glob("testdata/forward/*.txt")
@@ -50,6 +52,7 @@
 	t       *testing.T
 	route   route.Route
 	budget  float64
+	busy    float64
 	replies []scriptedReply
 	want    string
 	// sends and after are what the replicas saw.
@@ -74,7 +77,7 @@
 		l = append(l, pool.Replica{ID: fmt.Sprint("r", i), Kind: pool.Service, Service: "s", Slots: 4})
 	}
 	v.Put(NewView(nil, l, []peer.Member{{ID: "self"}}, nil).WithRoutes(route.New(1, nil, nil, nil, route.Limits{}), map[string]rollout.Release{}))
-	r := NewRouter(Ports{View: v, Clock: time.Now, Rand: rand.NewPCG(1, 1), Upstream: s, Repeats: admission.Repeats{Burst: s.budget}, AcceptConfidence: 60})
+	r := NewRouter(Ports{View: v, Clock: time.Now, Rand: rand.NewPCG(1, 1), Upstream: s, Repeats: admission.Repeats{Burst: s.budget}, AcceptConfidence: 60, Placer: s.placer()})
 	q := &Opaque{ID: "q", Route: &s.route, Prompt: prompt.Prompt{Model: prompt.AnyModel}, Arrived: time.Now(), Deadline: time.Now().Add(5 * time.Second), TimeoutAt: time.Now().Add(5 * time.Second)}
 	c := &clientSink{}
 	_, err := r.Forward(t.Context(), q, c)
@@ -89,6 +92,24 @@
 	}
 }
 
+// busyPlacer chooses the first candidate, behind the work that waits there.
+type busyPlacer float64
+
+func (p busyPlacer) Choose(context.Context, string, placement.Ask) (placement.Choice, placement.Ticket, bool) {
+	return placement.Choice{Wait: float64(p)}, placement.Ticket{}, true
+}
+
+func (busyPlacer) Read(placement.Ticket)                  {}
+func (busyPlacer) Lost(placement.Ticket, placement.Fault) {}
+
+// placer is nil where the script says nothing of the replicas' work.
+func (s *forwardScript) placer() Placer {
+	if s.busy == 0 {
+		return nil
+	}
+	return busyPlacer(s.busy)
+}
+
 func readForward(t *testing.T, path string) *forwardScript {
 	f, err := os.Open(path)
 	if err != nil {
@@ -118,6 +139,8 @@
 		s.replies = append(s.replies, scriptedReply{err: outcome.New(outcome.NotRun, "dial", "r", errors.New("connection refused"))})
 	case "reset":
 		s.replies = append(s.replies, scriptedReply{err: outcome.New(outcome.Unknown, "read", "r", io.ErrUnexpectedEOF)})
+	case "busy":
+		s.busy, _ = strconv.ParseFloat(args[0], 64)
 	case "reply":
 		s.replies = append(s.replies, readReply(args))
 	case "want":
