Keys keep their group of replicas when replicas come and go

Cause: the groups in which parts of prompts are kept were counted over the replicas of all releases, rounded to 32, and keys went to group hash mod count. The start and the end of each release (140 replicas become 280) and a crash of a few beyond a rounding dealt all keys anew; a group of 28 replicas also got as many keys as one of 42.

Ruled out: capacity (as many requests a replica as on the first site); parts remembered for too short (60 and 300 s in place of 20: the same).

Change: groups within a release; a power of two of them, halved when it doubles; keys by weighted rendezvous hashing with the groups' sizes.

First sites have one group as before.

--- a/entry/group.go
+++ b/entry/group.go
@@ -1,10 +1,10 @@
 package entry
 
 import (
+	"iter"
+	"slices"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
-
 	"fieldvale/placement"
 	"fieldvale/pool"
 )
@@ -12,40 +12,48 @@
 // maxCandidates bounds the replicas among which a keeper chooses.
 const maxCandidates = 12
 
-// group returns the group of replicas that the key belongs to and its best
-// candidates, the key's preferred replicas first.
-func (w *forwarding) group(key string, c []*pool.Replica) (string, []*pool.Replica) {
+// group returns the group that the key belongs to among the allowed replicas,
+// and its best candidates, the key's preferred replicas first.
+func (w *forwarding) group(key string, allowed, c []*pool.Replica) (string, []*pool.Replica) {
 	if key == "" {
 		key = w.q.ID
 	}
-	n := placement.Groups(len(w.r.view.Get().byService[w.f.Service]))
-	g := xxhash.Sum64String(key) % uint64(n)
-	if n > 1 {
-		if in := inGroup(c, g, uint64(n)); len(in) > 0 {
-			c = in
-		}
+	g := placement.NewGroups(len(allowed), idsOf(allowed))
+	k := g.OfKey(key)
+	if in := inGroup(c, g, k); len(in) > 0 {
+		c = in
 	}
 	c = pool.Prefer(key, c)
-	return w.f.Service + "/" + strconv.FormatUint(g, 10), c[:min(len(c), maxCandidates)]
+	return w.f.Service + "/" + strconv.Itoa(k), c[:min(len(c), maxCandidates)]
 }
 
 // inGroup returns the replicas of the group.
-func inGroup(c []*pool.Replica, g, n uint64) []*pool.Replica {
+func inGroup(c []*pool.Replica, g placement.Groups, group int) []*pool.Replica {
+	if g.Len() == 1 {
+		return c
+	}
 	var l []*pool.Replica
 	for _, r := range c {
-		if xxhash.Sum64String(r.ID)%n == g {
+		if g.OfReplica(r.ID) == group {
 			l = append(l, r)
 		}
 	}
 	return l
 }
 
-func ids(c []*pool.Replica) []string {
-	l := make([]string, len(c))
-	for i, r := range c {
-		l[i] = r.ID
+// idsOf goes through the replicas' ids.
+func idsOf(c []*pool.Replica) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for _, r := range c {
+			if !yield(r.ID) {
+				return
+			}
+		}
 	}
-	return l
+}
+
+func ids(c []*pool.Replica) []string {
+	return slices.AppendSeq(make([]string, 0, len(c)), idsOf(c))
 }
 
 func slots(c []*pool.Replica) []int {
--- a/entry/place.go
+++ b/entry/place.go
@@ -35,20 +35,20 @@
 	if len(c) == 0 {
 		return nil
 	}
-	if p := w.placeByFleet(ctx, c, e); p != nil {
+	if p := w.placeByFleet(ctx, l, c, e); p != nil {
 		return p
 	}
 	return w.placeHere(l, e.key, e.own)
 }
 
-// placeByFleet chooses with the knowledge of the fleet; nil if that can't be
-// had.
-func (w *forwarding) placeByFleet(ctx context.Context, c []*pool.Replica, e estimate) *placed {
+// placeByFleet chooses one of c with the knowledge of the fleet; nil if that
+// can't be had. allowed are all replicas that the release allows.
+func (w *forwarding) placeByFleet(ctx context.Context, allowed, c []*pool.Replica, e estimate) *placed {
 	if w.r.placer == nil {
 		return nil
 	}
 	now := w.r.clock()
-	g, c := w.group(e.key, c)
+	g, c := w.group(e.key, allowed, c)
 	x, t, ok := w.r.placer.Choose(ctx, g, w.ask(e, c))
 	if !ok {
 		return nil
--- a/placement/keeper.go
+++ b/placement/keeper.go
@@ -11,13 +11,8 @@
 	"fieldvale/reply"
 )
 
-const (
-	// avoidFor is how long a keeper that gave no answer is passed over.
-	avoidFor = time.Second
-	// groupSize is how many replicas a group should have: enough for a
-	// choice, few enough for one instance to keep.
-	groupSize = 32
-)
+// avoidFor is how long a keeper that gave no answer is passed over.
+const avoidFor = time.Second
 
 // Node asks keepers and is one.
 type Node struct {
@@ -60,9 +55,6 @@
 	id     uint64
 }
 
-// Groups returns how many groups a service with so many replicas has.
-func Groups(replicas int) int { return max(1, (replicas+groupSize/2)/groupSize) }
-
 // Choose asks the keeper of the group where the prompt should go. It fails if
 // the keeper gives no answer in time.
 func (n *Node) Choose(ctx context.Context, group string, a Ask) (Choice, Ticket, bool) {
