--- a/cmd/fieldvale-soak/main.go
+++ b/cmd/fieldvale-soak/main.go
@@ -4,9 +4,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -20,7 +22,7 @@
 const usage = `fieldvale-soak runs instances of fieldvale-node as processes of their own and
 injects faults from outside: ways that are slow, reset or silent, processes that
 are killed, stopped and paused, a store that refuses or forgets. It checks what
-clients and replicas see, prints a line a seed, and exits with 1 if a promise
+clients and replicas see, prints a line a seed with the failures by cause, and exits with 1 if a promise
 was broken; the faults and the end of the log are printed then.`
 
 type options struct {
@@ -82,6 +84,9 @@
 	r, err := soak.Run(ctx, soak.Settings{Seed: seed, Binary: b, For: o.For, Nodes: o.Nodes, Replicas: o.Replicas, Clients: o.Clients, Dir: d})
 	ok := err == nil && len(r.Broken) == 0
 	fmt.Printf("seed=%d ok=%t answered=%d failed=%d after: answered=%d failed=%d faults=%d\n", seed, ok, r.Answered, r.Failed, r.LateAnswered, r.LateFailed, len(r.Faults))
+	for _, c := range slices.Sorted(maps.Keys(r.Causes)) {
+		fmt.Printf("  %6d %s\n", r.Causes[c], c)
+	}
 	if !ok {
 		fmt.Printf("error: %v\nbroken:\n  %s\nfaults:\n  %s\nlog:\n%s\n", err, strings.Join(r.Broken, "\n  "), strings.Join(r.Faults, "\n  "), r.Log)
 	}
