Shared parts of a prompt are known one by one

Cause: the ledger knew a prompt's shared parts as one. A replica that keeps the first part of two, which all prompts of a kind share, was taken to read both (2,520 tokens too many of 6,300), waits behind it were taken too long, and the speed learnt from such prompts was too quick.

Change: an ask names each shared part with its times; a replica reads those from the first one on that it does not keep.

--- a/entry/distance.go
+++ b/entry/distance.go
@@ -54,8 +54,8 @@
 	return x
 }
 
-// readAgain is what reading the shared part counts for on top of its time, in
-// milliseconds.
-func (w *forwarding) readAgain(e estimate) float64 {
-	return againTimes*e.shared + againPerToken*float64(w.q.Prompt.SharedTokens())
+// readAgain is what reading so many shared tokens counts for on top of their
+// time, in milliseconds, at the speed of milliseconds a token.
+func readAgain(tokens int, speed float64) float64 {
+	return (againTimes*speed + againPerToken) * float64(tokens)
 }
--- a/entry/distance_test.go
+++ b/entry/distance_test.go
@@ -31,13 +31,25 @@
 // Reading a shared part again has a price by its tokens, also where the model
 // reads it in no time.
 func TestReadingAgainCountsTokens(t *testing.T) {
-	q := &Opaque{Prompt: prompt.Prompt{Parts: []prompt.Part{{ID: "s", Tokens: 10_000}, {ID: "own", Tokens: 50}}}}
-	w := &forwarding{q: q}
-	quick, slow := w.readAgain(estimate{shared: 80}), w.readAgain(estimate{shared: 800})
-	if quick < 10_000*againPerToken {
-		t.Errorf("%.0f ms, want %.0f at least", quick, 10_000*againPerToken)
-	}
-	if d := slow - quick; d != againTimes*720 {
-		t.Errorf("720 ms of reading more count for %.0f ms more, want %.0f", d, againTimes*720)
+	const tokens = 10_000
+	quick, slow := readAgain(tokens, 0.008), readAgain(tokens, 0.08)
+	if quick < tokens*againPerToken {
+		t.Errorf("%.0f ms, want %.0f at least", quick, tokens*againPerToken)
+	}
+	if d, want := slow-quick, againTimes*720.0; d < want-1 || d > want+1 {
+		t.Errorf("720 ms of reading more count for %.0f ms more, want %.0f", d, want)
+	}
+}
+
+// Each shared part of the estimate is known by its model and its deepest id.
+func TestEstimateNamesParts(t *testing.T) {
+	r := NewRouter(Ports{View: NewCurrent(), Clock: time.Now, Rand: rand.NewPCG(1, 1)})
+	q := &Opaque{Route: &route.Route{}, Prompt: prompt.Prompt{Model: "m", In: 350, Parts: []prompt.Part{{ID: "a", Tokens: 100}, {ID: "b", Tokens: 200}, {ID: "own", Tokens: 50}}}}
+	e := (&forwarding{r: r, q: q, f: &Forwarded{Service: "s"}, model: -1}).estimate()
+	if e.key != "m/b" || len(e.shared) != 2 || e.shared[0].Key != "m/a" || e.shared[1].Key != "m/b" {
+		t.Errorf("key %q, parts %+v, want m/b of m/a and m/b", e.key, e.shared)
+	}
+	if want := 50 * e.speed; e.own < want-1e-9 || e.own > want+1e-9 {
+		t.Errorf("%f ms for what nobody shares, want %f", e.own, want)
 	}
 }
--- a/entry/estimate.go
+++ b/entry/estimate.go
@@ -1,30 +1,29 @@
 package entry
 
+import "fieldvale/placement"
+
 // estimate is what the request's prompt takes to read, in milliseconds.
 type estimate struct {
-	// key names the shared part; empty for none.
+	// key names all that is shared; empty for nothing.
 	key string
-	// own is the time for what nobody shares, shared for the rest.
+	// own is the time for what nobody shares, shared for the rest by part.
 	own    float64
-	shared float64
+	shared []placement.Part
 	// speed is the time for a token.
 	speed float64
 }
 
-// estimate returns the prompt's times at the model's speed.
+// estimate returns the prompt's times at the model's speed. Parts are kept by
+// model.
 func (w *forwarding) estimate() estimate {
 	p := w.q.Prompt
 	s := w.r.speeds.of(w.speedKey(), max(0, w.model))
-	return estimate{key: w.partsKey(), own: float64(p.In-p.SharedTokens()) * s, shared: float64(p.SharedTokens()) * s, speed: s}
-}
-
-// partsKey names what the request would find kept: parts are kept by model.
-func (w *forwarding) partsKey() string {
-	k := w.q.Prompt.SharedKey()
-	if k == "" {
-		return ""
+	e := estimate{own: float64(p.In-p.SharedTokens()) * s, speed: s}
+	for _, x := range p.Shared() {
+		e.key = w.modelName() + "/" + x.ID
+		e.shared = append(e.shared, placement.Part{Key: e.key, Read: float64(x.Tokens) * s, Again: readAgain(x.Tokens, s)})
 	}
-	return w.modelName() + "/" + k
+	return e
 }
 
 // speedKey names what reads at one speed.
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -2,18 +2,13 @@
 
 // Ask is the question where a prompt should go.
 type Ask struct {
-	// Key names what the prompt shares with others, with its model; empty
-	// for nothing.
-	Key string
 	// Replicas are the candidates, the preferred first.
 	Replicas []string
-	// Read is the replica's time for what nobody shares, in milliseconds,
-	// and Shared for the rest, which a replica that keeps it need not read.
-	Read   float64
-	Shared float64
-	// Again is what reading the shared part counts for on top of its time, in
-	// milliseconds: it takes the time from others and has a price.
-	Again float64
+	// Read is the replica's time for what nobody shares, in milliseconds.
+	Read float64
+	// Shared are the parts that the prompt begins with and others share. A
+	// replica that keeps one need not read it, if it keeps all before it.
+	Shared []Part
 	// Hold is how long the run holds its slot once the prompt is read, in
 	// milliseconds, as runs of its kind do on average.
 	Hold float64
@@ -28,6 +23,15 @@
 	Within float64
 }
 
+// Part is a shared part of a prompt.
+type Part struct {
+	// Key names the part, all before it and its model.
+	Key string
+	// Read is the replica's time for it, in milliseconds, and Again what reading
+	// it again counts for on top: it takes the time from others and has a price.
+	Read, Again float64
+}
+
 // late is what a first event after that time counts for, in milliseconds: long
 // waits turn out longer than expected, so that it begins before.
 func (a Ask) late(expected float64) float64 {
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -47,8 +47,8 @@
 	forgetAt time.Time
 	// run is what holds the slot, nil if its time is not known.
 	run *run
-	// part is what the replica keeps once it has read the prompt.
-	part keptPart
+	// parts are what the replica keeps once it has read the prompt.
+	parts []Part
 }
 
 type keptPart struct {
@@ -116,9 +116,9 @@
 	r := a.Replicas[i]
 	c := Choice{Index: i, Wait: l.pending[r] + l.slotWait(r, a.slots(i), a.Hold), Cost: a.Read}
 	t := c.Wait + c.Cost + slotCost*a.Hold*float64(l.busy[r]) + faultCost*l.faults[r].at(now) + a.far(i)
-	if !l.keeps(a.Key, r, now) {
-		c.Cost += a.Shared
-		t += a.Shared + a.Again
+	for _, p := range l.unread(a, r, now) {
+		c.Cost += p.Read
+		t += p.Read + p.Again
 	}
 	return c, t + a.late(c.Wait+c.Cost)
 }
@@ -126,7 +126,7 @@
 // note counts the prompt at the replica chosen for it.
 func (l *Ledger) note(a Ask, c Choice, now time.Time) {
 	r := a.Replicas[c.Index]
-	w := work{replica: r, part: keptPart{a.Key, r}, cost: c.Cost, forgetAt: now.Add(forgetFactor*span(c.Wait+c.Cost) + forgetMargin)}
+	w := work{replica: r, parts: a.Shared, cost: c.Cost, forgetAt: now.Add(forgetFactor*span(c.Wait+c.Cost) + forgetMargin)}
 	if a.Hold > 0 {
 		w.run = &run{replica: r, endAt: now.Add(span(c.Wait + c.Cost + a.Hold))}
 		l.busy[r]++
@@ -134,14 +134,22 @@
 	}
 	l.open[c.Ticket] = w
 	l.pending[r] += c.Cost
-	if a.Key != "" && len(l.kept) < maxKept {
-		l.kept[w.part] = now.Add(keptFor)
+	for _, p := range a.Shared {
+		if len(l.kept) < maxKept {
+			l.kept[keptPart{p.Key, r}] = now.Add(keptFor)
+		}
 	}
 }
 
-// keeps reports whether the replica is taken to keep the part.
-func (l *Ledger) keeps(key, replica string, now time.Time) bool {
-	return key != "" && now.Before(l.kept[keptPart{key, replica}])
+// unread returns the shared parts that the replica has to read: those from the
+// first on that it is not taken to keep.
+func (l *Ledger) unread(a Ask, replica string, now time.Time) []Part {
+	for i, p := range a.Shared {
+		if !now.Before(l.kept[keptPart{p.Key, replica}]) {
+			return a.Shared[i:]
+		}
+	}
+	return nil
 }
 
 // Read says that the work was read.
@@ -164,7 +172,9 @@
 		return ""
 	}
 	if why != NoFault {
-		delete(l.kept, w.part)
+		for _, p := range w.parts {
+			delete(l.kept, keptPart{p.Key, w.replica})
+		}
 		if l.failed(w.replica, why, now) {
 			avoided = w.replica
 		}
--- a/placement/ledger_test.go
+++ b/placement/ledger_test.go
@@ -11,9 +11,43 @@
 
 var noon = time.Unix(1_700_000_000, 0)
 
+// shared is one shared part that takes so many milliseconds to read; reading it
+// again counts for eight times that on top.
+func shared(ms float64) []placement.Part {
+	return []placement.Part{{Key: "m/k", Read: ms, Again: 8 * ms}}
+}
+
+// A part is kept only with all before it: a replica that keeps the first part
+// reads the others, and one that keeps another first part reads all.
+func TestLedgerKnowsPartsOneByOne(t *testing.T) {
+	l := placement.NewLedger(0)
+	ask := func(parts ...string) placement.Ask {
+		a := placement.Ask{Replicas: []string{"a"}, Read: 5}
+		for _, k := range parts {
+			a.Shared = append(a.Shared, placement.Part{Key: k, Read: 100})
+		}
+		return a
+	}
+	for _, c := range []struct {
+		parts []string
+		want  float64
+	}{
+		{[]string{"p", "p/q"}, 205},
+		{[]string{"p", "p/q"}, 5},
+		{[]string{"p", "p/r"}, 105},
+		{[]string{"x", "x/q"}, 205},
+		{[]string{"p"}, 5},
+		{nil, 5},
+	} {
+		if g := l.Choose(ask(c.parts...), noon); g.Cost != c.want {
+			t.Errorf("%q costs %.0f ms, want %.0f", c.parts, g.Cost, c.want)
+		}
+	}
+}
+
 func TestLedgerWeighsWaitingAgainstReadingAgain(t *testing.T) {
 	l := placement.NewLedger(0)
-	a := placement.Ask{Key: "m/k", Replicas: []string{"a", "b"}, Read: 50, Shared: 100, Again: 800}
+	a := placement.Ask{Replicas: []string{"a", "b"}, Read: 50, Shared: shared(100)}
 	for i := range 19 {
 		// a keeps the shared part after the first prompt; with over 900 ms of
 		// work there, reading all at b is better, and then b keeps it too.
@@ -31,7 +65,7 @@
 // shared part, until its runs are expected to have ended.
 func TestLedgerCountsSlots(t *testing.T) {
 	l := placement.NewLedger(0)
-	a := placement.Ask{Key: "m/k", Replicas: []string{"a", "b"}, Read: 1, Shared: 10, Again: 80, Hold: 1000, Slots: []int{4, 4}}
+	a := placement.Ask{Replicas: []string{"a", "b"}, Read: 1, Shared: shared(10), Hold: 1000, Slots: []int{4, 4}}
 	at := map[int]int{}
 	for range 8 {
 		c := l.Choose(a, noon)
@@ -53,7 +87,7 @@
 // keeper, and forgotten when others are served there or after some time.
 func TestLedgerAvoidsFaultyReplicas(t *testing.T) {
 	l := placement.NewLedger(0)
-	a := placement.Ask{Key: "m/k", Replicas: []string{"a", "b"}, Read: 10, Shared: 100, Again: 800, Hold: 100, Slots: []int{4, 4}}
+	a := placement.Ask{Replicas: []string{"a", "b"}, Read: 10, Shared: shared(100), Hold: 100, Slots: []int{4, 4}}
 	if r := l.Lost(l.Choose(a, noon).Ticket, placement.Unreached, noon); r != "a" {
 		t.Errorf("%q is avoided from now on, want a", r)
 	}
@@ -91,7 +125,7 @@
 		want   int
 	}{{3, 1}, {10, 0}} {
 		l := placement.NewLedger(0)
-		a := placement.Ask{Key: "m/k", Replicas: []string{"a", "b"}, Read: 10, Shared: c.shared, Again: 8 * c.shared, Away: 30}
+		a := placement.Ask{Replicas: []string{"a", "b"}, Read: 10, Shared: shared(c.shared), Away: 30}
 		l.Read(l.Choose(a, noon).Ticket, noon)
 		a.Far = 1 << 0
 		if got := l.Choose(a, noon); got.Index != c.want {
@@ -103,7 +137,7 @@
 // A shared part is read again sooner where the first event would come late.
 func TestLedgerReadsAgainInsteadOfBeingLate(t *testing.T) {
 	l := placement.NewLedger(0)
-	a := placement.Ask{Key: "m/k", Replicas: []string{"a", "b"}, Read: 50, Shared: 100, Again: 800, Within: 1000}
+	a := placement.Ask{Replicas: []string{"a", "b"}, Read: 50, Shared: shared(100), Within: 1000}
 	n := 0
 	for l.Choose(a, noon).Index == 0 {
 		n++
--- a/placement/wire.go
+++ b/placement/wire.go
@@ -16,16 +16,36 @@
 // wireAsk and wireChoice are Ask and Choice as they are sent; times are
 // milliseconds.
 type wireAsk struct {
-	Key      string   `json:"Key"`
-	Replicas []string `json:"Replicas"`
-	Read     float64  `json:"Read"`
-	Shared   float64  `json:"Shared"`
-	Again    float64  `json:"Again,omitempty"`
-	Hold     float64  `json:"Hold,omitempty"`
-	Slots    []int    `json:"Slots,omitempty"`
-	Far      uint64   `json:"Far,omitempty"`
-	Away     float64  `json:"Away,omitempty"`
-	Within   float64  `json:"Within,omitempty"`
+	Replicas []string   `json:"Replicas"`
+	Read     float64    `json:"Read"`
+	Shared   []wirePart `json:"Shared,omitempty"`
+	Hold     float64    `json:"Hold,omitempty"`
+	Slots    []int      `json:"Slots,omitempty"`
+	Far      uint64     `json:"Far,omitempty"`
+	Away     float64    `json:"Away,omitempty"`
+	Within   float64    `json:"Within,omitempty"`
+}
+
+type wirePart struct {
+	Key   string  `json:"Key"`
+	Read  float64 `json:"Read"`
+	Again float64 `json:"Again,omitempty"`
+}
+
+func newWireAsk(a Ask) *wireAsk {
+	w := &wireAsk{Replicas: a.Replicas, Read: a.Read, Hold: a.Hold, Slots: a.Slots, Far: a.Far, Away: a.Away, Within: a.Within}
+	for _, p := range a.Shared {
+		w.Shared = append(w.Shared, wirePart(p))
+	}
+	return w
+}
+
+func (w *wireAsk) ask() Ask {
+	a := Ask{Replicas: w.Replicas, Read: w.Read, Hold: w.Hold, Slots: w.Slots, Far: w.Far, Away: w.Away, Within: w.Within}
+	for _, p := range w.Shared {
+		a.Shared = append(a.Shared, Part(p))
+	}
+	return a
 }
 
 type wireChoice struct {
--- a/prompt/prompt.go
+++ b/prompt/prompt.go
@@ -27,20 +27,17 @@
 // IsNone reports whether there is no prompt.
 func (p Prompt) IsNone() bool { return p.Model == "" && p.In == 0 && len(p.Parts) == 0 }
 
-// SharedKey names what the prompt shares with others, empty if it is nothing.
-// A part is kept only with all before it, so the deepest one names them all.
-func (p Prompt) SharedKey() string {
-	if len(p.Parts) < 2 {
-		return ""
-	}
-	return p.Parts[len(p.Parts)-2].ID
+// Shared returns the parts that others share, in order. One is kept only with
+// all before it, so the deepest one names them all.
+func (p Prompt) Shared() []Part {
+	return p.Parts[:max(0, len(p.Parts)-1)]
 }
 
 // SharedTokens is the size of the shared parts.
 func (p Prompt) SharedTokens() int {
 	n := 0
-	for i := 0; i+1 < len(p.Parts); i++ {
-		n += p.Parts[i].Tokens
+	for _, x := range p.Shared() {
+		n += x.Tokens
 	}
 	return n
 }
