The next larger model is asked first by what it is seen to add and by its cost

Cause: costs of models reached the program and decided nothing, and the bounds from which the middle model is asked (44, 25) fit models like those of the first sites: with a middle one that is right in 85 of 100 it was hardly asked.

Change: by how much a model is more confident than the next smaller one of the same request is learnt; with it and with its part of the largest one's cost the bounds follow. For the users' models they are 44 and 25 as before.

--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -24,15 +24,9 @@
 	// crashed (scale-1 of the Shared Memory's grown site), and 119 on a quiet
 	// one.
 	escalateReserve = 0.1
-	// middleFrom is the confidence from which the next larger model is likely
-	// enough to do when the largest has no time.
-	middleFrom = 25
-	// nextFirst is the confidence from which the next larger model is asked
-	// before the largest: it is likely to do, at half the price. nextAccepts
-	// is the confidence from which its answer is passed on. Eight days, four
-	// of each first site, gained 0.007 on average (docs/MEASURES.md).
-	nextFirst   = 44
-	nextAccepts = 50
+	// nextAccepts is the confidence from which the next model's answer is passed
+	// on.
+	nextAccepts = evenOdds
 )
 
 // What became of an answer that its model doubts, for the log.
@@ -49,6 +43,7 @@
 	w := a.w
 	c, ok := reply.Confidence()
 	if ok {
+		w.learnLead(c)
 		w.f.Confidence = c
 	}
 	last := len(w.q.Route.Models) - 1
@@ -90,16 +85,33 @@
 // larger returns the models to ask for an answer of that confidence, the
 // preferred first.
 func (w *forwarding) larger(confidence float64) []int {
-	next, last := w.model+1, len(w.q.Route.Models)-1
+	m := w.q.Route.Models
+	next, last := w.model+1, len(m)-1
+	if next == last {
+		return []int{last}
+	}
+	b := bounds(w.r.leads.of(w.leadKey(next)), costShare(w.q.Table.Services[w.f.Service], m[next], m[last]))
 	switch {
-	case next == last || confidence < middleFrom:
+	case confidence < b.atAll:
 		return []int{last}
-	case confidence >= nextFirst:
+	case confidence >= b.first:
 		return []int{next, last}
 	}
 	return []int{last, next}
 }
 
+// leadKey names the model whose lead over the next smaller one is learnt.
+func (w *forwarding) leadKey(model int) string { return w.f.Service + "/" + w.q.Route.Models[model] }
+
+// learnLead learns from an answer that comes after the next smaller model's,
+// once.
+func (w *forwarding) learnLead(confidence float64) {
+	if w.model > 0 && w.askedBy == w.model-1 {
+		w.r.leads.saw(w.leadKey(w.model), w.f.Confidence, confidence)
+	}
+	w.askedBy = -1
+}
+
 // move places the request with the model, if it will answer in time.
 func (w *forwarding) move(ctx context.Context, model int, confidence float64) string {
 	from, tried := w.model, w.tried
@@ -108,7 +120,7 @@
 	why := doubtLate
 	if p != nil && w.inTime(p, confidence) {
 		if w.r.mayRepeat(w.f.Service, escalateReserve) {
-			w.next = p
+			w.next, w.askedBy = p, from
 			return doubtMoved
 		}
 		why = doubtBudget
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -36,6 +36,9 @@
 	next *placed
 	// model is an index into the route's models; below 0 the client's stays.
 	model int
+	// askedBy is the model whose answer was dropped for this one's; below 0
+	// there was none.
+	askedBy int
 	// started says that the client has some of the answer.
 	started bool
 	// after is the last event that the client has.
@@ -54,7 +57,7 @@
 func (r *Router) Forward(ctx context.Context, q *Opaque, out ForwardSink) (*Forwarded, error) {
 	x, cancel := context.WithDeadline(ctx, q.until())
 	defer cancel()
-	w := &forwarding{r: r, q: q, out: out, after: q.After, model: -1}
+	w := &forwarding{r: r, q: q, out: out, after: q.After, model: -1, askedBy: -1}
 	w.f = &Forwarded{Request: q, Service: q.Route.Service(q.ID), Confidence: -1}
 	if len(q.Route.Models) > 0 && (q.Prompt.Model == prompt.AnyModel || q.Prompt.Model == "") {
 		w.model = 0
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -78,7 +78,7 @@
 	}
 	v.Put(NewView(nil, l, []peer.Member{{ID: "self"}}, nil).WithRoutes(route.New(1, nil, nil, nil, route.Limits{}), map[string]rollout.Release{}))
 	r := NewRouter(Ports{View: v, Clock: time.Now, Rand: rand.NewPCG(1, 1), Upstream: s, Repeats: admission.Repeats{Burst: s.budget}, AcceptConfidence: 60, Placer: s.placer()})
-	q := &Opaque{ID: "q", Route: &s.route, Prompt: prompt.Prompt{Model: prompt.AnyModel}, Arrived: time.Now(), Deadline: time.Now().Add(5 * time.Second), TimeoutAt: time.Now().Add(5 * time.Second)}
+	q := &Opaque{ID: "q", Table: v.Get().Table, Route: &s.route, Prompt: prompt.Prompt{Model: prompt.AnyModel}, Arrived: time.Now(), Deadline: time.Now().Add(5 * time.Second), TimeoutAt: time.Now().Add(5 * time.Second)}
 	c := &clientSink{}
 	_, err := r.Forward(t.Context(), q, c)
 	run := "ok"
--- /dev/null
+++ b/entry/leads_test.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fieldvale/route"
+)
+
+// The next model is asked first where its chance is above its share of the
+// largest one's cost.
+func Example_bounds() {
+	for _, c := range []struct{ lead, share float64 }{{15, 0.5}, {45, 0.5}, {2, 0.5}, {15, 0.25}, {15, 0.9}} {
+		b := bounds(c.lead, c.share)
+		fmt.Printf("lead %.0f, share %.2f: first from %.0f, at all from %.0f\n", c.lead, c.share, b.first, b.atAll)
+	}
+	// Output:
+	// lead 15, share 0.50: first from 44, at all from 25
+	// lead 45, share 0.50: first from 14, at all from -5
+	// lead 2, share 0.50: first from 57, at all from 38
+	// lead 15, share 0.25: first from 37, at all from 25
+	// lead 15, share 0.90: first from 57, at all from 25
+}
+
+func TestCostShare(t *testing.T) {
+	s := route.Service{Models: []route.Model{{Name: "m", Cost: 0.06}, {Name: "l", Cost: 0.12}}}
+	if g := costShare(s, "m", "l"); g != 0.5 {
+		t.Errorf("share %f, want 0.5", g)
+	}
+	if g := costShare(s, "m", "unknown"); g != unknownShare {
+		t.Errorf("share of an unknown cost %f, want %f", g, unknownShare)
+	}
+}
+
+// A model that can do more than was thought is found out by a few requests
+// that both answered.
+func TestLeadsAreLearntSoon(t *testing.T) {
+	l := newLeads()
+	if g := l.of("s/m"); g != firstLead {
+		t.Errorf("lead %.1f before any was seen, want %.1f", g, firstLead)
+	}
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 8 {
+		l.saw("s/m", 50, 95+10*r.Float64()-5)
+	}
+	if g := l.of("s/m"); g < 33 {
+		t.Errorf("lead %.1f after 8 requests with 45, want 33 at least", g)
+	}
+}
+
+// One answer teaches once, and only what the next smaller model has answered
+// before counts.
+func TestLeadOfOneRequest(t *testing.T) {
+	r := NewRouter(Ports{View: NewCurrent(), Clock: time.Now, Rand: rand.NewPCG(1, 1)})
+	w := &forwarding{r: r, q: &Opaque{Route: &route.Route{Models: []string{"s", "m", "l"}}}, f: &Forwarded{Service: "x", Confidence: 50}, model: 2, askedBy: 0}
+	w.learnLead(100)
+	if g := r.leads.of("x/l"); g != firstLead {
+		t.Errorf("the largest model's lead over the smallest counted as one over the middle: %.1f", g)
+	}
+	w.model, w.askedBy = 1, 0
+	w.learnLead(90)
+	g := r.leads.of("x/m")
+	if g <= firstLead {
+		t.Errorf("lead %.1f after one of 40, want more than %.1f", g, firstLead)
+	}
+	w.learnLead(90)
+	if again := r.leads.of("x/m"); again != g {
+		t.Errorf("lead %.1f after the same answer again, want %.1f", again, g)
+	}
+}
--- a/entry/means.go
+++ b/entry/means.go
@@ -8,16 +8,31 @@
 	mu sync.Mutex
 	// weight is of one value in the mean.
 	weight float64
-	m      map[string]float64
+	// prior is how many values the first one counts as, if not 0: the next ones
+	// then count for as much each until they count for weight.
+	prior float64
+	m     map[string]mean
 }
 
-func newMeans(weight float64) *means { return &means{weight: weight, m: map[string]float64{}} }
+// mean is a running mean and how many values it was learnt from.
+type mean struct {
+	value float64
+	n     float64
+}
+
+func newMeans(weight float64) *means { return &means{weight: weight, m: map[string]mean{}} }
+
+// newQuickMeans returns means that are learnt sooner: where few values come, a
+// mean of constant weight keeps to what it began as for too long.
+func newQuickMeans(weight, prior float64) *means {
+	return &means{weight: weight, prior: prior, m: map[string]mean{}}
+}
 
 // of returns the key's mean, which begins as first.
 func (m *means) of(key string, first float64) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.at(key, first)
+	return m.at(key, first).value
 }
 
 // learn takes a value in; value returns it for the mean so far, which begins
@@ -26,14 +41,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	v := m.at(key, first)
-	m.m[key] = v + m.weight*(value(v)-v)
+	w := m.weight
+	if m.prior > 0 {
+		w = max(w, 1/(m.prior+v.n+1))
+	}
+	m.m[key] = mean{value: v.value + w*(value(v.value)-v.value), n: v.n + 1}
 }
 
-func (m *means) at(key string, first float64) float64 {
+func (m *means) at(key string, first float64) mean {
 	v, ok := m.m[key]
 	if !ok {
-		m.m[key] = first
-		return first
+		v = mean{value: first}
+		m.m[key] = v
 	}
 	return v
 }
--- a/entry/router.go
+++ b/entry/router.go
@@ -53,6 +53,7 @@
 	placer   Placer
 	speeds   *speeds
 	holds    *holds
+	leads    *leads
 	answers  *answerSizes
 	delays   *delays
 	paces    *paces
@@ -106,7 +107,7 @@
 		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
-		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), answers: newAnswerSizes(), delays: newDelays(), paces: newPaces(),
+		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), leads: newLeads(), answers: newAnswerSizes(), delays: newDelays(), paces: newPaces(),
 		releases: newReleases(), windows: map[string]*admission.Window{}, repeats: p.Repeats,
 		acceptConfidence: p.AcceptConfidence,
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -32,6 +32,17 @@
 	Slots int
 }
 
+// Cost returns the price of the service's model with that name; 0 if it is not
+// known.
+func (s Service) Cost(model string) float64 {
+	for _, m := range s.Models {
+		if m.Name == model {
+			return m.Cost
+		}
+	}
+	return 0
+}
+
 // Model is one of the sizes that a service's replicas run.
 type Model struct {
 	Name string
