--- a/entry/leads.go
+++ b/entry/leads.go
@@ -18,8 +18,8 @@
 	leadPrior  = 3.0
 	leadWeight = 0.05
 	// oddsScale is by how much confidence the odds of a right answer grow e-fold.
-	// Of the smallest model's answers some 12 in 100 were right at 42, 65 at
-	// 52 and 97 at 70 (docs/DECIDING.md).
+	// Of the smallest model's answers some 10 in 100 were right from 35 to 45,
+	// 60 from 45 to 60 and 96 above (docs/DECIDING.md).
 	oddsScale = 6.0
 	// secondWrong is what is added to the confidence from which the next model
 	// is asked before the largest: if it is wrong too, the largest comes later
