--- a/entry/leads.go
+++ b/entry/leads.go
@@ -56,9 +56,9 @@
 
 // bounds weighs the next model's chance, by its lead, against its cost as a part
 // of the largest one's: it comes first where the chance is above that part. With
-// fixed bounds of 44 and 25, as these are for models like the first three
-// sites', a middle model that is right in 85 of 100 was hardly asked: 0.734 in
-// place of 0.794 in worth (docs/DECIDING.md).
+// fixed bounds of 44 and 25, which follow from firstLead at half the cost, a middle
+// model that can do nearly as much as the largest was hardly asked: 0.734 in place
+// of 0.776 of a day's worth (docs/DECIDING.md).
 func bounds(lead, share float64) nextBounds {
 	share = min(1-leastShare, max(leastShare, share))
 	odds := oddsScale * math.Log(share/(1-share))
