--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -20,9 +20,8 @@
 	// escalateReserve is the part of the allowed repeats that larger models
 	// leave for requests that failed. An answer that is wrong is worth little
 	// more than none, so it is small: with a quarter, 987 of some 10,000
-	// doubtful answers were kept for it on a day with half of the replicas
-	// crashed (scale-1 of the Shared Memory's grown site), and 119 on a quiet
-	// one.
+	// doubtful answers were kept for it while half of some 100 replicas were
+	// crashed, and 119 with all of them up.
 	escalateReserve = 0.1
 	// nextAccepts is the confidence from which the next model's answer is passed
 	// on.
