--- a/state/state.go
+++ b/state/state.go
@@ -164,13 +164,6 @@
 	s.log("store_lost", "error", err, "confirmed_ago", a)
 }
 
-// Lost reports whether the store is not reached.
-func (s *State) Lost() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lost
-}
-
 // StoreBack says that it is reached again.
 func (s *State) StoreBack() {
 	s.mu.Lock()
