Of a large fleet some 50 instances are listed, and pass changes on to the rest

The list is needed for keepers, watchers and judges only. Unlisted instances follow listed ones, which may have been told themselves by one that watches: one hop, so that nobody follows in circles. After an answer that came late the next wait is shorter, since ages add up (mirror). Lapsed members stay known for 10 s, or all would ask the store with an empty list (state).

--- a/cmd/fieldvale-node/follow.go
+++ b/cmd/fieldvale-node/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"fieldvale/mirror"
@@ -9,11 +10,15 @@
 	"fieldvale/relay"
 )
 
-// firstStartWait is how long an instance waits before its first read of the
-// store when the whole fleet starts: the platform starts all within 0.3 s, and
-// an announcement takes two calls. Without it, none knows the others, and each
-// watches the store.
-const firstStartWait = 600 * time.Millisecond
+const (
+	// firstStartWait is how long an instance waits at least before its first
+	// read of the store when the whole fleet starts: the platform starts all
+	// within 0.3 s. Up to firstStartSpread comes on top, so that each reads what
+	// those before have announced: 200 a second of 295 instances, and an
+	// announcement takes two calls of the store.
+	firstStartWait   = 400 * time.Millisecond
+	firstStartSpread = 1500 * time.Millisecond
+)
 
 // follow keeps up with what the store holds.
 func (n *node) follow(ctx context.Context) error {
@@ -21,7 +26,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(firstStartWait):
+		case <-time.After(firstStartWait + rand.N(firstStartSpread)):
 		}
 	}
 	return n.mirror().Run(ctx)
--- a/entry/repeats.go
+++ b/entry/repeats.go
@@ -9,22 +9,30 @@
 	r.window(service).Request(r.clock())
 }
 
-// unknownFleet is how many instances there are taken to be as long as their
-// list is not known; more than are usual where few of them are.
+// unknownFleet is how many instances there are taken to be as long as that is
+// not known; more than are usual where few of them are.
 const unknownFleet = 12
 
 // mayRepeat takes one repeat of a service's request if there is one left.
 // reserve is the part that is to be left for repeats after failures.
 func (r *Router) mayRepeat(service string, reserve float64) bool {
-	n := len(r.view.Get().Members)
-	if n == 0 {
-		n = unknownFleet
-	}
+	n := r.fleet()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.window(service).Repeat(r.clock(), 1/float64(n), reserve)
 }
 
+// fleet is how many instances there are.
+func (r *Router) fleet() int {
+	if r.fleetSize == nil {
+		return unknownFleet
+	}
+	if n := r.fleetSize(); n > 0 {
+		return n
+	}
+	return unknownFleet
+}
+
 // window counts the service's requests and repeats; r.mu is held.
 func (r *Router) window(service string) *admission.Window {
 	w, ok := r.windows[service]
--- a/entry/router.go
+++ b/entry/router.go
@@ -59,8 +59,9 @@
 	paces    *paces
 	releases *releases
 	// windows bound the repeats of opaque requests by service.
-	windows map[string]*admission.Window
-	repeats admission.Repeats
+	windows   map[string]*admission.Window
+	fleetSize func() int
+	repeats   admission.Repeats
 	// acceptConfidence is a smaller model's opinion of its own answer, out of
 	// 100, from which the answer is passed on.
 	acceptConfidence float64
@@ -81,6 +82,9 @@
 	// another replica.
 	Upstream Upstream
 	Repeats  admission.Repeats
+	// FleetSize is how many instances there are, 0 if that is not known; what
+	// the fleet may repeat on top is shared by it. It may be nil.
+	FleetSize func() int
 	// AcceptConfidence is a smaller model's opinion of its own answer, out of
 	// 100, from which the answer is passed on.
 	AcceptConfidence float64
@@ -108,7 +112,7 @@
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
 		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), leads: newLeads(), answers: newAnswerSizes(), delays: newDelays(), paces: newPaces(),
-		releases: newReleases(), windows: map[string]*admission.Window{}, repeats: p.Repeats,
+		releases: newReleases(), windows: map[string]*admission.Window{}, repeats: p.Repeats, fleetSize: p.FleetSize,
 		acceptConfidence: p.AcceptConfidence,
 	}
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -52,8 +52,11 @@
 	on     Listener
 
 	revision int64
-	failed   int
-	retry    time.Duration
+	// confirmed is the last moment of which the mirror knows that nothing newer
+	// existed.
+	confirmed time.Time
+	failed    int
+	retry     time.Duration
 }
 
 // New returns a mirror of the keys below prefix. wait is how long one call
@@ -125,7 +128,7 @@
 	}
 	m.revision = u.Revision
 	m.on.Changed(u)
-	m.on.Confirmed(sent)
+	m.confirm(sent)
 	return nil
 }
 
@@ -139,7 +142,8 @@
 // follow takes in what one call for changes brings.
 func (m *Mirror) follow(ctx context.Context) error {
 	sent := m.clock()
-	c, err := m.feed.Changes(ctx, m.prefix, m.revision, m.wait)
+	wait := m.nextWait(sent)
+	c, err := m.feed.Changes(ctx, m.prefix, m.revision, wait)
 	if err != nil {
 		return err
 	}
@@ -147,10 +151,28 @@
 	if len(c.Items) > 0 {
 		m.on.Changed(Update{Items: newest(c.Items), Revision: c.Revision})
 	}
-	m.on.Confirmed(m.asOf(sent, c))
+	m.confirm(m.asOf(sent, wait, c))
 	return nil
 }
 
+// confirm hands on that nothing newer existed at the moment asOf.
+func (m *Mirror) confirm(asOf time.Time) {
+	m.confirmed = asOf
+	m.on.Confirmed(asOf)
+}
+
+// shortestPart of the longest wait is the least that a call waits.
+const shortestPart = 4
+
+// nextWait is how long the next call waits for a change. After an answer that
+// brought one late, which proves nothing later than its question, it is less, so
+// that what is known is never older than one wait and what a call takes: those
+// who are told by others that follow this instance would else be told of
+// knowledge that is too old for them, and all ask the store.
+func (m *Mirror) nextWait(now time.Time) time.Duration {
+	return min(m.wait, max(m.wait/shortestPart, m.wait-now.Sub(m.confirmed)))
+}
+
 // newest returns the last item of each key, in their order. A key that went and
 // came back in one answer is there, not gone.
 func newest(l []store.Item) []store.Item {
@@ -173,8 +195,8 @@
 // asOf is the moment for which an answer speaks. One that waited to the end
 // in vain speaks for the end of the wait; any other only for its start, since
 // the answer may have been long under way.
-func (m *Mirror) asOf(sent time.Time, c store.Changes) time.Time {
-	w := m.wait
+func (m *Mirror) asOf(sent time.Time, wait time.Duration, c store.Changes) time.Time {
+	w := wait
 	if c.Waited > 0 {
 		w = min(w, c.Waited)
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -28,6 +29,59 @@
 	return store.Changes{}, ctx.Err()
 }
 
+// lateFeed brings one change at the end of the first wait for changes, and then
+// nothing; it notes for how long it was to wait.
+type lateFeed struct {
+	waits []time.Duration
+}
+
+func (f *lateFeed) Read(context.Context, string, string) (store.Page, error) {
+	return store.Page{Revision: 1}, nil
+}
+
+func (f *lateFeed) Changes(_ context.Context, _ string, after int64, wait time.Duration) (store.Changes, error) {
+	time.Sleep(wait)
+	f.waits = append(f.waits, wait)
+	if after == 1 {
+		return store.Changes{Items: []store.Item{{Key: "a", Revision: 2}}, Revision: 2}, nil
+	}
+	return store.Changes{Revision: after}, nil
+}
+
+// confirmations notes how old what is known gets.
+type confirmations struct {
+	at     time.Time
+	oldest time.Duration
+}
+
+func (c *confirmations) Changed(mirror.Update) {}
+func (c *confirmations) Lost(error)            {}
+func (c *confirmations) Regained()             {}
+
+func (c *confirmations) Confirmed(asOf time.Time) {
+	if !c.at.IsZero() {
+		c.oldest = max(c.oldest, time.Since(c.at))
+	}
+	c.at = asOf
+}
+
+// What is known never gets much older than one wait, also after an answer that
+// brought a change late and so proved nothing later than its question.
+func TestKnowledgeAgesByOneWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = time.Second
+		f, c := &lateFeed{}, &confirmations{}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		if err := mirror.New(f, "", wait, time.Now, c).Run(ctx); err != nil {
+			t.Error(err)
+		}
+		if c.oldest > wait*5/4 {
+			t.Errorf("what was known got %s old with waits of %s", c.oldest, f.waits)
+		}
+	})
+}
+
 // updates notes what it is told.
 type updates struct {
 	c chan mirror.Update
--- a/relay/ask.go
+++ b/relay/ask.go
@@ -28,7 +28,7 @@
 // ask asks one instance what changed and waits for its answer.
 func (n *Node) ask(ctx context.Context, m peer.Member, after int64) (answer, bool) {
 	return n.waiting.Ask(ctx, n.times.Follow+answerSlack, func(id uint64) error {
-		q := question{ID: id, After: after, Wait: n.times.Follow.Milliseconds(), Large: n.large}
+		q := question{ID: id, After: after, Wait: n.times.Follow.Milliseconds(), Large: n.large, Unlisted: n.unlisted()}
 		return n.send(m.Addr, id, message{Question: &q}, nil)
 	})
 }
@@ -67,6 +67,9 @@
 		return
 	}
 	if m.Question != nil {
+		if m.Question.Unlisted {
+			n.followers.saw(from, n.clock())
+		}
 		go n.answer(from, *m.Question)
 	}
 	if m.Answer != nil {
@@ -79,7 +82,7 @@
 	t := time.NewTimer(min(n.times.Follow, time.Duration(q.Wait)*time.Millisecond))
 	defer t.Stop()
 	for {
-		c, changed, s := n.log.since(q.After, n.clock())
+		c, changed, s := n.log.since(q.After, q.maxHops(), n.clock())
 		if s != known || len(c.Items) > 0 {
 			n.reply(to, q, c, s)
 			return
@@ -87,7 +90,7 @@
 		select {
 		case <-changed:
 		case <-t.C:
-			c, _, s = n.log.since(q.After, n.clock())
+			c, _, s = n.log.since(q.After, q.maxHops(), n.clock())
 			n.reply(to, q, c, s)
 			return
 		}
@@ -108,6 +111,7 @@
 		items, s = nil, tooLarge
 	}
 	a := newAnswer(q.ID, c, s)
+	a.Hops, a.Followers = n.log.Hops(), n.followers.count(n.clock())
 	if err := n.send(to, q.ID, message{Answer: &a}, items); err != nil {
 		n.event("answer_unsent", "to", to, "error", err)
 	}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -46,7 +46,8 @@
 // followed.
 func (n *Node) taken(m peer.Member, a answer) store.Changes {
 	n.from(m.ID)
-	n.log.SetDirect(false)
+	n.log.SetHops(a.Hops + 1)
+	n.setSourceFollowers(a.Followers)
 	c := a.changes()
 	c.Waited = n.times.Follow
 	return c
--- a/relay/log.go
+++ b/relay/log.go
@@ -18,6 +18,16 @@
 	maxLogBytes = 3 << 20
 )
 
+// What is known may come through so many instances to one that asks. Listed
+// instances ask each other: if one took what another has from a third, all might
+// follow each other in a circle. Nobody asks an unlisted one, so that it may be
+// told by those that were told themselves.
+const (
+	hopsToListed   = 0
+	hopsToUnlisted = 1
+	unknownHops    = hopsToUnlisted + 1
+)
+
 // Log is what an instance has seen of the store's recent changes. It is safe
 // for concurrent use.
 type Log struct {
@@ -31,16 +41,18 @@
 	changed chan struct{}
 	// confirmed is when the revision was last known to be the newest.
 	confirmed time.Time
-	// direct says that the store itself told the instance; lost that the
-	// instance is out of touch.
-	direct bool
-	lost   bool
+	// hops is how many instances what is known has come through: none if the
+	// store itself told it; lost says that the instance is out of touch.
+	hops int
+	lost bool
 	// keys are all that the store holds.
 	keys map[string]bool
 }
 
 // NewLog returns a log that knows nothing.
-func NewLog() *Log { return &Log{floor: -1, changed: make(chan struct{}), keys: map[string]bool{}} }
+func NewLog() *Log {
+	return &Log{floor: -1, hops: unknownHops, changed: make(chan struct{}), keys: map[string]bool{}}
+}
 
 // Reset takes all items that the store holds. What is new among them, and what
 // is gone, counts as changed at the revision: followers need not read the
@@ -133,31 +145,39 @@
 	l.wake()
 }
 
-// SetDirect says whether the instance knows from the store itself.
-func (l *Log) SetDirect(direct bool) {
+// SetHops says how many instances what is known has come through.
+func (l *Log) SetHops(hops int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.direct == direct {
+	if l.hops == hops {
 		return
 	}
-	l.direct = direct
+	l.hops = hops
 	l.wake()
 }
 
+// Hops returns how many instances what is known has come through.
+func (l *Log) Hops() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hops
+}
+
 func (l *Log) wake() {
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
 // since returns what changed after the revision, how old that knowledge is at
-// now, and whether the log can tell. changed is closed at the next change.
-func (l *Log) since(after int64, now time.Time) (c store.Changes, changed <-chan struct{}, s status) {
+// now, and whether the log can tell, which it can't if it came through more
+// than maxHops instances. changed is closed at the next change.
+func (l *Log) since(after int64, maxHops int, now time.Time) (c store.Changes, changed <-chan struct{}, s status) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.Revision = l.revision
 	c.Age = now.Sub(l.confirmed)
 	switch {
-	case l.floor < 0 || l.confirmed.IsZero() || l.lost || !l.direct:
+	case l.floor < 0 || l.confirmed.IsZero() || l.lost || l.hops > maxHops:
 		return c, l.changed, lostTouch
 	case after < l.floor:
 		return c, l.changed, forgotten
--- a/relay/node.go
+++ b/relay/node.go
@@ -29,6 +29,8 @@
 	waiting *reply.Waiters[answer]
 	pieces  pieces
 	packs   packs
+	// followers are the unlisted instances that ask this one.
+	followers *followers
 
 	// backoff, lost, large and gatherUntil belong to the one caller of
 	// Changes. backoff is when the store may be asked again.
@@ -45,6 +47,9 @@
 	members []peer.Member
 	avoid   map[string]time.Time
 	source  string
+	// sourceFollowers is how many unlisted instances, this one among them, the
+	// one followed last says it has.
+	sourceFollowers int
 }
 
 var _ store.Feed = (*Node)(nil)
@@ -53,7 +58,7 @@
 func NewNode(self string, start uint64, l *Log, s store.Feed, net Transport, clock func() time.Time, event func(event string, fields ...any), t Times) *Node {
 	return &Node{
 		self: self, log: l, store: s, net: net, clock: clock, event: event, times: t,
-		waiting: reply.New[answer](start), avoid: map[string]time.Time{},
+		waiting: reply.New[answer](start), avoid: map[string]time.Time{}, followers: newFollowers(followerQuestions * t.Follow),
 	}
 }
 
@@ -70,8 +75,9 @@
 }
 
 // Changes implements store.Feed. The fleet's instances are ranked; the first
-// ones watch the store, the next ones stand in for them. An instance asks
-// those ranked before its own tier and, if none of them can tell, the store.
+// ones watch the store, the next ones stand in for them. A listed instance asks
+// those ranked before its own tier, an unlisted one some of all, and, if none of
+// them can tell, the store.
 // Where its own way to the store is cut, it asks all tiers. It serves one
 // caller at a time.
 func (n *Node) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -46,7 +46,11 @@
 	x, cancel := context.WithTimeout(ctx, wait+storeSlack)
 	defer cancel()
 	c, err := n.store.Changes(x, prefix, after, wait)
-	n.log.SetDirect(err == nil || errors.Is(err, store.ErrCompacted))
+	if err == nil || errors.Is(err, store.ErrCompacted) {
+		n.log.SetHops(0)
+	} else {
+		n.log.SetHops(unknownHops)
+	}
 	if len(c.Items) > 0 {
 		n.gatherUntil = n.clock().Add(n.times.Gather)
 	}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -36,6 +36,16 @@
 	Wait  int64  `json:"wait"`
 	// Large asks for changes of any size: the store can't be read.
 	Large bool `json:"large,omitempty"`
+	// Unlisted says that the asker is on no list: nobody asks it.
+	Unlisted bool `json:"unlisted,omitempty"`
+}
+
+// maxHops is how many instances the answer may have come through before.
+func (q question) maxHops() int {
+	if q.Unlisted {
+		return hopsToUnlisted
+	}
+	return hopsToListed
 }
 
 // answer is what is said to a question. Its age is milliseconds.
@@ -44,6 +54,10 @@
 	Status   status `json:"status"`
 	Revision int64  `json:"rev"`
 	Age      int64  `json:"age"`
+	// Hops is how many instances the answer has come through already.
+	Hops int `json:"hops,omitempty"`
+	// Followers are the unlisted instances that ask the one who answers.
+	Followers int `json:"followers,omitempty"`
 	// Items are packed behind the rest.
 	Items []wireItem `json:"-"`
 }
--- a/state/state.go
+++ b/state/state.go
@@ -29,7 +29,10 @@
 	replicas *discovery.Set
 	releases map[string]*release
 	members  map[string]peer.Member
-	lost     bool
+	// lapsed are the members whose announcement is over, until when they are
+	// kept all the same.
+	lapsed map[string]time.Time
+	lost   bool
 	// unconfirmed says that the configuration's lease has run out.
 	unconfirmed bool
 	// onMembers is told of each change of the fleet.
@@ -39,7 +42,7 @@
 // New returns an empty state that puts what it knows into v.
 // onMembers is told of each change of the fleet.
 func New(v *entry.Current, l *lease.Lease, clock func() time.Time, log func(event string, fields ...any), onMembers func([]peer.Member)) *State {
-	return &State{view: v, lease: l, clock: clock, log: log, replicas: discovery.NewSet(), releases: map[string]*release{}, members: map[string]peer.Member{}, onMembers: onMembers}
+	return &State{view: v, lease: l, clock: clock, log: log, replicas: discovery.NewSet(), releases: map[string]*release{}, members: map[string]peer.Member{}, lapsed: map[string]time.Time{}, onMembers: onMembers}
 }
 
 // Apply takes news in.
@@ -52,7 +55,7 @@
 		s.log("config_in_force", "version", c.Table.Version, "routes", c.Table.Routes())
 	}
 	s.applyReplicas(c, now)
-	s.applyMembers(c)
+	s.applyMembers(c, now)
 	for _, o := range c.Orders {
 		s.order(o, now)
 	}
@@ -80,25 +83,67 @@
 	s.settle(now)
 }
 
-// applyMembers takes the fleet's changes in. Instances whose announcement
-// lapsed while the store was away are kept until they fail to answer: only
-// keepers are chosen among them, and a silent keeper is passed over.
-func (s *State) applyMembers(c Change) {
+// lapsedFor is how long a member whose announcement is over is kept: as long as
+// one that lives takes to announce itself again, which it finds out when it
+// renews it. Announcements lapse for all at once while the store is away; with
+// an empty list all instances would ask the store, and nobody one another. One
+// that has ended is passed over as it is silent.
+const lapsedFor = 10 * time.Second
+
+// applyMembers takes the fleet's changes in.
+func (s *State) applyMembers(c Change, now time.Time) {
 	if len(c.Members)+len(c.Left) == 0 && c.Known == nil {
 		return
 	}
 	if c.Known != nil {
-		clear(s.members)
+		for id := range s.members {
+			s.lapse(id, now)
+		}
 	}
 	for _, m := range c.Members {
 		s.members[m.ID] = m
+		delete(s.lapsed, m.ID)
 	}
 	for _, id := range c.Left {
-		delete(s.members, id)
+		s.lapse(id, now)
 	}
 	s.onMembers(s.memberList())
 }
 
+// lapse notes that the member's announcement is over.
+func (s *State) lapse(id string, now time.Time) {
+	_, known := s.members[id]
+	_, already := s.lapsed[id]
+	if known && !already {
+		s.lapsed[id] = now.Add(lapsedFor)
+	}
+}
+
+// dropLapsed drops the members that were kept for long enough, and reports
+// whether there were any.
+func (s *State) dropLapsed(now time.Time) bool {
+	any := false
+	for id, until := range s.lapsed {
+		if now.Before(until) {
+			continue
+		}
+		delete(s.lapsed, id)
+		delete(s.members, id)
+		any = true
+	}
+	if any {
+		s.onMembers(s.memberList())
+	}
+	return any
+}
+
+// Listed returns how many members' announcements stand.
+func (s *State) Listed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.members) - len(s.lapsed)
+}
+
 // memberList returns the instances in the order of their ids.
 func (s *State) memberList() []peer.Member {
 	return slices.SortedFunc(maps.Values(s.members), func(a, b peer.Member) int { return strings.Compare(a.ID, b.ID) })
@@ -130,7 +175,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	if s.settle(now) {
+	settled, dropped := s.settle(now), s.dropLapsed(now)
+	if settled || dropped {
 		s.publish()
 	}
 	s.checkLease(now)
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -72,3 +72,34 @@
 		t.Error(d)
 	}
 }
+
+// Members whose announcements lapse stay known for as long as they take to
+// announce themselves again, and do not count as listed meanwhile.
+func TestLapsedMembersStayForAWhile(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var known []peer.Member
+	s := New(entry.NewCurrent(), lease.New(time.Second, lease.Strict, now), func() time.Time { return now }, func(string, ...any) {}, func(m []peer.Member) { known = m })
+	a, b, c := peer.Member{ID: "a"}, peer.Member{ID: "b"}, peer.Member{ID: "c"}
+	check := func(when string, listed int, want ...peer.Member) {
+		t.Helper()
+		if d := cmp.Diff(want, known); d != "" || s.Listed() != listed {
+			t.Errorf("%s: %d listed, want %d; %s", when, s.Listed(), listed, d)
+		}
+	}
+	s.Apply(Change{Members: []peer.Member{a, b}})
+	check("announced", 2, a, b)
+	s.Apply(Change{Left: []string{"a", "b"}})
+	check("lapsed", 0, a, b)
+	now = now.Add(lapsedFor / 2)
+	s.Apply(Change{Members: []peer.Member{b}})
+	s.Tick()
+	check("b is back", 1, a, b)
+	s.Apply(Change{Known: map[string]bool{}, Members: []peer.Member{c}})
+	check("the list is read whole", 1, a, b, c)
+	now = now.Add(lapsedFor / 2)
+	s.Tick()
+	check("a is dropped", 1, b, c)
+	now = now.Add(lapsedFor / 2)
+	s.Tick()
+	check("b is dropped", 1, c)
+}
