Requests at a starting instance wait for its first configuration

Instances have their configuration 70 to 460 ms after they listen (median 170), so it was not the store. Change: such a request waits for up to 0.5 s, at most a quarter of its own time; it is refused at once where the store can't be reached (state.AwaitStart). Tests: TestRequestsWaitForTheFirstConfiguration, TestStartingInstanceRoutesWhatWaited.

--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -90,7 +90,7 @@
 	n.state = state.New(n.view, n.lease, n.clock, n.event, n.setMembers)
 	n.releases = platform.NewReleases(n.store)
 	n.router = entry.NewRouter(n.routerPorts())
-	n.ingress = platform.NewIngress(platform.Ports{Router: n.router, View: n.view, Lease: n.lease, Clock: n.clock, StartRetry: n.state.StartRetry, Answered: n.answered(), Refused: n.refused()})
+	n.ingress = platform.NewIngress(platform.Ports{Router: n.router, View: n.view, Lease: n.lease, Clock: n.clock, AwaitStart: n.state.AwaitStart, StartRetry: n.state.StartRetry, Answered: n.answered(), Refused: n.refused()})
 	return n
 }
 
--- a/state/state.go
+++ b/state/state.go
@@ -32,6 +32,7 @@
 	// lapsed are the members whose announcement is over, until when they are
 	// kept all the same.
 	lapsed map[string]time.Time
+	start  *start
 	lost   bool
 	// unconfirmed says that the configuration's lease has run out.
 	unconfirmed bool
@@ -42,7 +43,7 @@
 // New returns an empty state that puts what it knows into v.
 // onMembers is told of each change of the fleet.
 func New(v *entry.Current, l *lease.Lease, clock func() time.Time, log func(event string, fields ...any), onMembers func([]peer.Member)) *State {
-	return &State{view: v, lease: l, clock: clock, log: log, replicas: discovery.NewSet(), releases: map[string]*release{}, members: map[string]peer.Member{}, lapsed: map[string]time.Time{}, onMembers: onMembers}
+	return &State{view: v, lease: l, clock: clock, log: log, replicas: discovery.NewSet(), releases: map[string]*release{}, members: map[string]peer.Member{}, lapsed: map[string]time.Time{}, start: newStart(), onMembers: onMembers}
 }
 
 // Apply takes news in.
@@ -198,12 +199,20 @@
 }
 
 // Confirm says that nothing newer than what was applied existed at asOf.
-func (s *State) Confirm(asOf time.Time) { s.lease.Confirm(asOf) }
+func (s *State) Confirm(asOf time.Time) {
+	s.lease.Confirm(asOf)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmStart()
+}
 
 // StoreLost says that the store is not reached.
 func (s *State) StoreLost(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.lost {
+		close(s.start.lost)
+	}
 	s.lost = true
 	s.replicas.Away()
 	a, _ := s.lease.Age(s.clock())
@@ -214,6 +223,9 @@
 func (s *State) StoreBack() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.lost {
+		s.start.lost = make(chan struct{})
+	}
 	s.lost = false
 	s.replicas.Back(s.clock())
 	s.log("store_back")
