Replicas that can't be reached are left out by their keepers

Waits at the sound ones then pass the 1.5 s that a sure fault counts for, so keepers choose dead replicas as the cheaper ones: some 4,100 refused connections from 3.5 to 9.5 s, 69 replicas tried 21 times each (median) within two seconds, and 134 requests ended with 'replicas out of reach' after eight tries. Ruled out: requests past the keepers. Change: a replica that two prompts in a row could not reach is left out for 0.25 s, and twice as long after each further one, to 4 s; a prompt that is read there ends it.

--- a/placement/fault.go
+++ b/placement/fault.go
@@ -35,6 +35,20 @@
 	avoidedFrom = 0.5
 	// noFault is what counts as none.
 	noFault = 0.01
+
+	// A replica that outFrom prompts in a row could not reach is left out: for
+	// firstOut, and twice as long after each further one, up to mostOut. As long
+	// as others are sound it must not be tried for their long waits: with 157 of
+	// 192 replicas down, waits were above faultCost, so that 69 dead replicas were
+	// tried 21 times each in two seconds, and requests ended after eight tries
+	// though sound replicas were left. One that is gone for good is off the list
+	// some seconds later; one that comes back has another id.
+	outFrom  = 2
+	firstOut = 250 * time.Millisecond
+	mostOut  = 4 * time.Second
+	// outCost is what one that is left out counts for, in milliseconds: more than
+	// any wait, so that it is chosen only where all are left out.
+	outCost = 1e6
 )
 
 // String returns the fault's name in the log.
@@ -61,6 +75,10 @@
 type fault struct {
 	likely float64
 	asOf   time.Time
+	// unreached counts the prompts in a row that could not reach the replica,
+	// outUntil is until when it is left out for that.
+	unreached int
+	outUntil  time.Time
 }
 
 // at returns how likely a fault is now.
@@ -74,7 +92,32 @@
 // with returns the fault with another one counted.
 func (f fault) with(why Fault, now time.Time) fault {
 	x := f.at(now)
-	return fault{likely: x + weights[why]*(1-x), asOf: now}
+	f.likely, f.asOf = x+weights[why]*(1-x), now
+	if why != Unreached {
+		return f
+	}
+	f.unreached++
+	if n := f.unreached - outFrom; n >= 0 {
+		f.outUntil = now.Add(min(mostOut, firstOut<<min(n, maxDoublings)))
+	}
+	return f
+}
+
+// maxDoublings keeps the time from overflowing; mostOut is reached long before.
+const maxDoublings = 8
+
+// cost is what the replica's faults count for now, in milliseconds.
+func (f fault) cost(now time.Time) float64 {
+	c := faultCost * f.at(now)
+	if now.Before(f.outUntil) {
+		c += outCost
+	}
+	return c
+}
+
+// isOver reports whether nothing is left of the fault.
+func (f fault) isOver(now time.Time) bool {
+	return f.at(now) < noFault && !now.Before(f.outUntil.Add(mostOut))
 }
 
 // withRead returns the fault with a prompt counted that was read.
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -115,7 +115,7 @@
 func (l *Ledger) at(a Ask, i int, now time.Time) (Choice, float64) {
 	r := a.Replicas[i]
 	c := Choice{Index: i, Wait: l.pending[r] + l.slotWait(r, a.slots(i), a.Hold), Cost: a.Read}
-	t := c.Wait + c.Cost + slotCost*a.Hold*float64(l.busy[r]) + faultCost*l.faults[r].at(now) + a.far(i)
+	t := c.Wait + c.Cost + slotCost*a.Hold*float64(l.busy[r]) + l.faults[r].cost(now) + a.far(i)
 	for _, p := range l.unread(a, r, now) {
 		c.Cost += p.Read
 		t += p.Read + p.Again
@@ -218,7 +218,7 @@
 		}
 	}
 	for r, f := range l.faults {
-		if f.at(now) < noFault {
+		if f.isOver(now) {
 			delete(l.faults, r)
 		}
 	}
--- a/placement/ledger_test.go
+++ b/placement/ledger_test.go
@@ -185,3 +185,45 @@
 		}
 	})
 }
+
+// A replica that can't be reached is left out however long the others wait, is
+// tried again after longer and longer, and is back with the first prompt read.
+func TestUnreachedReplicasAreLeftOut(t *testing.T) {
+	l := placement.NewLedger(0)
+	now := noon
+	try := func(why placement.Fault) bool {
+		c := l.Choose(placement.Ask{Replicas: []string{"dead", "busy"}, Read: 900}, now)
+		if c.Index == 0 && why != placement.NoFault {
+			l.Lost(c.Ticket, why, now)
+		} else if c.Index == 0 {
+			l.Read(c.Ticket, now)
+		}
+		return c.Index == 0
+	}
+	for range 20 {
+		l.Choose(placement.Ask{Replicas: []string{"busy"}, Read: 900}, now)
+	}
+	tries := 0
+	for range 300 {
+		if try(placement.Unreached) {
+			tries++
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	// Two at first, then after 0.25 s, 0.5 s and 1 s more.
+	if tries != 5 {
+		t.Errorf("%d prompts went to a replica that can't be reached in 3 s, want 5", tries)
+	}
+	now = now.Add(4 * time.Second)
+	if !try(placement.NoFault) || !try(placement.Unreached) || !try(placement.NoFault) {
+		t.Error("it is left out after a prompt was read there")
+	}
+	both := placement.Ask{Replicas: []string{"x", "y"}, Read: 1}
+	for range 8 {
+		c := l.Choose(both, now)
+		l.Lost(c.Ticket, placement.Unreached, now)
+	}
+	if c := l.Choose(both, now); c.Index < 0 {
+		t.Error("none is chosen where all are left out")
+	}
+}
