One lost answer does not have a source passed over for two seconds

For a second one of the four instances that may watch could tell, and those that missed its answer left it alone for 2 s and turned to the store one by one: 60 instances could not confirm the configuration at 4.0 to 4.5 s, and listed ones learnt of it at 4.6 s that others had at 2.7 s. Change: an instance that gave no answer is passed over for 0.2 s, for 2 s only if it gave none the time before either (now logged: source_silent). An instance whose sources are all silent does not wait for them before it asks the store.

--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -97,6 +97,8 @@
 	mu    sync.Mutex
 	nodes map[string]*Node
 	cut   map[string]bool
+	// lose has how many of the next datagrams of each way are lost.
+	lose  map[string]int
 	delay time.Duration
 	// rate is what each instance's link sends in a second, in bytes; 0 for no
 	// bound. What would wait longer than fullAfter is lost.
@@ -138,6 +140,10 @@
 	if x == nil || w.n.cut[w.from+">"+to] {
 		return nil
 	}
+	if w.n.lose[w.from+">"+to] > 0 {
+		w.n.lose[w.from+">"+to]--
+		return nil
+	}
 	d, ok := w.n.queue(w.from, len(b))
 	if ok {
 		time.AfterFunc(d+w.n.delay, func() { x.Receive(w.from, b) })
@@ -236,7 +242,7 @@
 // startListed runs n instances, of which the first ones are listed; each has its
 // own way to the store, so that the store can turn single ones away.
 func startListed(ctx context.Context, g *sync.WaitGroup, n, listed int, shared *fakeStore) *fleet {
-	f := &fleet{listed: listed, net: &network{nodes: map[string]*Node{}, cut: map[string]bool{}, delay: time.Millisecond, until: map[string]time.Time{}}, away: map[string]*flag{}, on: map[string]*listener{}}
+	f := &fleet{listed: listed, net: &network{nodes: map[string]*Node{}, cut: map[string]bool{}, lose: map[string]int{}, delay: time.Millisecond, until: map[string]time.Time{}}, away: map[string]*flag{}, on: map[string]*listener{}}
 	var m []peer.Member
 	for i := range n {
 		id := fmt.Sprint("n", i)
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -23,6 +23,9 @@
 	n.sourceLost = false
 	for _, m := range sources {
 		a, ok := n.ask(ctx, m, after)
+		if ok {
+			n.heard(m)
+		}
 		if ok && a.Status == known && a.age() <= n.times.MaxAge {
 			return n.taken(m, a), known
 		}
@@ -31,7 +34,7 @@
 		}
 		switch {
 		case !ok:
-			n.pass(m, avoidFor)
+			n.passSilent(m)
 		case a.Status == tooLarge || a.Status == forgotten:
 			// Unless the store answers now, it is asked for all the same.
 			n.large = a.Status == tooLarge
@@ -56,10 +59,10 @@
 }
 
 // waitForBefore has an instance of the later tiers wait for those before it
-// when they can't tell any more: the second tier asks the store at once, and
-// tells the others.
+// when they answer that they can't tell any more: the second tier asks the store
+// at once, and tells the others. Where all are silent there is nobody to wait for.
 func (n *Node) waitForBefore(ctx context.Context, tier int, after int64) (store.Changes, status) {
-	if n.lost || tier < tiers {
+	if n.lost || tier < tiers || !n.sourceLost {
 		return store.Changes{}, lostTouch
 	}
 	n.lost = true
--- a/relay/node.go
+++ b/relay/node.go
@@ -50,7 +50,9 @@
 	mu      sync.Mutex
 	members []peer.Member
 	avoid   map[string]time.Time
-	source  string
+	// silent are the instances that gave no answer the last time.
+	silent map[string]bool
+	source string
 	// sourceFollowers is how many unlisted instances, this one among them, the
 	// one followed last says it has.
 	sourceFollowers int
@@ -62,7 +64,7 @@
 func NewNode(self string, start uint64, l *Log, s store.Feed, net Transport, clock func() time.Time, event func(event string, fields ...any), t Times) *Node {
 	return &Node{
 		self: self, log: l, store: s, net: net, clock: clock, event: event, times: t,
-		waiting: reply.New[answer](start), avoid: map[string]time.Time{}, followers: newFollowers(followerQuestions * t.Follow),
+		waiting: reply.New[answer](start), avoid: map[string]time.Time{}, silent: map[string]bool{}, followers: newFollowers(followerQuestions * t.Follow),
 	}
 }
 
--- a/relay/sources.go
+++ b/relay/sources.go
@@ -93,6 +93,31 @@
 	return l
 }
 
+// passSilent leaves an instance out that gave no answer: for long only if it
+// gave none the time before either, as one datagram may be lost. Where one
+// instance alone could tell, after others had lost their way to the store, those
+// that missed its answer knew a change two seconds later than all others
+// (TestALostAnswerIsAskedForAgain).
+func (n *Node) passSilent(m peer.Member) {
+	n.mu.Lock()
+	again := n.silent[m.ID]
+	n.silent[m.ID] = true
+	n.mu.Unlock()
+	if !again {
+		n.pass(m, askAgain)
+		return
+	}
+	n.event("source_silent", "source", m.ID, "addr", m.Addr, "avoided", avoidFor)
+	n.pass(m, avoidFor)
+}
+
+// heard notes an answer.
+func (n *Node) heard(m peer.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.silent, m.ID)
+}
+
 // pass leaves an instance out for some time.
 func (n *Node) pass(m peer.Member, d time.Duration) {
 	n.mu.Lock()
--- a/relay/unlisted_test.go
+++ b/relay/unlisted_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"fieldvale/peer"
 )
 
 // Of 150 instances 48 are listed: two watch the store for all of them, changes
@@ -82,6 +84,31 @@
 	})
 }
 
+// Three of the four instances that may watch have lost their way to the store,
+// and the answer of the fourth with a change is lost on the way to each instance:
+// all ask it again, and know the change within its bound.
+func TestALostAnswerIsAskedForAgain(t *testing.T) {
+	withListed(t, 60, 48, func(t *testing.T, f *fleet, s *fakeStore) {
+		l := peer.Rank(watchersKey, f.members())
+		for _, m := range l[1:4] {
+			f.away[m.ID].set(true)
+		}
+		time.Sleep(4 * time.Second)
+		f.net.mu.Lock()
+		for id := range f.on {
+			f.net.lose[l[0].ID+">"+id] = 1
+		}
+		f.net.mu.Unlock()
+		calls := s.calls
+		r := s.put("a", "2")
+		time.Sleep(1500 * time.Millisecond)
+		f.wantRevision(t, r, 0)
+		if n := s.calls - calls; n > 20 {
+			t.Errorf("%d calls of the store in 1.5 s after a change, want at most 20", n)
+		}
+	})
+}
+
 // wantRevision fails if more than so many instances are not at the revision.
 func (f *fleet) wantRevision(t *testing.T, revision int64, except int) {
 	t.Helper()
