--- a/relay/followers.go
+++ b/relay/followers.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
@@ -41,27 +40,3 @@
 	}
 	return len(f.until)
 }
-
-// setSourceFollowers keeps how many followers the one followed has.
-func (n *Node) setSourceFollowers(followers int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.sourceFollowers = followers
-}
-
-// FleetSize returns how many instances there are: the listed ones times those
-// that each has with its followers, by what this instance, or the one it
-// follows, sees. Where all instances take their shares of a sum by it, the
-// shares add up to one, however unevenly followers are spread. It is 0 as long
-// as the list is not known.
-func (n *Node) FleetSize() int {
-	n.mu.Lock()
-	listed := len(n.members)
-	isListed := slices.ContainsFunc(n.members, n.isSelf)
-	f := n.sourceFollowers
-	n.mu.Unlock()
-	if isListed {
-		f = n.followers.count(n.clock())
-	}
-	return listed * (1 + f)
-}
--- a/relay/log.go
+++ b/relay/log.go
@@ -18,16 +18,6 @@
 	maxLogBytes = 3 << 20
 )
 
-// What is known may come through so many instances to one that asks. Listed
-// instances ask each other: if one took what another has from a third, all might
-// follow each other in a circle. Nobody asks an unlisted one, so that it may be
-// told by those that were told themselves.
-const (
-	hopsToListed   = 0
-	hopsToUnlisted = 1
-	unknownHops    = hopsToUnlisted + 1
-)
-
 // Log is what an instance has seen of the store's recent changes. It is safe
 // for concurrent use.
 type Log struct {
--- a/relay/node.go
+++ b/relay/node.go
@@ -83,9 +83,8 @@
 // Changes implements store.Feed. The fleet's instances are ranked; the first
 // ones watch the store, the next ones stand in for them. A listed instance asks
 // those ranked before its own tier, an unlisted one some of all, and, if none of
-// them can tell, the store.
-// Where its own way to the store is cut, it asks all tiers. It serves one
-// caller at a time.
+// them can tell, the store. Where its own way to the store is cut, it asks others
+// of all tiers. It serves one caller at a time.
 func (n *Node) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
 	before, rest, tier := n.sources()
 	c, s := n.follow(ctx, before, after)
@@ -118,16 +117,3 @@
 		n.leftStore, n.backoff = false, backoff{}
 	}
 }
-
-// leaveStore has the store left alone for the longest pause there is before it
-// is asked for the first time: listed instances that answer, and are out of touch
-// themselves, ask it by their ranks. While a store was away for 8 s, 150 instances, 102
-// of them unlisted, made 350 calls to it in vain, with this 146
-// (TestUnlistedInstancesLeaveTheStoreAlone).
-func (n *Node) leaveStore() {
-	if n.leftStore || n.backoff.waits(n.clock()) {
-		return
-	}
-	n.leftStore = true
-	n.backoff = n.backoff.withLongestPause(n.clock())
-}
--- a/relay/sources.go
+++ b/relay/sources.go
@@ -15,13 +15,6 @@
 	// otherSources is how many instances that do not watch by their rank are
 	// asked when those that do can't tell: one of them may have had to.
 	otherSources = 4
-	// unlistedSources is how many listed instances an unlisted one has to ask
-	// before the store, askedAtOnce how many of them in one go. Each has its
-	// own ones, so that all listed instances share them. With a third of the
-	// listed ones cut off one in a hundred is left without a source and asks the
-	// store; one that is cut off from all does so after four silent ones.
-	unlistedSources = 4
-	askedAtOnce     = 2
 	// tiers are the watchers and those that stand in for them.
 	tiers = 2
 	// watchersKey ranks the instances that watch.
@@ -61,26 +54,8 @@
 	return before, rest[:min(len(rest), otherSources)], tier
 }
 
-// unlistedSources returns those of the listed instances that an unlisted one
-// asks before the store, and those that it asks if the store can't be.
-func (n *Node) unlistedSources(listed []peer.Member) (before, rest []peer.Member) {
-	l := peer.Rank(n.self, listed)
-	own := min(unlistedSources, len(l))
-	before = n.usable(l[:own])
-	rest = n.usable(l[own:])
-	return before[:min(askedAtOnce, len(before))], rest[:min(otherSources, len(rest))]
-}
-
 func (n *Node) isSelf(m peer.Member) bool { return m.ID == n.self }
 
-// unlisted reports whether the list, as far as this instance knows it, does not
-// name it.
-func (n *Node) unlisted() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return !slices.ContainsFunc(n.members, n.isSelf)
-}
-
 // usable leaves out this instance and those passed over.
 func (n *Node) usable(m []peer.Member) []peer.Member {
 	now := n.clock()
