The ledger's wait for slots is taken out

Ruled out: that full replicas need it; they turn requests away, which is a fault that the keeper is told of. Conclusion: removed.

--- a/entry/group.go
+++ b/entry/group.go
@@ -56,14 +56,6 @@
 	return slices.AppendSeq(make([]string, 0, len(c)), idsOf(c))
 }
 
-func slots(c []*pool.Replica) []int {
-	l := make([]int, len(c))
-	for i, r := range c {
-		l[i] = r.Slots
-	}
-	return l
-}
-
 // far returns the bits of the replicas in other data centres.
 func (r *Router) far(c []*pool.Replica) uint64 {
 	var m uint64
--- a/entry/place.go
+++ b/entry/place.go
@@ -64,7 +64,7 @@
 // ask returns the question which of the replicas the prompt should go to.
 func (w *forwarding) ask(e estimate, c []*pool.Replica) placement.Ask {
 	return placement.Ask{
-		Replicas: ids(c), Slots: slots(c), Far: w.r.far(c), Away: w.away(),
+		Replicas: ids(c), Far: w.r.far(c), Away: w.away(),
 		Read: max(1, e.own), Shared: e.shared, Hold: w.r.holds.of(w.holdKey()),
 		Within: w.within(),
 	}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -12,8 +12,6 @@
 	// Hold is how long the run holds its slot once the prompt is read, in
 	// milliseconds, as runs of its kind do on average.
 	Hold float64
-	// Slots are those of each candidate; none says nothing of them.
-	Slots []int
 	// Far has the bits set of the candidates in other data centres than the
 	// asker's, Away what such a one counts for on top, in milliseconds.
 	Far  uint64
@@ -49,20 +47,12 @@
 	return 0
 }
 
-// slots returns the candidate's slots; 0 if they are not known.
-func (a Ask) slots(i int) int {
-	if i < len(a.Slots) {
-		return a.Slots[i]
-	}
-	return 0
-}
-
 // Choice is the answer.
 type Choice struct {
 	// Index is into the candidates.
 	Index int
 	// Wait is the time before the prompt is read, in milliseconds: for the work
-	// before it and for a free slot.
+	// before it.
 	Wait float64
 	// Cost is the prompt's own time there, in milliseconds.
 	Cost float64
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -114,7 +114,7 @@
 // part again.
 func (l *Ledger) at(a Ask, i int, now time.Time) (Choice, float64) {
 	r := a.Replicas[i]
-	c := Choice{Index: i, Wait: l.pending[r] + l.slotWait(r, a.slots(i), a.Hold), Cost: a.Read}
+	c := Choice{Index: i, Wait: l.pending[r], Cost: a.Read}
 	t := c.Wait + c.Cost + slotCost*a.Hold*float64(l.busy[r]) + l.faults[r].cost(now) + a.far(i)
 	for _, p := range l.unread(a, r, now) {
 		c.Cost += p.Read
--- a/placement/runs.go
+++ b/placement/runs.go
@@ -61,13 +61,3 @@
 		delete(l.busy, x.replica)
 	}
 }
-
-// slotWait is the time until a replica with so many slots has one free, in
-// milliseconds, if its runs end evenly over the time that one holds its slot.
-func (l *Ledger) slotWait(replica string, slots int, hold float64) float64 {
-	over := l.busy[replica] - slots + 1
-	if slots == 0 || over <= 0 {
-		return 0
-	}
-	return float64(over) * hold / float64(slots)
-}
--- a/placement/wire.go
+++ b/placement/wire.go
@@ -20,7 +20,6 @@
 	Read     float64    `json:"Read"`
 	Shared   []wirePart `json:"Parts,omitempty"`
 	Hold     float64    `json:"Hold,omitempty"`
-	Slots    []int      `json:"Slots,omitempty"`
 	Far      uint64     `json:"Far,omitempty"`
 	Away     float64    `json:"Away,omitempty"`
 	Within   float64    `json:"Within,omitempty"`
@@ -33,7 +32,7 @@
 }
 
 func newWireAsk(a Ask) *wireAsk {
-	w := &wireAsk{Replicas: a.Replicas, Read: a.Read, Hold: a.Hold, Slots: a.Slots, Far: a.Far, Away: a.Away, Within: a.Within}
+	w := &wireAsk{Replicas: a.Replicas, Read: a.Read, Hold: a.Hold, Far: a.Far, Away: a.Away, Within: a.Within}
 	for _, p := range a.Shared {
 		w.Shared = append(w.Shared, wirePart(p))
 	}
@@ -41,7 +40,7 @@
 }
 
 func (w *wireAsk) ask() Ask {
-	a := Ask{Replicas: w.Replicas, Read: w.Read, Hold: w.Hold, Slots: w.Slots, Far: w.Far, Away: w.Away, Within: w.Within}
+	a := Ask{Replicas: w.Replicas, Read: w.Read, Hold: w.Hold, Far: w.Far, Away: w.Away, Within: w.Within}
 	for _, p := range w.Shared {
 		a.Shared = append(a.Shared, Part(p))
 	}
