--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -44,16 +44,17 @@
 		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 5, 25).Draw(rt, "steps")
 		waits := rapid.SliceOfN(rapid.IntRange(1, 3000), 25, 25).Draw(rt, "waits")
 		who := rapid.SliceOfN(rapid.IntRange(0, 4), 50, 50).Draw(rt, "who")
-		synctest.Test(t, func(t *testing.T) { playRelay(t, rt, steps, waits, who) })
+		listed := rapid.IntRange(1, 5).Draw(rt, "listed")
+		synctest.Test(t, func(t *testing.T) { playRelay(t, rt, listed, steps, waits, who) })
 	})
 }
 
-func playRelay(t *testing.T, rt *rapid.T, steps, waits, who []int) {
+func playRelay(t *testing.T, rt *rapid.T, listed int, steps, waits, who []int) {
 	ctx, cancel := context.WithCancel(t.Context())
 	var g sync.WaitGroup
 	s := &fakeStore{}
 	s.put("a", "0")
-	f := start(ctx, &g, 5, s)
+	f := startListed(ctx, &g, 5, listed, s)
 	made := map[int64]time.Time{}
 	for i, x := range steps {
 		time.Sleep(time.Duration(waits[i]) * time.Millisecond)
