--- a/relay/node.go
+++ b/relay/node.go
@@ -32,8 +32,8 @@
 	// followers are the unlisted instances that ask this one.
 	followers *followers
 
-	// backoff, lost, sourceLost, leftStore, large and gatherUntil belong to the one caller of
-	// Changes. backoff is when the store may be asked again.
+	// backoff, lost, sourceLost, leftStore, large and gatherUntil belong to the
+	// one caller of Changes. backoff is when the store may be asked again.
 	backoff backoff
 	// lost says that nobody could tell what is newest the last time.
 	lost bool
--- a/relay/sources.go
+++ b/relay/sources.go
@@ -42,6 +42,8 @@
 	r := peer.Rank(watchersKey, n.members)
 	k := watchers(len(r))
 	rank := slices.IndexFunc(r, n.isSelf)
+	// With an empty list there is nobody to follow: the store is watched until
+	// it names somebody.
 	if rank < 0 && len(r) > 0 {
 		before, rest = n.unlistedSources(r)
 		return before, rest, len(r)/k + 1
--- a/relay/times.go
+++ b/relay/times.go
@@ -9,8 +9,8 @@
 	Watch  time.Duration
 	Follow time.Duration
 	// MaxAge is the oldest knowledge that is taken from another instance. One
-	// that watches a sound store never has older: twice Watch, since an
-	// answer that brings a change proves nothing later than its question.
+	// that watches a sound store has none much older than Watch and Gather, and
+	// one that follows it none that is older by more than Follow.
 	MaxAge time.Duration
 	// Gather is how long changes are gathered after one that came from the
 	// store: each call has a price, and changes come in bursts.
