--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -234,14 +234,9 @@
 	on   map[string]*listener
 }
 
-// start runs n instances that are all listed.
-func start(ctx context.Context, g *sync.WaitGroup, n int, shared *fakeStore) *fleet {
-	return startListed(ctx, g, n, n, shared)
-}
-
-// startListed runs n instances, of which the first ones are listed; each has its
+// start runs n instances, of which the first ones are listed; each has its
 // own way to the store, so that the store can turn single ones away.
-func startListed(ctx context.Context, g *sync.WaitGroup, n, listed int, shared *fakeStore) *fleet {
+func start(ctx context.Context, g *sync.WaitGroup, n, listed int, shared *fakeStore) *fleet {
 	f := &fleet{listed: listed, net: &network{nodes: map[string]*Node{}, cut: map[string]bool{}, lose: map[string]int{}, delay: time.Millisecond, until: map[string]time.Time{}}, away: map[string]*flag{}, on: map[string]*listener{}}
 	var m []peer.Member
 	for i := range n {
@@ -279,7 +274,7 @@
 		var g sync.WaitGroup
 		s := &fakeStore{}
 		s.put("a", "1")
-		f := startListed(ctx, &g, n, listed, s)
+		f := start(ctx, &g, n, listed, s)
 		time.Sleep(5 * time.Second)
 		play(t, f, s)
 		cancel()
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -54,7 +54,7 @@
 	var g sync.WaitGroup
 	s := &fakeStore{}
 	s.put("a", "0")
-	f := startListed(ctx, &g, 5, listed, s)
+	f := start(ctx, &g, 5, listed, s)
 	made := map[int64]time.Time{}
 	for i, x := range steps {
 		time.Sleep(time.Duration(waits[i]) * time.Millisecond)
