--- a/relay/backoff.go
+++ b/relay/backoff.go
@@ -33,10 +33,10 @@
 	return backoff{until: now.Add(p), pause: p}
 }
 
-// withLongestPause returns the backoff of an instance that leaves the store to
-// others.
-func (b backoff) withLongestPause(now time.Time) backoff {
-	return backoff{until: now.Add(mostPauses * longestPause), pause: mostPauses * longestPause}
+// leftToOthers is the backoff of an instance that leaves the store to others.
+func leftToOthers(now time.Time) backoff {
+	const pause = mostPauses * longestPause
+	return backoff{until: now.Add(pause), pause: pause}
 }
 
 // withSource returns the backoff after another instance could tell what the
--- a/relay/unlisted.go
+++ b/relay/unlisted.go
@@ -56,7 +56,7 @@
 		return
 	}
 	n.leftStore = true
-	n.backoff = n.backoff.withLongestPause(n.clock())
+	n.backoff = leftToOthers(n.clock())
 }
 
 // setSourceFollowers keeps how many followers the one followed has.
