What is made of a release's answers can be seen

release_seen lines say each second what was counted, what is excused and by how many instances' reports; a counter tells what each attempt counts as, also those that count as nothing. Before, a release that ran on for want of evidence, by an excuse or for lost reports left the same log. No logic is changed.

--- a/cmd/fieldvale-node/duties.go
+++ b/cmd/fieldvale-node/duties.go
@@ -17,6 +17,8 @@
 	defer t.Stop()
 	tell := time.NewTicker(tellEvery)
 	defer tell.Stop()
+	see := time.NewTicker(seeEvery)
+	defer see.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -26,6 +28,8 @@
 			n.advance()
 		case <-tell.C:
 			n.tell()
+		case <-see.C:
+			n.see()
 		case <-hup:
 			n.reload()
 		}
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -64,6 +64,9 @@
 	releases *platform.Releases
 	// records are releases' progress that is to be written.
 	records chan state.Record
+	// seen is what was last logged of each service's release; only the
+	// goroutine of timed duties uses it.
+	seen map[string]entry.Trial
 	// earlier is this instance's announcement as the store's first read
 	// showed it.
 	earlier  chan store.Announced
@@ -80,7 +83,7 @@
 	limitMemory(s.MemoryMB)
 	n := &node{
 		s: s, path: path, log: l, clock: time.Now, metrics: metrics.New(), view: entry.NewCurrent(),
-		records: make(chan state.Record), earlier: make(chan store.Announced, 1), pool: exchange.New(), stopping: make(chan struct{}),
+		records: make(chan state.Record), seen: map[string]entry.Trial{}, earlier: make(chan store.Announced, 1), pool: exchange.New(), stopping: make(chan struct{}),
 	}
 	n.lease = lease.New(time.Duration(honourPart*float64(s.HonourFor)), keyRule(s), n.clock())
 	n.placer = placement.NewNode(s.ID, startID(), tagged{n, tagPlacement}, n.clock, n.event)
--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -9,7 +9,9 @@
 
 // events logs what the router tells of, and passes bad releases on.
 func (n *node) events() *entry.Events {
+	judged := n.metrics.Counter("release_answers_total", "Attempts by release and what they count as when releases are judged.", "service", "release", "verdict")
 	return &entry.Events{
+		Judged: func(service, release, verdict string) { judged.WithLabelValues(service, release, verdict).Inc() },
 		Attempt: func(request, replica string, err error) {
 			n.event("attempt_failed", "request", request, "replica", replica, "error", err)
 		},
@@ -20,6 +22,25 @@
 	}
 }
 
+// seeEvery is between lines on what is made of a release under way.
+const seeEvery = time.Second
+
+// see logs what this instance makes of releases under way, where it has
+// changed since the last line.
+func (n *node) see() {
+	for _, t := range n.router.Trials() {
+		if n.seen[t.Release.Service] == t {
+			continue
+		}
+		n.seen[t.Release.Service] = t
+		s, f := t.Seen, t.Finding
+		n.event("release_seen", "service", t.Release.Service, "release", t.Release.Target, "order", t.Release.Order, "phase", t.Release.Phase, "origins", f.Origins,
+			"good", s.New.Good, "bad", s.New.Bad, "good_before", s.Old.Good, "bad_before", s.Old.Bad,
+			"fast", s.NewPace.Good, "slow", s.NewPace.Bad, "fast_before", s.OldPace.Good, "slow_before", s.OldPace.Bad,
+			"answers", f.Answers, "pace", f.Pace, "excused", f.Excused, "found_bad", f.Bad)
+	}
+}
+
 // answered logs and counts each routed request.
 func (n *node) answered() func(*entry.Forwarded) {
 	c := n.metrics.Counter("routed_total", "Routed requests by service and result.", "service", "code")
--- a/entry/events.go
+++ b/entry/events.go
@@ -18,6 +18,14 @@
 	// BadRelease is a release that this instance found to be bad, with what
 	// it and those that report to it saw.
 	BadRelease func(r rollout.Release, seen rollout.Tally)
+	// Judged is what an answer of a service's release counts as.
+	Judged func(service, release, verdict string)
+}
+
+func (e *Events) judged(service, release, verdict string) {
+	if e.Judged != nil {
+		e.Judged(service, release, verdict)
+	}
 }
 
 func (e *Events) badRelease(r rollout.Release, seen rollout.Tally) {
--- a/entry/releases.go
+++ b/entry/releases.go
@@ -155,10 +155,67 @@
 	r.releases.report(rel, origin, t.Tally, r.clock(), r.events)
 }
 
+// Trial is what this instance makes of a release under way, by its own answers
+// and those that others told it of.
+type Trial struct {
+	Release rollout.Release
+	Seen    rollout.Tally
+	Finding rollout.Finding
+}
+
+// Trials returns the trials of the releases under way.
+func (r *Router) Trials() []Trial {
+	var l []Trial
+	s := r.releases
+	for _, rel := range r.view.Get().Releases {
+		if rel.State != rollout.Running {
+			continue
+		}
+		s.mu.Lock()
+		if t := s.of(rel); t != nil {
+			l = append(l, Trial{Release: rel, Seen: t.judge.Total(), Finding: t.judge.Finding()})
+		}
+		s.mu.Unlock()
+	}
+	return l
+}
+
+// Verdicts on an answer, for the metrics. What is uncounted says nothing of its
+// replica, as far as the judge goes.
+const (
+	verdictGood      = "good"
+	verdictSlow      = "slow"
+	verdictBad       = "bad"
+	verdictLeft      = "uncounted: the client left"
+	verdictUncounted = "uncounted"
+)
+
+// verdict names what an attempt counts as.
+func (a *attempt) verdict(bad, slow bool) string {
+	switch {
+	case bad:
+		return verdictBad
+	case a.left:
+		return verdictLeft
+	case !a.served:
+		return verdictUncounted
+	case slow:
+		return verdictSlow
+	}
+	return verdictGood
+}
+
 // judge counts the outcome for the release that ran it, if one is under way.
 func (a *attempt) judge(bad bool) {
+	slow := a.weigh(bad)
+	a.w.r.events.judged(a.w.f.Service, a.replica.Release, a.verdict(bad, slow))
+}
+
+// weigh counts the outcome, if it says something, and reports whether it was
+// slow.
+func (a *attempt) weigh(bad bool) bool {
 	if !bad && !a.served {
-		return
+		return false
 	}
 	r := a.w.r
 	rel, ok := r.view.Get().Releases[a.w.f.Service]
@@ -168,4 +225,5 @@
 	if under {
 		r.releases.weigh(rel, v, r.clock(), r.events)
 	}
+	return v.slow
 }
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -87,6 +87,28 @@
 	return j.total.minus(before)
 }
 
+// Finding is what a judge makes of what it was told, for the log.
+type Finding struct {
+	// Origins is how many instances have reported.
+	Origins int
+	// Answers and Pace are how near the tests are to finding the release bad;
+	// from 1 on they have, unless the old release excuses it.
+	Answers, Pace float64
+	// Excused says that the old release's own trouble is all that keeps the
+	// release from being found bad.
+	Excused bool
+	Bad     bool
+}
+
+// Finding returns what the judge makes of the reports so far.
+func (j *Judge) Finding() Finding {
+	return Finding{
+		Origins: len(j.from),
+		Answers: j.answers.Sum() / j.answers.Limit(), Pace: j.pace.Sum() / j.pace.Limit(),
+		Excused: !j.bad && (j.answers.Tripped() || j.pace.Tripped()), Bad: j.bad,
+	}
+}
+
 // Bad reports whether the release was found bad.
 func (j *Judge) Bad() bool { return j.bad }
 
