--- a/admission/window.go
+++ b/admission/window.go
@@ -36,6 +36,12 @@
 	w.requests[w.slot(now)]++
 }
 
+// Rate returns how many requests a second there were lately.
+func (w *Window) Rate(now time.Time) float64 {
+	w.slot(now)
+	return sum(w.requests) / budgetWindow.Seconds()
+}
+
 // Repeat counts a repeat and reports whether it is allowed. share is this
 // instance's part of what the fleet is allowed on top; reserve is the part of
 // the allowance that is to be left for others.
--- a/cmd/fieldvale-node/datagrams.go
+++ b/cmd/fieldvale-node/datagrams.go
@@ -5,6 +5,7 @@
 	tagPlacement = 'p'
 	tagRelay     = 'r'
 	tagTally     = 't'
+	tagVerdict   = 'v'
 )
 
 // tagged sends datagrams for one purpose over the shared socket.
@@ -30,5 +31,7 @@
 		n.relay.Receive(from, b[1:])
 	case tagTally:
 		n.receiveTally(from, b[1:])
+	case tagVerdict:
+		n.receiveVerdict(from, b[1:])
 	}
 }
--- a/cmd/fieldvale-node/duties.go
+++ b/cmd/fieldvale-node/duties.go
@@ -25,9 +25,11 @@
 			return nil
 		case <-t.C:
 			n.state.Tick()
+			n.tell(n.router.UrgentTallies())
 			n.advance()
 		case <-tell.C:
-			n.tell()
+			n.tell(n.router.Tallies())
+			n.tellBad()
 		case <-see.C:
 			n.see()
 		case <-hup:
--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -15,13 +15,24 @@
 		Attempt: func(request, replica string, err error) {
 			n.event("attempt_failed", "request", request, "replica", replica, "error", err)
 		},
-		BadRelease: func(r rollout.Release, t rollout.Tally) {
-			n.event("release_bad", "service", r.Service, "release", r.Target, "bad", t.New.Bad, "good", t.New.Good, "bad_before", t.Old.Bad, "good_before", t.Old.Good,
-				"slow", t.NewPace.Bad, "fast", t.NewPace.Good, "slow_before", t.OldPace.Bad, "fast_before", t.OldPace.Good)
+		BadRelease: func(r rollout.Release, t rollout.Tally, f rollout.Finding) {
+			n.event("release_bad", append(seen(r, t, f), "cause", f.Cause)...)
 		},
 	}
 }
 
+// seen are the fields of what is made of a release.
+func seen(r rollout.Release, t rollout.Tally, f rollout.Finding) []any {
+	now, old := t.All()
+	return []any{
+		"service", r.Service, "release", r.Target, "order", r.Order, "phase", r.Phase, "origins", f.Origins,
+		"good", now.Good, "failed", now.Failed, "broken", now.Broken, "waits", now.Waits.Came, "waited", now.Waits.Passed,
+		"good_before", old.Good, "failed_before", old.Failed, "broken_before", old.Broken, "waits_before", old.Waits.Came, "waited_before", old.Waits.Passed,
+		"idle_good", t.Idle.Good, "idle_bad", t.Idle.Bad, "loaded_good", t.Loaded.Good, "loaded_bad", t.Loaded.Bad,
+		"whose", f.Whose, "kind", f.Kind, "answers", f.Answers, "loaded", f.Loaded, "pace", f.Pace,
+	}
+}
+
 // seeEvery is between lines on what is made of a release under way.
 const seeEvery = time.Second
 
@@ -33,11 +44,7 @@
 			continue
 		}
 		n.seen[t.Release.Service] = t
-		s, f := t.Seen, t.Finding
-		n.event("release_seen", "service", t.Release.Service, "release", t.Release.Target, "order", t.Release.Order, "phase", t.Release.Phase, "origins", f.Origins,
-			"good", s.New.Good, "bad", s.New.Bad, "good_before", s.Old.Good, "bad_before", s.Old.Bad,
-			"fast", s.NewPace.Good, "slow", s.NewPace.Bad, "fast_before", s.OldPace.Good, "slow_before", s.OldPace.Bad,
-			"answers", f.Answers, "pace", f.Pace, "excused", f.Excused, "found_bad", f.Bad)
+		n.event("release_seen", seen(t.Release, t.Seen, t.Finding)...)
 	}
 }
 
--- a/cmd/fieldvale-node/releases.go
+++ b/cmd/fieldvale-node/releases.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fieldvale/peer"
+	"fieldvale/rollout"
 	"fieldvale/state"
 )
 
@@ -13,6 +14,9 @@
 	// turnLength is how long one instance has to write what is due before the
 	// next one does: some store calls, and well below the phases of a release.
 	turnLength = 250 * time.Millisecond
+	// judgesFirst is how much longer instances wait that don't judge the release:
+	// as long as a judge may hold it back in a day of 16 s.
+	judgesFirst = time.Second
 	// commitTimeout bounds a call that writes to the store.
 	commitTimeout = 2 * time.Second
 )
@@ -63,14 +67,19 @@
 }
 
 // turn is how long this instance lets those ranked before it write a record
-// of the service's release.
-func (n *node) turn(service string) time.Duration {
-	m := n.ranked(service)
+// of the service's release. Those that don't judge it, and don't know whether it
+// is suspect, leave the judges time.
+func (n *node) turn(rel rollout.Release) (wait time.Duration, suspect bool) {
+	m := n.ranked(rel.Service)
 	i := slices.IndexFunc(m, func(x peer.Member) bool { return x.ID == n.s.ID })
 	if i < 0 {
 		i = len(m)
 	}
-	return time.Duration(i) * turnLength
+	wait = time.Duration(i) * turnLength
+	if i >= judges {
+		wait += judgesFirst
+	}
+	return wait, n.router.IsSuspect(rel)
 }
 
 // record writes a release's progress, unless another instance did before.
--- a/cmd/fieldvale-node/report.go
+++ b/cmd/fieldvale-node/report.go
@@ -11,47 +11,58 @@
 
 // report is what instances tell each other of releases under way.
 type report struct {
-	From    string      `json:"from"`
-	Release wireRelease `json:"release"`
+	From    string `json:"from"`
+	Service string `json:"service"`
+	Order   int64  `json:"order"`
+	Life    int64  `json:"life"`
+	// New and Old have a row for each kind of request of which something is
+	// known.
+	New    []wireCounts `json:"new,omitempty"`
+	Old    []wireCounts `json:"old,omitempty"`
+	Loaded [2]uint64    `json:"loaded"`
+	Idle   [2]uint64    `json:"idle"`
 }
 
-// wireRelease is an entry.ReleaseTally as it is sent.
-type wireRelease struct {
-	Service string    `json:"Service"`
-	Order   int64     `json:"Order"`
-	Tally   wireTally `json:"Tally"`
-}
-
-type wireTally struct {
-	New     wireEvidence `json:"New"`
-	Old     wireEvidence `json:"Old"`
-	NewPace wireEvidence `json:"NewPace"`
-	OldPace wireEvidence `json:"OldPace"`
-}
+// wireCounts are a kind and its good, failed and broken answers, and for each span
+// of waiting how many answers came in it and how many requests passed it.
+type wireCounts [4 + 2*rollout.Spans]uint64
 
-type wireEvidence struct {
-	Good uint64 `json:"Good"`
-	Bad  uint64 `json:"Bad"`
-}
+// errKind says that a report names a kind that there is none of.
+var errKind = errors.New("decodeReport: no such kind of request")
 
-func newWireTally(t rollout.Tally) wireTally {
-	return wireTally{
-		New: wireEvidence(t.New), Old: wireEvidence(t.Old),
-		NewPace: wireEvidence(t.NewPace), OldPace: wireEvidence(t.OldPace),
+func newWireCounts(l [rollout.Kinds]rollout.Counts) []wireCounts {
+	var w []wireCounts
+	for i, c := range l {
+		if c != (rollout.Counts{}) {
+			x := wireCounts{uint64(i), c.Good, c.Failed, c.Broken}
+			copy(x[4:], c.Waits.Came[:])
+			copy(x[4+rollout.Spans:], c.Waits.Passed[:])
+			w = append(w, x)
+		}
 	}
+	return w
 }
 
-func (w wireTally) tally() rollout.Tally {
-	return rollout.Tally{
-		New: rollout.Evidence(w.New), Old: rollout.Evidence(w.Old),
-		NewPace: rollout.Evidence(w.NewPace), OldPace: rollout.Evidence(w.OldPace),
+func counts(w []wireCounts) (l [rollout.Kinds]rollout.Counts, err error) {
+	for _, c := range w {
+		if c[0] >= rollout.Kinds {
+			return l, errKind
+		}
+		x := rollout.Counts{Good: c[1], Failed: c[2], Broken: c[3]}
+		copy(x.Waits.Came[:], c[4:])
+		copy(x.Waits.Passed[:], c[4+rollout.Spans:])
+		l[c[0]] = x
 	}
+	return l, nil
 }
 
 // encodeReport returns the datagram that tells what an instance saw.
 func encodeReport(from string, t entry.ReleaseTally) ([]byte, error) {
-	r := wireRelease{Service: t.Service, Order: t.Order, Tally: newWireTally(t.Tally)}
-	b, err := json.Marshal(report{From: from, Release: r})
+	x := t.Tally
+	b, err := json.Marshal(report{
+		From: from, Service: t.Service, Order: t.Order, Life: x.Life,
+		New: newWireCounts(x.New), Old: newWireCounts(x.Old), Loaded: [2]uint64{x.Loaded.Good, x.Loaded.Bad}, Idle: [2]uint64{x.Idle.Good, x.Idle.Bad},
+	})
 	return b, errors.Wrap(err, "encodeReport")
 }
 
@@ -61,5 +72,31 @@
 	if err := json.Unmarshal(b, &r); err != nil {
 		return "", t, errors.Wrap(err, "decodeReport")
 	}
-	return r.From, entry.ReleaseTally{Service: r.Release.Service, Order: r.Release.Order, Tally: r.Release.Tally.tally()}, nil
+	t = entry.ReleaseTally{Service: r.Service, Order: r.Order}
+	t.Tally.Life = r.Life
+	t.Tally.Loaded = rollout.Evidence{Good: r.Loaded[0], Bad: r.Loaded[1]}
+	t.Tally.Idle = rollout.Evidence{Good: r.Idle[0], Bad: r.Idle[1]}
+	if t.Tally.New, err = counts(r.New); err != nil {
+		return "", t, err
+	}
+	t.Tally.Old, err = counts(r.Old)
+	return r.From, t, err
+}
+
+// wireVerdict tells that an instance found a release bad.
+type wireVerdict struct {
+	From    string `json:"from"`
+	Service string `json:"service"`
+	Order   int64  `json:"order"`
+}
+
+// encodeVerdict returns the datagram that tells of a bad release.
+func encodeVerdict(from string, r rollout.Release) ([]byte, error) {
+	b, err := json.Marshal(wireVerdict{From: from, Service: r.Service, Order: r.Order})
+	return b, errors.Wrap(err, "encodeVerdict")
+}
+
+// decodeVerdict reads what encodeVerdict wrote.
+func decodeVerdict(b []byte) (v wireVerdict, err error) {
+	return v, errors.Wrap(json.Unmarshal(b, &v), "decodeVerdict")
 }
--- a/entry/allowed.go
+++ b/entry/allowed.go
@@ -14,7 +14,7 @@
 	}
 	var n []*pool.Replica
 	for _, b := range l {
-		if (b.Release == rel.Target) == takes {
+		if (b.Release == rel.Target) == takes && rel.Allows(b.Release) {
 			n = append(n, b)
 		}
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -39,6 +39,13 @@
 	left bool
 	// ran says that the replica worked on the request.
 	ran bool
+	// failed says that the replica answered with a failure.
+	failed bool
+	// load is set for requests of a release's load test.
+	load load
+	// wait is counted where two releases are compared; nil elsewhere and once the
+	// answer's head is there.
+	wait *wait
 }
 
 // exchange sends and passes the answer on.
@@ -58,8 +65,10 @@
 	a.ran = true
 	a.w.f.Runs++
 	if !reply.Head().IsSuccess() {
+		a.failed = reply.Head().Status >= 500
 		return a.keepFailure(reply)
 	}
+	a.answered(true)
 	if err := a.doubt(ctx, reply); err != nil {
 		return err
 	}
@@ -86,6 +95,7 @@
 	w := a.w
 	r := w.r
 	a.held()
+	a.answered(false)
 	failed := err != nil && !a.served && !a.left && !errors.Is(err, errCaller)
 	bad := a.ran && !a.served && (failed || w.f.Status >= 500)
 	w.unplace(a.placed, a.fault(err, bad))
--- a/entry/events.go
+++ b/entry/events.go
@@ -17,8 +17,8 @@
 	Unrecorded func(c claim.Claim, err error)
 	// BadRelease is a release that this instance found to be bad, with what
 	// it and those that report to it saw.
-	BadRelease func(r rollout.Release, seen rollout.Tally)
-	// Judged is what an answer of a service's release counts as.
+	BadRelease func(r rollout.Release, seen rollout.Tally, f rollout.Finding)
+	// Judged is what an attempt counts as for its service's release.
 	Judged func(service, release, verdict string)
 }
 
@@ -28,9 +28,9 @@
 	}
 }
 
-func (e *Events) badRelease(r rollout.Release, seen rollout.Tally) {
+func (e *Events) badRelease(r rollout.Release, seen rollout.Tally, f rollout.Finding) {
 	if e.BadRelease != nil {
-		e.BadRelease(r, seen)
+		e.BadRelease(r, seen, f)
 	}
 }
 
--- a/entry/release_test.go
+++ b/entry/release_test.go
@@ -34,7 +34,7 @@
 	now := time.Unix(1_700_000_000, 0)
 	u := &anyReplica{}
 	r := NewRouter(Ports{View: v, Clock: func() time.Time { return now }, Rand: rand.NewPCG(1, 1), Upstream: u, Repeats: admission.Repeats{Burst: 9}})
-	rel := rollout.NewRelease("s", "v2", 1, time.Minute)
+	rel := rollout.NewRelease("s", "v2", 1, time.Minute).Next()
 	send := func(id, session string) string {
 		q := &Opaque{ID: id, Session: session, Route: &route.Route{Split: []route.Part{{Service: "s"}}, MaxAttempts: 1}, Arrived: now, Deadline: time.Now().Add(time.Hour), TimeoutAt: time.Now().Add(time.Hour)}
 		if _, err := r.Forward(t.Context(), q, &clientSink{}); err != nil {
@@ -77,7 +77,7 @@
 // Clients that leave are no evidence against the replica or its release.
 func TestClientsThatLeaveCountAgainstNobody(t *testing.T) {
 	v := NewCurrent()
-	rel := rollout.NewRelease("s", "v2", 1, time.Minute)
+	rel := rollout.NewRelease("s", "v2", 1, time.Minute).Next()
 	v.Put(NewView(nil, []pool.Replica{{ID: "new", Kind: pool.Service, Service: "s", Release: "v2"}}, nil, nil).
 		WithRoutes(nil, map[string]rollout.Release{"s": rel.Next()}))
 	u := hangingReplica{began: make(chan struct{})}
--- a/entry/releases.go
+++ b/entry/releases.go
@@ -12,6 +12,8 @@
 type releases struct {
 	mu    sync.Mutex
 	trial map[string]*trial
+	// life tells this run of the instance from others.
+	life int64
 }
 
 // trial is one release's.
@@ -21,13 +23,25 @@
 	// own is what this instance saw, changed since it was last told.
 	own     rollout.Tally
 	changed bool
+	// urgent says that a bad answer of the new release is among what changed.
+	urgent bool
+	// told says that another instance found the release bad.
+	told bool
+	// load is this instance's part of the load test, loading that it has begun.
+	load    loadTest
+	loading bool
+	// waits are the attempts whose answers are waited for.
+	waits map[*wait]bool
 }
 
+// isBad reports whether the release was found bad, here or elsewhere.
+func (t *trial) isBad() bool { return t.told || t.judge.Bad() }
+
 // ownOrigin names this instance's tally in its judge.
 const ownOrigin = ""
 
-func newReleases() *releases {
-	return &releases{trial: map[string]*trial{}}
+func newReleases(start time.Time) *releases {
+	return &releases{trial: map[string]*trial{}, life: start.UnixNano()}
 }
 
 // of returns the trial of the release; a later order starts anew, and an
@@ -35,7 +49,7 @@
 func (s *releases) of(rel rollout.Release) *trial {
 	t, ok := s.trial[rel.Service]
 	if !ok || t.rel.Order < rel.Order {
-		t = &trial{rel: rel, judge: rollout.NewJudge()}
+		t = &trial{rel: rel, judge: rollout.NewJudge(), waits: map[*wait]bool{}}
 		s.trial[rel.Service] = t
 	}
 	if t.rel.Order != rel.Order {
@@ -48,43 +62,76 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.of(rel)
-	return t != nil && t.judge.Bad()
+	return t != nil && t.isBad()
 }
 
-// verdict is one answer's part in a trial.
-type verdict struct {
+// saw is what came of one attempt.
+type saw struct {
 	release string
-	bad     bool
-	// paced says that slow tells how the answer's time compares to usual.
-	paced bool
-	slow  bool
+	kind    int
+	outcome outcomeOf
+	// load is set for requests of the load test.
+	load load
 }
 
-// plus returns the tally with the verdict counted.
-func (v verdict) plus(t rollout.Tally, target string) rollout.Tally {
-	answers, pace := &t.Old, &t.OldPace
-	if v.release == target {
-		answers, pace = &t.New, &t.NewPace
+// outcomeOf is what an attempt shows of its release.
+type outcomeOf int
+
+const (
+	showsNothing outcomeOf = iota
+	showsGood
+	showsFailed
+	showsBroken
+)
+
+// plus returns the counts with the attempt.
+func (v saw) plus(c rollout.Counts) rollout.Counts {
+	switch v.outcome {
+	case showsGood:
+		c = c.WithGood()
+	case showsFailed:
+		c = c.WithFailed()
+	case showsBroken:
+		c = c.WithBroken()
 	}
-	*answers = count(*answers, v.bad)
-	if v.paced {
-		*pace = count(*pace, v.slow)
+	return c
+}
+
+// in returns the tally with the attempt counted. Those of the load test all went
+// to one replica, and waited for each other: they are compared with no others.
+func (v saw) in(t rollout.Tally, target string) rollout.Tally {
+	switch {
+	case v.load == halfTaken:
+		t.Loaded = v.evidence(t.Loaded)
+	case v.load == idle:
+		t.Idle = v.evidence(t.Idle)
+	case v.load == between:
+	case v.release == target:
+		t.New[v.kind] = v.plus(t.New[v.kind])
+	default:
+		t.Old[v.kind] = v.plus(t.Old[v.kind])
 	}
 	return t
 }
 
-func count(e rollout.Evidence, bad bool) rollout.Evidence {
-	if bad {
+// evidence counts the answers of a load test: what breaks off may be a crash.
+func (v saw) evidence(e rollout.Evidence) rollout.Evidence {
+	switch v.outcome {
+	case showsGood:
+		return e.WithGood(1)
+	case showsFailed:
 		return e.WithBad(1)
 	}
-	return e.WithGood(1)
+	return e
 }
 
 // weigh counts one answer.
-func (s *releases) weigh(rel rollout.Release, v verdict, now time.Time, on *Events) {
+func (s *releases) weigh(rel rollout.Release, v saw, now time.Time, on *Events) {
 	s.update(rel, on, func(t *trial) bool {
-		t.own = v.plus(t.own, rel.Target)
+		t.own = v.in(t.own, rel.Target)
+		t.own.Life = s.life
 		t.changed = true
+		t.urgent = t.urgent || v.release == rel.Target && v.outcome > showsGood
 		return t.judge.Report(ownOrigin, t.own, now)
 	})
 }
@@ -104,10 +151,10 @@
 		return
 	}
 	found := f(t)
-	total := t.judge.Total()
+	total, finding := t.judge.Total(), t.judge.Finding()
 	s.mu.Unlock()
 	if found {
-		on.badRelease(rel, total)
+		on.badRelease(rel, total, finding)
 	}
 }
 
@@ -118,19 +165,31 @@
 	Tally   rollout.Tally
 }
 
-// Tallies returns what this instance saw of releases since it was last asked.
+// Tallies returns what this instance saw of releases that has changed since it
+// was last asked.
 func (r *Router) Tallies() []ReleaseTally {
-	running := r.view.Get().Releases
-	s := r.releases
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	return r.tallies(func(t *trial) bool { return t.changed })
+}
+
+// UrgentTallies is like Tallies for releases of which bad answers came since.
+func (r *Router) UrgentTallies() []ReleaseTally {
+	return r.tallies(func(t *trial) bool { return t.urgent })
+}
+
+func (r *Router) tallies(is func(*trial) bool) []ReleaseTally {
 	var l []ReleaseTally
-	for service, t := range s.trial {
-		if rel := running[service]; !t.changed || rel.Order != t.rel.Order || rel.State != rollout.Running {
+	for _, rel := range r.view.Get().Releases {
+		if rel.State != rollout.Running {
 			continue
 		}
-		t.changed = false
-		l = append(l, ReleaseTally{Service: service, Order: t.rel.Order, Tally: t.own})
+		r.releases.update(rel, r.events, func(t *trial) bool {
+			found := t.look(r.clock(), r.releases.life)
+			if is(t) {
+				t.changed, t.urgent = false, false
+				l = append(l, ReleaseTally{Service: rel.Service, Order: rel.Order, Tally: t.own})
+			}
+			return found
+		})
 	}
 	return l
 }
@@ -146,6 +205,36 @@
 	return l
 }
 
+// ReportBad takes in that another instance found a release under way to be bad.
+// It reports whether that is news here.
+func (r *Router) ReportBad(service string, order int64) bool {
+	rel, ok := r.view.Get().Releases[service]
+	if !ok || rel.Order != order || rel.State != rollout.Running {
+		return false
+	}
+	s := r.releases
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.of(rel)
+	if t == nil || t.isBad() {
+		return false
+	}
+	t.told = true
+	return true
+}
+
+// IsSuspect reports whether a release under way is near to being found bad.
+func (r *Router) IsSuspect(rel rollout.Release) bool {
+	s := r.releases
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.of(rel)
+	return t != nil && t.judge.Finding().Level() >= suspectLevel
+}
+
+// suspectLevel is how near a test must be for a release not to climb yet.
+const suspectLevel = 0.5
+
 // ReportTally takes in what another instance saw of a release under way.
 func (r *Router) ReportTally(origin string, t ReleaseTally) {
 	rel, ok := r.view.Get().Releases[t.Service]
@@ -179,51 +268,3 @@
 	}
 	return l
 }
-
-// Verdicts on an answer, for the metrics. What is uncounted says nothing of its
-// replica, as far as the judge goes.
-const (
-	verdictGood      = "good"
-	verdictSlow      = "slow"
-	verdictBad       = "bad"
-	verdictLeft      = "uncounted: the client left"
-	verdictUncounted = "uncounted"
-)
-
-// verdict names what an attempt counts as.
-func (a *attempt) verdict(bad, slow bool) string {
-	switch {
-	case bad:
-		return verdictBad
-	case a.left:
-		return verdictLeft
-	case !a.served:
-		return verdictUncounted
-	case slow:
-		return verdictSlow
-	}
-	return verdictGood
-}
-
-// judge counts the outcome for the release that ran it, if one is under way.
-func (a *attempt) judge(bad bool) {
-	slow := a.weigh(bad)
-	a.w.r.events.judged(a.w.f.Service, a.replica.Release, a.verdict(bad, slow))
-}
-
-// weigh counts the outcome, if it says something, and reports whether it was
-// slow.
-func (a *attempt) weigh(bad bool) bool {
-	if !bad && !a.served {
-		return false
-	}
-	r := a.w.r
-	rel, ok := r.view.Get().Releases[a.w.f.Service]
-	under := ok && rel.State == rollout.Running
-	v := verdict{release: a.replica.Release, bad: bad}
-	v.slow, v.paced = a.pace(!under || a.replica.Release != rel.Target)
-	if under {
-		r.releases.weigh(rel, v, r.clock(), r.events)
-	}
-	return v.slow
-}
--- a/entry/repeats.go
+++ b/entry/repeats.go
@@ -9,6 +9,15 @@
 	r.window(service).Request(r.clock())
 }
 
+// rate estimates how many requests a second the whole fleet gets for the
+// service, by this instance's own.
+func (r *Router) rate(service string) float64 {
+	n := r.fleet()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return float64(n) * r.window(service).Rate(r.clock())
+}
+
 // unknownFleet is how many instances there are taken to be as long as that is
 // not known; more than are usual where few of them are.
 const unknownFleet = 12
--- a/entry/router.go
+++ b/entry/router.go
@@ -56,7 +56,6 @@
 	leads    *leads
 	answers  *answerSizes
 	delays   *delays
-	paces    *paces
 	releases *releases
 	// windows bound the repeats of opaque requests by service.
 	windows   map[string]*admission.Window
@@ -111,8 +110,8 @@
 		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
-		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), leads: newLeads(), answers: newAnswerSizes(), delays: newDelays(), paces: newPaces(),
-		releases: newReleases(), windows: map[string]*admission.Window{}, repeats: p.Repeats, fleetSize: p.FleetSize,
+		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), leads: newLeads(), answers: newAnswerSizes(), delays: newDelays(),
+		releases: newReleases(p.Clock()), windows: map[string]*admission.Window{}, repeats: p.Repeats, fleetSize: p.FleetSize,
 		acceptConfidence: p.AcceptConfidence,
 	}
 }
--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -146,6 +146,30 @@
 	}
 }
 
+// release plays a whole release of a service that gets so many requests a second,
+// by its phases, until it is found bad or done.
+func (f *trialFleet) release(rel rollout.Release, a []*route.Route, rate int, patience time.Duration) {
+	start := time.Now()
+	since := start
+	for step := 0; rel.State == rollout.Running && !f.found(); step++ {
+		if rel.IsDue(time.Since(start), time.Since(since), f.suspect(rel)) {
+			rel, since = rel.Next(), time.Now()
+			f.phase(rel)
+		}
+		f.run(fmt.Sprint("s", step, "-"), a, rate, 100*time.Millisecond, patience)
+		f.tell()
+	}
+}
+
+func (f *trialFleet) suspect(rel rollout.Release) bool {
+	for _, r := range f.routers {
+		if r.IsSuspect(rel) {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *trialFleet) found() bool {
 	for _, r := range f.routers {
 		if len(r.BadReleases()) > 0 {
@@ -155,6 +179,9 @@
 	return false
 }
 
+// allowed is how many requests a bad release of 20 s may get: 15 in 100 and 30.
+func allowed(rate int) int { return 20*rate*15/100 + 30 }
+
 // A bad release went on to get requests for as long as it was ordered, and 1,842
 // after it should have been taken back. It did not fail: its answers came several
 // times later than those of the release before, and some clients left before them.
@@ -175,14 +202,10 @@
 			}
 			return d, http.StatusOK
 		}
-		rel := rollout.NewRelease("s", "v2", 1, 20*time.Second)
-		a := trialRoutes(9)
-		for rel = rel.Next(); rel.State == rollout.Running && rel.Share() < rollout.Whole && !f.found(); rel = rel.Next() {
-			f.phase(rel)
-			f.run(fmt.Sprint("p", rel.Phase, "-"), a, 40, rel.PhaseLength(), 2500*time.Millisecond)
-		}
-		if !f.found() {
-			t.Errorf("a release whose answers take three to nine times as long is not found by %d of them", f.got["v2"])
+		const rate = 40
+		f.release(rollout.NewRelease("s", "v2", 1, 20*time.Second), trialRoutes(9), rate, 2500*time.Millisecond)
+		if n := f.got["v2"]; !f.found() || n > allowed(rate) {
+			t.Errorf("a release whose answers take three to nine times as long got %d requests, want at most %d; found: %t", n, allowed(rate), f.found())
 		}
 		f.sum.Wait()
 	})
@@ -203,7 +226,7 @@
 			}
 			return 50 * time.Millisecond, http.StatusOK
 		}
-		rel := rollout.NewRelease("s", "v2", 1, 20*time.Second).Next().Next()
+		rel := rollout.NewRelease("s", "v2", 1, 20*time.Second).Next().Next().Next()
 		f.phase(rel)
 		judge := f.routers[0]
 		seen := f.routers[1:]
@@ -216,14 +239,14 @@
 		time.Sleep(time.Second)
 		f.routers = []*Router{f.router(1)}
 		rate = 0.5
-		for i := range 5 {
+		for i := range 6 {
 			f.run(fmt.Sprint("after", i, "-"), a, 60, 500*time.Millisecond, time.Minute)
 			for _, x := range f.routers[0].Tallies() {
 				judge.ReportTally("n1", x)
 			}
 		}
 		if len(judge.BadReleases()) == 0 {
-			t.Error("an instance that was restarted saw a release fail half of its requests for 2.5 s, and it was not heard")
+			t.Error("an instance that was restarted saw a release fail half of its requests for 3 s, and it was not heard")
 		}
 		f.sum.Wait()
 	})
@@ -244,20 +267,10 @@
 			}
 			return d, http.StatusOK
 		}
-		rel := rollout.NewRelease("s", "v2", 1, 20*time.Second)
-		a := trialRoutes(3)
-		for rel = rel.Next(); rel.State == rollout.Running && !f.found(); rel = rel.Next() {
-			f.phase(rel)
-			for range int(rel.PhaseLength() / (100 * time.Millisecond)) {
-				if f.found() {
-					break
-				}
-				f.run(fmt.Sprint("p", rel.Phase, "-", time.Now().UnixMilli(), "-"), a, 70, 100*time.Millisecond, time.Minute)
-				f.tell()
-			}
-		}
-		if n, most := f.got["v2"], 20*70*15/100+30; !f.found() || n > most {
-			t.Errorf("a release that fails under load got %d requests, want at most %d; found: %t", n, most, f.found())
+		const rate = 70
+		f.release(rollout.NewRelease("s", "v2", 1, 20*time.Second), trialRoutes(3), rate, time.Minute)
+		if n := f.got["v2"]; !f.found() || n > allowed(rate) {
+			t.Errorf("a release that fails under load got %d requests, want at most %d; found: %t", n, allowed(rate), f.found())
 		}
 		f.sum.Wait()
 	})
--- /dev/null
+++ b/entry/wait.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"time"
+
+	"fieldvale/rollout"
+	"fieldvale/route"
+)
+
+// wait is one attempt's wait for the head of its answer, for the comparison of two
+// releases.
+type wait struct {
+	release string
+	kind    int
+	since   time.Time
+	ends    [rollout.Spans]time.Duration
+	// passed is how many spans are counted as waited to their ends.
+	passed int
+}
+
+// usualTarget is in which time answers should come on routes that say nothing.
+const usualTarget = time.Second
+
+// await begins to count the wait for the attempt's answer, if both releases of its
+// service get requests and it is not one of a load test.
+func (a *attempt) await() {
+	r := a.w.r
+	rel, ok := r.view.Get().Releases[a.w.f.Service]
+	if !ok || !rel.IsShared() || a.load != notTested {
+		return
+	}
+	t := a.w.q.Route.Target
+	if t <= 0 {
+		t = usualTarget
+	}
+	a.wait = &wait{release: a.replica.Release, kind: rollout.KindOf(a.pace()), since: a.sent, ends: rollout.SpanEnds(t)}
+	r.releases.await(rel, a.wait)
+}
+
+// answered counts the end of the wait; came says that it was an answer's head.
+func (a *attempt) answered(came bool) {
+	if a.wait == nil {
+		return
+	}
+	r := a.w.r
+	if rel, ok := r.view.Get().Releases[a.w.f.Service]; ok {
+		r.releases.answered(rel, a.wait, came, r.clock())
+	}
+	a.wait = nil
+}
+
+// pace names what the attempt's time compares with.
+func (a *attempt) pace() string {
+	if a.w.q.Route.Kind != route.Stream {
+		return a.w.q.Route.Name
+	}
+	return a.w.q.Route.Name + "/" + a.w.modelName()
+}
+
+func (s *releases) await(rel rollout.Release, w *wait) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.of(rel); t != nil {
+		t.waits[w] = true
+	}
+}
+
+func (s *releases) answered(rel rollout.Release, w *wait, came bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.of(rel)
+	if t == nil || !t.waits[w] {
+		return
+	}
+	delete(t.waits, w)
+	t.pass(w, now)
+	if came && w.passed < rollout.Spans {
+		t.count(w, func(c rollout.Counts) rollout.Counts { return c.WithCame(w.passed) })
+	}
+}
+
+// look counts the spans that the waits under way have passed, and reports whether
+// the release shows to be bad by them.
+func (t *trial) look(now time.Time, life int64) bool {
+	for w := range t.waits {
+		t.pass(w, now)
+	}
+	if !t.changed {
+		return false
+	}
+	t.own.Life = life
+	return t.judge.Report(ownOrigin, t.own, now)
+}
+
+// pass counts the spans that the wait has passed.
+func (t *trial) pass(w *wait, now time.Time) {
+	for w.passed < rollout.Spans && now.Sub(w.since) >= w.ends[w.passed] {
+		t.count(w, func(c rollout.Counts) rollout.Counts { return c.WithPassed(w.passed) })
+		w.passed++
+	}
+}
+
+// count changes the counts that the wait belongs to.
+func (t *trial) count(w *wait, f func(rollout.Counts) rollout.Counts) {
+	c := &t.own.Old[w.kind]
+	if w.release == t.rel.Target {
+		c = &t.own.New[w.kind]
+	}
+	*c = f(*c)
+	t.changed = true
+}
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -1,46 +1,58 @@
 package rollout
 
-import (
-	"math"
-	"time"
-)
-
-var (
-	// answerRates are what the test of a release's answers tells apart: a
-	// third of them bad must stop it; one in twenty may be the replicas' usual
-	// trouble, or more if the old release shows more.
-	answerRates = Rates{Good: 0.05, Bad: 0.3, FalseAlarm: 1e-4}
-	// paceRates are for slow answers, of which sound replicas under load have
-	// many more.
-	paceRates = Rates{Good: 0.15, Bad: 0.45, FalseAlarm: 1e-5}
-)
+import "time"
 
 const (
-	// minBaseline is how many outcomes of the old release say what is usual.
+	// lately is the span over which the releases are compared. A longer one
+	// would let the old release's past excuse the new one, or blame it for a load
+	// that the old one did not have.
+	lately = 8 * time.Second
+	// sampled is between the totals kept for it.
+	sampled = 250 * time.Millisecond
+	// slotLength has some 20 answers of a service with 40 a second; kinds have
+	// fewer.
+	slotLength     = 500 * time.Millisecond
+	kindSlotLength = 2 * time.Second
+	// idleTimes is how many times likelier answers of the load test must fail
+	// under load than before, with minIdle of these known; or the replica is
+	// at fault, whatever its load.
+	idleTimes = 3
+	minIdle   = 5
+	// minBaseline is how many answers of the old release lately say what is
+	// usual.
 	minBaseline = 20
-	// excuse times the old release's rate is what the new one may have, and
-	// chance standard deviations above it; at most maxExcuse of trouble of
-	// the old release counts.
+	// excuse times the old release's rate of failures lately is what the new one
+	// may have, at most maxExcuse of them counted.
 	excuse    = 2
-	chance    = 4
 	maxExcuse = 0.25
-	// lately is the span over which the releases are compared as well: when
-	// replicas crash, both fail for a moment, which the old one's long good
-	// run hides. sampled is between the totals kept for it.
-	lately  = 3 * time.Second
-	sampled = 500 * time.Millisecond
+	// kindMargin is how much surer the test of a single kind must be, as there
+	// are many.
+	kindMargin = 1.3
+)
+
+var (
+	// answerRates are what the test of the new release alone tells apart: a
+	// third of the answers failing must stop it; one in twenty may be the
+	// replicas' usual trouble. It finds a release that has all requests.
+	answerRates = Rates{Good: 0.05, Bad: 0.3, FalseAlarm: 1e-5}
+	// loadedRates are for requests of the load test.
+	loadedRates = Rates{Good: 0.05, Bad: 0.3, FalseAlarm: 1e-4}
 )
 
 // Judge decides whether a release is bad by what all instances that report
 // to it saw. It is not safe for concurrent use.
 type Judge struct {
-	from    map[string]Tally
-	total   Tally
-	answers Detector
-	pace    Detector
-	bad     bool
+	told *origins
+	// slots are what the tests of whose answers are bad have taken in.
+	slot, kindSlot slot
 	// past are earlier totals, the oldest first.
-	past []sample
+	past   []sample
+	answer Detector
+	loaded Detector
+	whose  relative
+	kinds  [Kinds]relative
+	slow   float64
+	cause  string
 }
 
 // sample is the total of a moment.
@@ -51,25 +63,115 @@
 
 // NewJudge returns a judge that has seen nothing.
 func NewJudge() *Judge {
-	return &Judge{from: map[string]Tally{}, answers: NewDetector(answerRates), pace: NewDetector(paceRates)}
+	return &Judge{told: newOrigins(), answer: NewDetector(answerRates), loaded: NewDetector(loadedRates)}
 }
 
 // Report takes the origin's cumulative tally in and reports whether the
 // release was found bad by it. An older report changes nothing.
 func (j *Judge) Report(origin string, t Tally, now time.Time) bool {
-	j.from[origin] = j.from[origin].Max(t)
-	j.total = Tally{}
-	for _, x := range j.from {
-		j.total = j.total.Plus(x)
-	}
-	j.answers = j.answers.With(j.total.New)
-	j.pace = j.pace.With(j.total.NewPace)
+	j.told.take(origin, t)
+	was := j.Bad()
 	l := j.lately(now)
-	was := j.bad
-	j.bad = was ||
-		j.answers.Tripped() && !excused(j.total.answers()) && !excusedLately(l.answers(), answerRates) ||
-		j.pace.Tripped() && !excused(j.total.pace()) && !excusedLately(l.pace(), paceRates)
-	return j.bad && !was
+	j.test(l, now)
+	if !was {
+		j.cause = j.why(l)
+	}
+	return !was && j.Bad()
+}
+
+// test takes in what was told; l is what was counted lately.
+func (j *Judge) test(l Tally, now time.Time) {
+	t := j.told.total
+	if d, ok := j.slot.next(t, now, slotLength); ok {
+		n, o := d.All()
+		j.whose = j.whose.with(n.Evidence().Bad, o.Evidence().Bad, shareOf(n, o))
+	}
+	if d, ok := j.kindSlot.next(t, now, kindSlotLength); ok {
+		for i := range d.New {
+			j.kinds[i] = j.kinds[i].with(d.New[i].Evidence().Bad, d.Old[i].Evidence().Bad, shareOf(d.New[i], d.Old[i]))
+		}
+	}
+	total, _ := t.All()
+	j.answer = j.answer.With(Evidence{Good: total.Good + total.Broken, Bad: total.Failed})
+	j.loaded = j.loaded.With(t.Loaded)
+	j.slow = slower(l)
+}
+
+// slot is a span of time whose answers are taken in together: the new release's
+// share of the answers changes from one to the next, as when it climbs.
+type slot struct {
+	began time.Time
+	total Tally
+}
+
+// next returns what came since the slot began and begins the next one, if it has
+// lasted.
+func (s *slot) next(t Tally, now time.Time, length time.Duration) (Tally, bool) {
+	if now.Sub(s.began) < length {
+		return Tally{}, false
+	}
+	d := t.minus(s.total)
+	s.began, s.total = now, t
+	return d, true
+}
+
+// shareOf is the new release's part of the answers.
+func shareOf(now, old Counts) float64 {
+	n, o := now.Evidence().count(), old.Evidence().count()
+	if n+o == 0 {
+		return 1
+	}
+	return float64(n) / float64(n+o)
+}
+
+// Causes for which a release is found bad.
+const (
+	causeWhose  = "more of the bad answers than its share"
+	causeKind   = "more of one kind's bad answers than its share"
+	causeFailed = "answers of failure"
+	causeLoaded = "answers of failure under load"
+	causeSlow   = "slow answers"
+)
+
+// why returns for what the release is bad, empty if it is not.
+func (j *Judge) why(l Tally) string {
+	switch {
+	case j.whose.level() >= 1:
+		return causeWhose
+	case j.kindLevel() >= 1:
+		return causeKind
+	case j.loaded.Tripped() && j.failsByLoad():
+		return causeLoaded
+	case j.answer.Tripped() && !excused(l):
+		return causeFailed
+	case j.slow >= 1:
+		return causeSlow
+	}
+	return ""
+}
+
+// kindLevel is the highest level of a single kind.
+func (j *Judge) kindLevel() float64 {
+	var m float64
+	for _, k := range j.kinds {
+		m = max(m, k.level()/kindMargin)
+	}
+	return m
+}
+
+// failsByLoad reports whether the load test's replica failed only as it was loaded.
+func (j *Judge) failsByLoad() bool {
+	t := j.told.total
+	return t.Idle.count() >= minIdle && t.Loaded.rate() > idleTimes*t.Idle.rate()
+}
+
+// excused reports whether the old release fails lately about as the new one.
+func excused(l Tally) bool {
+	n, o := l.All()
+	if o.Evidence().count() < minBaseline {
+		return false
+	}
+	return n.Evidence().rate() < excuse*min(maxExcuse, o.Evidence().rate())
 }
 
 // lately returns what was counted in the last span.
@@ -82,52 +184,36 @@
 		before = j.past[0].total
 	}
 	if n := len(j.past); n == 0 || now.Sub(j.past[n-1].at) >= sampled {
-		j.past = append(j.past, sample{now, j.total})
+		j.past = append(j.past, sample{now, j.told.total})
 	}
-	return j.total.minus(before)
+	return j.told.total.minus(before)
 }
 
 // Finding is what a judge makes of what it was told, for the log.
 type Finding struct {
 	// Origins is how many instances have reported.
 	Origins int
-	// Answers and Pace are how near the tests are to finding the release bad;
-	// from 1 on they have, unless the old release excuses it.
-	Answers, Pace float64
-	// Excused says that the old release's own trouble is all that keeps the
-	// release from being found bad.
-	Excused bool
-	Bad     bool
+	// Whose, Kind, Answers, Loaded and Pace are how near the tests are to
+	// finding the release bad; from 1 on they have.
+	Whose, Kind, Answers, Loaded, Pace float64
+	// Cause says for what it was found bad; empty if it was not.
+	Cause string
 }
 
 // Finding returns what the judge makes of the reports so far.
 func (j *Judge) Finding() Finding {
 	return Finding{
-		Origins: len(j.from),
-		Answers: j.answers.Sum() / j.answers.Limit(), Pace: j.pace.Sum() / j.pace.Limit(),
-		Excused: !j.bad && (j.answers.Tripped() || j.pace.Tripped()), Bad: j.bad,
+		Origins: len(j.told.from), Whose: j.whose.level(), Kind: j.kindLevel(),
+		Answers: j.answer.Sum() / j.answer.Limit(), Loaded: j.loaded.Sum() / j.loaded.Limit(),
+		Pace: j.slow, Cause: j.cause,
 	}
 }
 
+// Level is how near any of the tests is.
+func (f Finding) Level() float64 { return max(f.Whose, f.Kind, f.Answers, f.Loaded, f.Pace) }
+
 // Bad reports whether the release was found bad.
-func (j *Judge) Bad() bool { return j.bad }
+func (j *Judge) Bad() bool { return j.cause != "" }
 
 // Total is what all origins saw.
-func (j *Judge) Total() Tally { return j.total }
-
-// excused reports whether the old release is about as bad: then the trouble
-// is not the new one's.
-func excused(e pair) bool {
-	if e.old.Good+e.old.Bad < minBaseline {
-		return false
-	}
-	p := min(maxExcuse, e.old.rate())
-	n := float64(e.now.Good + e.now.Bad)
-	return e.now.rate() < excuse*p || float64(e.now.Bad) < n*p+chance*math.Sqrt(n*p*(1-p))
-}
-
-// excusedLately reports whether a release shows no trouble in the last span,
-// or none that the old one does not show in it as well.
-func excusedLately(e pair, r Rates) bool {
-	return e.now.rate() <= r.Good || excused(e)
-}
+func (j *Judge) Total() Tally { return j.told.total }
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -9,20 +10,68 @@
 	"fieldvale/rollout"
 )
 
+// behaviour is how a release answers: the part of answers that fail, and times.
+type behaviour struct {
+	failed float64
+	// broken is the part of answers that break off.
+	broken float64
+	// slow is the part of answers that take five times as long.
+	slow float64
+}
+
+// usualTime is the middle of the times that answers take.
+const usualTime = 200 * time.Millisecond
+
+// draw counts one answer.
+func draw(r *rand.Rand, c rollout.Counts, b behaviour) rollout.Counts {
+	d := time.Duration(float64(usualTime) * math.Exp(0.6*r.NormFloat64()))
+	if r.Float64() < b.slow {
+		d *= 5
+	}
+	switch x := r.Float64(); {
+	case x < b.failed:
+		return c.WithFailed()
+	case x < b.failed+b.broken:
+		return c.WithBroken()
+	}
+	return wait(c.WithGood(), d)
+}
+
+// target is the time in which answers should come.
+const target = 3 * time.Second
+
+// wait counts a wait for an answer.
+func wait(c rollout.Counts, d time.Duration) rollout.Counts {
+	for i, end := range rollout.SpanEnds(target) {
+		if d < end {
+			return c.WithCame(i)
+		}
+		c = c.WithPassed(i)
+	}
+	return c
+}
+
 func TestJudgePoolsWhatInstancesSee(t *testing.T) {
 	for _, c := range []struct {
-		name string
-		// rates of bad and of slow answers, of the new and the old release
-		bad, oldBad, slow, oldSlow float64
+		name     string
+		now, old behaviour
+		// olds is how many answers of the old release there are for one of the new.
+		olds int
 		// most answers of the new release until it is found, over all
 		// instances; 0 for never in 3,000
 		want int
 	}{
-		{"sound", 0.01, 0.01, 0.05, 0.05, 0},
-		{"half of its answers bad", 0.5, 0.01, 0.05, 0.05, 40},
-		{"half of its answers slow", 0.01, 0.01, 0.5, 0.05, 120},
-		{"trouble of all replicas", 0.2, 0.2, 0.05, 0.05, 0},
-		{"all replicas loaded", 0.01, 0.01, 0.35, 0.35, 0},
+		{"sound", behaviour{failed: 0.01, slow: 0.05}, behaviour{failed: 0.01, slow: 0.05}, 5, 0},
+		{"half of its answers bad", behaviour{failed: 0.5, slow: 0.05}, behaviour{failed: 0.01, slow: 0.05}, 5, 40},
+		{"a third breaks off", behaviour{broken: 0.3}, behaviour{broken: 0.01}, 5, 100},
+		{"half of its answers slow", behaviour{failed: 0.01, slow: 0.5}, behaviour{failed: 0.01, slow: 0.05}, 5, 120},
+		{"nearly all slow", behaviour{slow: 0.9}, behaviour{slow: 0.05}, 5, 30},
+		{"trouble of all replicas", behaviour{failed: 0.2, slow: 0.05}, behaviour{failed: 0.2, slow: 0.05}, 5, 0},
+		{"trouble of all, and worse", behaviour{failed: 0.5}, behaviour{failed: 0.15}, 5, 80},
+		{"all replicas loaded", behaviour{failed: 0.01, slow: 0.35}, behaviour{failed: 0.01, slow: 0.35}, 5, 0},
+		{"bad, and has all requests", behaviour{failed: 0.3}, behaviour{}, 0, 70},
+		{"sound, and has all requests", behaviour{failed: 0.03, slow: 0.5}, behaviour{}, 0, 0},
+		{"its replicas break off, and it has all requests", behaviour{broken: 0.3}, behaviour{}, 0, 0},
 	} {
 		for seed := range uint64(10) {
 			r := rand.New(rand.NewPCG(seed, 3))
@@ -30,17 +79,16 @@
 			var l [7]rollout.Tally
 			n := 0
 			for ; n < 3000 && !j.Bad(); n++ {
-				i := r.IntN(len(l))
-				l[i].New = draw(r, l[i].New, c.bad)
-				l[i].NewPace = draw(r, l[i].NewPace, c.slow)
-				for range 5 {
-					l[i].Old = draw(r, l[i].Old, c.oldBad)
-					l[i].OldPace = draw(r, l[i].OldPace, c.oldSlow)
+				i, k := r.IntN(len(l)), r.IntN(6)
+				l[i].New[k] = draw(r, l[i].New[k], c.now)
+				for range c.olds {
+					k := r.IntN(6)
+					l[i].Old[k] = draw(r, l[i].Old[k], c.old)
 				}
 				j.Report(fmt.Sprint(i), l[i], at(n))
 			}
 			if c.want == 0 && j.Bad() || c.want > 0 && n > c.want {
-				t.Errorf("%s, seed %d: bad %t after %d answers, want within %d", c.name, seed, j.Bad(), n, c.want)
+				t.Errorf("%s, seed %d: bad %t after %d answers, want within %d; %+v", c.name, seed, j.Bad(), n, c.want, j.Finding())
 			}
 		}
 	}
@@ -52,6 +100,33 @@
 	return time.Unix(1_700_000_000, 0).Add(time.Duration(n) * time.Second / 40)
 }
 
+// A release fails requests of one kind only, a sixth of all: the others' good
+// answers must not hide it.
+func TestJudgeFindsOneBadKind(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 4))
+		j := rollout.NewJudge()
+		var l rollout.Tally
+		n := 0
+		for ; n < 500 && !j.Bad(); n++ {
+			k := r.IntN(6)
+			b := behaviour{}
+			if k == 2 {
+				b.failed = 0.4
+			}
+			l.New[k] = draw(r, l.New[k], b)
+			for range 5 {
+				k := r.IntN(6)
+				l.Old[k] = draw(r, l.Old[k], behaviour{failed: 0.01})
+			}
+			j.Report("a", l, at(n))
+		}
+		if !j.Bad() {
+			t.Errorf("seed %d: not found: %+v", seed, j.Finding())
+		}
+	}
+}
+
 // Replicas of both releases crash for a moment, when the old one has had a long
 // good run and the new one a short one: it is not stopped for it. If it alone
 // goes on to fail, it is.
@@ -59,23 +134,24 @@
 	for seed := range uint64(20) {
 		r := rand.New(rand.NewPCG(seed, 5))
 		j := rollout.NewJudge()
-		l := rollout.Tally{Old: rollout.Evidence{Good: 10_000, Bad: 100}}
+		var l rollout.Tally
+		l.Old[0] = rollout.Counts{Good: 10_000, Failed: 50, Broken: 50}
 		j.Report("a", l, at(-400))
 		for n := range 700 {
-			bad, oldBad := 0.01, 0.01
+			now, old := behaviour{failed: 0.01}, behaviour{failed: 0.01}
 			switch {
 			case n >= 380 && n < 400:
-				bad, oldBad = 0.8, 0.8
+				now, old = behaviour{failed: 0.8}, behaviour{failed: 0.8}
 			case n >= 600:
-				bad = 0.5
+				now = behaviour{failed: 0.5}
 			}
-			l.New = draw(r, l.New, bad)
+			l.New[0] = draw(r, l.New[0], now)
 			for range 6 {
-				l.Old = draw(r, l.Old, oldBad)
+				l.Old[0] = draw(r, l.Old[0], old)
 			}
 			j.Report("a", l, at(n))
 			if n < 600 && j.Bad() {
-				t.Fatalf("seed %d: found bad at answer %d", seed, n)
+				t.Fatalf("seed %d: found bad at answer %d: %+v", seed, n, j.Finding())
 			}
 		}
 		if !j.Bad() {
@@ -84,16 +160,32 @@
 	}
 }
 
-func draw(r *rand.Rand, e rollout.Evidence, rate float64) rollout.Evidence {
-	if r.Float64() < rate {
-		return e.WithBad(1)
+// An old release that failed for a while does not excuse the new one afterwards.
+func TestJudgeForgetsOldTrouble(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 6))
+		j := rollout.NewJudge()
+		var l rollout.Tally
+		l.Old[0] = rollout.Counts{Good: 600, Failed: 400}
+		j.Report("a", l, at(-1000))
+		n := 0
+		for ; n < 80 && !j.Bad(); n++ {
+			l.New[0] = draw(r, l.New[0], behaviour{failed: 0.4})
+			for range 6 {
+				l.Old[0] = draw(r, l.Old[0], behaviour{failed: 0.01})
+			}
+			j.Report("a", l, at(n))
+		}
+		if !j.Bad() {
+			t.Errorf("seed %d: not found: %+v", seed, j.Finding())
+		}
 	}
-	return e.WithGood(1)
 }
 
 func TestJudgeCountsEachReportOnce(t *testing.T) {
 	j := rollout.NewJudge()
-	a := rollout.Tally{New: rollout.Evidence{Good: 3, Bad: 1}}
+	var a rollout.Tally
+	a.New[1] = rollout.Counts{Good: 3, Failed: 1}
 	for range 3 {
 		j.Report("a", a, at(0))
 	}
@@ -102,3 +194,23 @@
 		t.Errorf("total %+v, want %+v", g, a)
 	}
 }
+
+// What an instance told before its restart still counts, and what it tells after it
+// comes on top; a report of the life before that comes late changes nothing.
+func TestJudgeAddsUpLives(t *testing.T) {
+	j := rollout.NewJudge()
+	tell := func(life int64, good, failed uint64) {
+		x := rollout.Tally{Life: life}
+		x.New[0] = rollout.Counts{Good: good, Failed: failed}
+		j.Report("a", x, at(0))
+	}
+	tell(1, 10, 2)
+	tell(2, 1, 1)
+	tell(1, 12, 2)
+	tell(2, 3, 1)
+	tell(2, 2, 1)
+	want := rollout.Counts{Good: 13, Failed: 3}
+	if g, _ := j.Total().All(); g != want {
+		t.Errorf("total %+v, want %+v", g, want)
+	}
+}
--- a/rollout/release.go
+++ b/rollout/release.go
@@ -20,7 +20,14 @@
 	// the order.
 	Length time.Duration
 	State  State
-	Phase  int
+	// Phase is below 0 for an order that no instance has begun.
+	Phase int
+	// Ran is how long the release had run at least when its progress was
+	// recorded. Instances that start later know by it where it stands.
+	Ran time.Duration
+	// Avoid is the release that the order before wanted and that was taken
+	// back; its replicas may still be there.
+	Avoid string
 }
 
 // phase is a share of requests and the part of a release's length at whose
@@ -31,21 +38,31 @@
 }
 
 // phases: for the first half only requests without a session, since no
-// session that is under way may move then and instances can't tell which are;
-// then growth by steps that each show a bad release before the next one, all
-// requests for a while so that what runs on old replicas can end, and done
-// well before the length is over.
+// session that is under way may move then and instances can't tell which are.
+// Then shares that show a bad release while it has little, and all requests for a
+// while, so that what runs on old replicas can end, and done well before the length is
+// over. Of drawn days with a release that is bad under load, those of 14 s leave
+// some 1.7 s of all requests until 15 in 100 of the length's are used up; the shares
+// before it take a third of that.
 var phases = []phase{
 	{share: 700, until: 0.52},
-	{share: 1000, until: 0.58},
-	{share: 2500, until: 0.64},
-	{share: 5000, until: 0.70},
+	{share: 1000, until: 0.57},
+	{share: 3000, until: 0.72},
 	{share: Whole, until: 0.87},
 }
 
+const (
+	// holdPart of the length is how long a release that is near to being found
+	// bad stays in its phase at most: long enough for some ten more answers, short
+	// enough for a good one to be done in time.
+	holdPart = 0.06
+	// leastPart of a phase is how long it lasts at least when phases are late.
+	leastPart = 0.5
+)
+
 // NewRelease returns an order that no instance has begun.
 func NewRelease(service, target string, order int64, length time.Duration) Release {
-	return Release{Service: service, Target: target, Order: order, Length: length, State: Running}
+	return Release{Service: service, Target: target, Order: order, Length: length, State: Running, Phase: -1}
 }
 
 // Share is the part of the requests that go to the target, out of Whole.
@@ -53,7 +70,7 @@
 	switch {
 	case r.State == Done:
 		return Whole
-	case r.State != Running:
+	case r.State != Running || r.Phase < 0:
 		return 0
 	}
 	return phases[min(r.Phase, len(phases)-1)].share
@@ -61,14 +78,34 @@
 
 // PhaseLength is how long the phase lasts.
 func (r Release) PhaseLength() time.Duration {
-	if r.Phase >= len(phases) {
+	if r.Phase < 0 || r.Phase >= len(phases) {
 		return 0
 	}
 	f := phases[r.Phase].until
 	if r.Phase > 0 {
 		f -= phases[r.Phase-1].until
 	}
-	return time.Duration(f * float64(r.Length))
+	return r.part(f)
+}
+
+func (r Release) part(f float64) time.Duration { return time.Duration(f * float64(r.Length)) }
+
+// IsDue reports whether the next phase may begin, for a release that was ordered
+// ran ago and is in its phase for lasted. Phases that are late, as after an outage,
+// are made up for, but none is left out. A suspect one waits a little longer.
+func (r Release) IsDue(ran, lasted time.Duration, suspect bool) bool {
+	if r.Phase < 0 {
+		return true
+	}
+	if r.Phase >= len(phases) {
+		return false
+	}
+	until := r.part(phases[r.Phase].until)
+	if suspect {
+		until += r.part(holdPart)
+	}
+	least := time.Duration(leastPart * float64(r.PhaseLength()))
+	return ran >= until && lasted >= least
 }
 
 // Next returns r one phase on; after the last one it is done.
@@ -98,11 +135,18 @@
 	return int(xxhash.Sum64String(r.Target+"/"+key)%Whole) < r.Share()
 }
 
+// IsShared reports whether both releases get requests, so that they can be
+// compared.
+func (r Release) IsShared() bool { return r.Share() > 0 && r.Share() < Whole }
+
 // MovesSessions reports whether requests of sessions may go to the target.
 func (r Release) MovesSessions() bool {
 	return r.State == Done || r.State == Running && r.Phase > 0
 }
 
+// Allows reports whether requests may go to replicas of the release.
+func (r Release) Allows(release string) bool { return release == r.Target || release != r.Avoid }
+
 // Supersedes reports whether r is newer knowledge than o of the same service.
 func (r Release) Supersedes(o Release) bool {
 	if r.Order != o.Order {
--- a/rollout/release_test.go
+++ b/rollout/release_test.go
@@ -54,10 +54,10 @@
 	}
 	fmt.Println(at.Round(time.Second), r.State)
 	// Output:
+	// 0s 0
 	// 0s 700
 	// 52s 1000
-	// 58s 2500
-	// 1m4s 5000
-	// 1m10s 10000
+	// 57s 3000
+	// 1m12s 10000
 	// 1m27s done
 }
--- a/rollout/tally.go
+++ b/rollout/tally.go
@@ -1,28 +1,165 @@
 package rollout
 
-// Tally is what one instance saw of a service while it changes its release:
-// answers that were good or bad, and answers that came as fast as usual
-// (Good) or several times slower (Bad). Counts only grow.
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kinds is into how many kinds a tally deals the requests: those of a kind are
+// compared with each other only, since unlike ones take unlike times. Few
+// services have more than 16 pairs of a route and a model; where two pairs share
+// a kind, the comparison is less sharp.
+const Kinds = 16
+
+// KindOf returns the kind of requests with that name.
+func KindOf(name string) int { return int(xxhash.Sum64String(name) % Kinds) }
+
+// Tally is what one instance saw of a service while it changes its release.
 type Tally struct {
-	New, Old         Evidence
-	NewPace, OldPace Evidence
+	// Life tells one run of the instance from its next: counts begin at 0 again,
+	// and a later life has the greater one.
+	Life     int64
+	New, Old [Kinds]Counts
+	// Loaded is what requests of the new release's load test came to that were
+	// sent while half of the replica's slots were taken, and Idle those sent
+	// before, which tell whether the replica itself is at fault.
+	Loaded, Idle Evidence
 }
 
-// Plus adds two tallies.
-func (t Tally) Plus(o Tally) Tally {
-	return Tally{New: t.New.plus(o.New), Old: t.Old.plus(o.Old), NewPace: t.NewPace.plus(o.NewPace), OldPace: t.OldPace.plus(o.OldPace)}
+// Counts are of the answers to one kind of request. They only grow.
+type Counts struct {
+	Good uint64
+	// Failed are answers of failure; Broken are those that broke off, came
+	// garbled or not at all, which crashes and bad ways cause as well.
+	Failed, Broken uint64
+	Waits          Waits
+}
+
+// Spans is into how many spans the wait for an answer is divided: the first ends
+// at a 64th of the time in which it should come, each next one is as long as all
+// before, and the last ends with that time.
+const Spans = 7
+
+// Waits tell for each span how many answers came in it, and how many requests
+// waited on to its end. A request that still waits is counted in the spans that it
+// has passed, so that slow answers show before they come, or if they never do.
+type Waits struct{ Came, Passed [Spans]uint64 }
+
+// SpanEnds returns the ends of the spans for answers that should come within
+// target.
+func SpanEnds(target time.Duration) (l [Spans]time.Duration) {
+	for i := range l {
+		l[i] = target >> (Spans - 1 - i)
+	}
+	return l
+}
+
+func (w Waits) plus(o Waits) Waits {
+	for i := range w.Came {
+		w.Came[i] += o.Came[i]
+		w.Passed[i] += o.Passed[i]
+	}
+	return w
+}
+
+// minus returns what came since o, which w grew from.
+func (w Waits) minus(o Waits) Waits {
+	for i := range w.Came {
+		w.Came[i] -= o.Came[i]
+		w.Passed[i] -= o.Passed[i]
+	}
+	return w
+}
+
+func (w Waits) size() (n uint64) {
+	for i := range w.Came {
+		n += w.Came[i] + w.Passed[i]
+	}
+	return n
+}
+
+// WithGood returns c with one more good answer.
+func (c Counts) WithGood() Counts {
+	c.Good++
+	return c
+}
+
+// WithFailed returns c with one more answer of failure.
+func (c Counts) WithFailed() Counts {
+	c.Failed++
+	return c
+}
+
+// WithBroken returns c with one more answer that broke.
+func (c Counts) WithBroken() Counts {
+	c.Broken++
+	return c
+}
+
+// WithCame returns c with one more answer that came in the span.
+func (c Counts) WithCame(span int) Counts {
+	c.Waits.Came[span]++
+	return c
+}
+
+// WithPassed returns c with one more request that waited to the span's end.
+func (c Counts) WithPassed(span int) Counts {
+	c.Waits.Passed[span]++
+	return c
+}
+
+// Evidence is c as good and bad answers.
+func (c Counts) Evidence() Evidence { return Evidence{Good: c.Good, Bad: c.Failed + c.Broken} }
+
+func (c Counts) plus(o Counts) Counts {
+	return Counts{Good: c.Good + o.Good, Failed: c.Failed + o.Failed, Broken: c.Broken + o.Broken, Waits: c.Waits.plus(o.Waits)}
+}
+
+// minus returns what came since o, which c grew from.
+func (c Counts) minus(o Counts) Counts {
+	return Counts{Good: c.Good - o.Good, Failed: c.Failed - o.Failed, Broken: c.Broken - o.Broken, Waits: c.Waits.minus(o.Waits)}
 }
 
-// Max returns the larger of each count.
-func (t Tally) Max(o Tally) Tally {
-	return Tally{New: t.New.Max(o.New), Old: t.Old.Max(o.Old), NewPace: t.NewPace.Max(o.NewPace), OldPace: t.OldPace.Max(o.OldPace)}
+// Plus adds two tallies; the life is t's.
+func (t Tally) Plus(o Tally) Tally {
+	for i := range t.New {
+		t.New[i] = t.New[i].plus(o.New[i])
+		t.Old[i] = t.Old[i].plus(o.Old[i])
+	}
+	t.Loaded = t.Loaded.plus(o.Loaded)
+	t.Idle = t.Idle.plus(o.Idle)
+	return t
 }
 
-// minus returns what was counted since o.
+// minus returns what was counted since o, which t grew from.
 func (t Tally) minus(o Tally) Tally {
-	return Tally{New: t.New.minus(o.New), Old: t.Old.minus(o.Old), NewPace: t.NewPace.minus(o.NewPace), OldPace: t.OldPace.minus(o.OldPace)}
+	for i := range t.New {
+		t.New[i] = t.New[i].minus(o.New[i])
+		t.Old[i] = t.Old[i].minus(o.Old[i])
+	}
+	t.Loaded = t.Loaded.minus(o.Loaded)
+	t.Idle = t.Idle.minus(o.Idle)
+	return t
+}
+
+// All are the counts of all kinds, of the new and the old release.
+func (t Tally) All() (now, old Counts) {
+	for i := range t.New {
+		now = now.plus(t.New[i])
+		old = old.plus(t.Old[i])
+	}
+	return now, old
+}
+
+// size grows with each thing that is counted.
+func (t Tally) size() uint64 {
+	n, o := t.All()
+	return n.size() + o.size() + t.Loaded.count() + t.Idle.count()
 }
 
+func (c Counts) size() uint64 { return c.Good + c.Failed + c.Broken + c.Waits.size() }
+
 func (e Evidence) minus(o Evidence) Evidence {
 	return Evidence{Good: e.Good - o.Good, Bad: e.Bad - o.Bad}
 }
@@ -31,21 +168,13 @@
 	return Evidence{Good: e.Good + o.Good, Bad: e.Bad + o.Bad}
 }
 
+// count is how many outcomes there are.
+func (e Evidence) count() uint64 { return e.Good + e.Bad }
+
 // rate is the part of bad outcomes; 0 if there are none.
 func (e Evidence) rate() float64 {
-	if e.Good+e.Bad == 0 {
+	if e.count() == 0 {
 		return 0
 	}
-	return float64(e.Bad) / float64(e.Good+e.Bad)
-}
-
-// answers is the evidence of good and bad answers.
-func (t Tally) answers() pair { return pair{now: t.New, old: t.Old} }
-
-// pace is the evidence of usual and slow answers.
-func (t Tally) pace() pair { return pair{now: t.NewPace, old: t.OldPace} }
-
-// pair is the evidence of one kind of the new and the old release.
-type pair struct {
-	now, old Evidence
+	return float64(e.Bad) / float64(e.count())
 }
--- a/state/releases.go
+++ b/state/releases.go
@@ -10,33 +10,66 @@
 type release struct {
 	order  rollout.Release
 	record Record
-	// since is when this instance learnt of the phase.
-	since time.Time
+	// ordered is when this instance learnt of the order, recorded when of the
+	// record, and since when of its phase.
+	ordered, recorded, since time.Time
 }
 
-// current is the release with its record's progress.
+// current is the release with its record's progress. An order without a record
+// has not begun: an instance that starts may read it before its record.
 func (r *release) current() rollout.Release {
 	c := r.order
-	if p := r.record.Release; p.Order == c.Order {
-		c.Phase, c.State = p.Phase, p.State
+	p := r.record.Release
+	switch {
+	case p.Order == c.Order:
+		c.Phase, c.State, c.Ran, c.Avoid = p.Phase, p.State, p.Ran, p.Avoid
+	case p.State == rollout.Tripped || p.State == rollout.Halted:
+		c.Avoid = p.Target
+	default:
+		c.Avoid = p.Avoid
+	}
+	if c.Avoid == c.Target {
+		c.Avoid = ""
 	}
 	return c
 }
 
+// ran is how long the release has run, at least.
+func (r *release) ran(now time.Time) time.Duration {
+	d := now.Sub(r.ordered)
+	if r.record.Release.Order == r.order.Order {
+		d = max(d, r.record.Release.Ran+now.Sub(r.recorded))
+	}
+	return d
+}
+
 // isRunning reports whether the release was ordered and has not ended.
 func (r *release) isRunning() bool {
 	return r.order.Order > 0 && r.current().State == rollout.Running
 }
 
-// due returns what is to be recorded of a running release, and whether that
-// is so by now.
-func (r *release) due(now time.Time) (Record, bool) {
+// keepEvery is the part of a release's length after which it is recorded anew
+// how long it has run: what that is behind when all instances are lost.
+const keepEvery = 1.0 / 16
+
+// due returns what is to be recorded of a running release after the wait for
+// this instance's turn, and whether that is so by now.
+func (r *release) due(now time.Time, wait time.Duration, suspect bool) (Record, bool) {
 	c := r.current()
-	lasted := now.Sub(r.since)
+	ran, lasted := r.ran(now)-wait, now.Sub(r.since)-wait
 	if r.record.Release.Order != r.order.Order {
-		return Record{Release: c, Version: r.record.Version}, lasted >= 0
+		return r.next(c.Next(), ran), ran >= 0
 	}
-	return Record{Release: c.Next(), Version: r.record.Version}, lasted >= c.PhaseLength()
+	if c.IsDue(ran, lasted, suspect) {
+		return r.next(c.Next(), ran), true
+	}
+	return r.next(c, ran), ran-c.Ran >= time.Duration(keepEvery*float64(c.Length))
+}
+
+// next is the record of the release that takes the place of the one known.
+func (r *release) next(c rollout.Release, ran time.Duration) Record {
+	c.Ran = max(c.Ran, ran)
+	return Record{Release: c, Version: r.record.Version}
 }
 
 // of returns what is known of the service's release; it may be nothing yet.
@@ -55,7 +88,7 @@
 	if o.Order <= r.order.Order {
 		return
 	}
-	r.order, r.since = o, now
+	r.order, r.ordered = o, now
 	s.log("release_ordered", "service", o.Service, "release", o.Target, "order", o.Order, "length", o.Length)
 }
 
@@ -65,25 +98,34 @@
 	if n.Version <= r.record.Version {
 		return
 	}
-	r.record, r.since = n, now
+	was := r.record.Release
+	r.record, r.recorded = n, now
+	if was.Order != n.Release.Order || was.Phase != n.Release.Phase || was.State != n.Release.State {
+		r.since = now
+	}
 	s.log("release_progress", "service", n.Release.Service, "release", n.Release.Target, "order", n.Release.Order, "phase", n.Release.Phase, "state", n.Release.State)
 }
 
+// Turn is how long this instance waits for each service's release while others
+// may record what is due, and whether the release is near to being found bad.
+type Turn func(rel rollout.Release) (wait time.Duration, suspect bool)
+
 // Due returns the releases of which something is to be recorded by now: those
-// that no record tells of yet, and those whose phase has lasted, each one
-// phase further. turn is how much longer this instance waits for each service.
-func (s *State) Due(now time.Time, turn func(service string) time.Duration) []Record {
+// that no record tells of yet, those whose phase has lasted, each one phase
+// further, and those of which it is recorded too long ago how long they ran.
+func (s *State) Due(now time.Time, turn Turn) []Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lost {
 		return nil
 	}
 	var l []Record
-	for service, r := range s.releases {
+	for _, r := range s.releases {
 		if !r.isRunning() {
 			continue
 		}
-		if n, ok := r.due(now.Add(-turn(service))); ok {
+		wait, suspect := turn(r.current())
+		if n, ok := r.due(now, wait, suspect); ok {
 			l = append(l, n)
 		}
 	}
