--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -41,6 +41,7 @@
 	answer Detector
 	whose  relative
 	kinds  [Kinds]relative
+	pace   moments
 	slow   float64
 	cause  string
 }
@@ -62,15 +63,15 @@
 	j.told.take(origin, t)
 	was := j.Bad()
 	l := j.lately(now)
-	j.test(l, now)
+	j.test(now)
 	if !was {
 		j.cause = j.why(l)
 	}
 	return !was && j.Bad()
 }
 
-// test takes in what was told; l is what was counted lately.
-func (j *Judge) test(l Tally, now time.Time) {
+// test takes in what was told.
+func (j *Judge) test(now time.Time) {
 	t := j.told.total
 	if d, ok := j.slot.next(t, now, slotLength); ok {
 		n, o := d.All()
@@ -83,7 +84,7 @@
 	}
 	total, _ := t.All()
 	j.answer = j.answer.With(Evidence{Good: total.Good + total.Broken, Bad: total.Failed})
-	j.slow = slower(l)
+	j.slow = j.pace.level(t, now)
 }
 
 // slot is a span of time whose answers are taken in together: the new release's
