--- a/entry/releases.go
+++ b/entry/releases.go
@@ -200,6 +200,28 @@
 	return true
 }
 
+// sendsPerRequest is how often a request is sent, at most some: larger models are
+// asked after smaller ones, and failures are tried again.
+const sendsPerRequest = 1.5
+
+// Sends estimates how many requests a second the service's replicas get, by what
+// instances told of a release that has run for so long; where few have, by this
+// instance's own requests, of which it may have few or many.
+func (r *Router) Sends(rel rollout.Release, ran time.Duration) float64 {
+	s := r.releases
+	s.mu.Lock()
+	var n uint64
+	var origins int
+	if t := s.of(rel); t != nil {
+		n, origins = t.judge.Total().Answers(), t.judge.Finding().Origins
+	}
+	s.mu.Unlock()
+	if 2*origins > r.fleet() && ran > 0 {
+		return float64(n) / ran.Seconds()
+	}
+	return sendsPerRequest * r.rate(rel.Service)
+}
+
 // IsSuspect reports whether a release under way is near to being found bad.
 func (r *Router) IsSuspect(rel rollout.Release) bool {
 	s := r.releases
--- a/entry/repeats.go
+++ b/entry/repeats.go
@@ -9,9 +9,9 @@
 	r.window(service).Request(r.clock())
 }
 
-// Rate estimates how many requests a second the whole fleet gets for the
+// rate estimates how many requests a second the whole fleet gets for the
 // service, by this instance's own.
-func (r *Router) Rate(service string) float64 {
+func (r *Router) rate(service string) float64 {
 	n := r.fleet()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/rollout/pace.go
+++ b/rollout/pace.go
@@ -79,10 +79,13 @@
 	return max(0, min(sure, math.Log(rate)/math.Log(slowRate)))
 }
 
-// moments are the comparisons of the last moments, the oldest first.
+// moments are the comparisons of the last moments, the oldest first, and of all
+// together: a service with few requests needs all, one that turns slow late shows it
+// by the last.
 type moments struct {
 	slot slot
 	last []moment
+	all  comparison
 }
 
 type moment struct {
@@ -90,10 +93,12 @@
 	c  comparison
 }
 
-// level takes the total in and returns that of the last moments together.
+// level takes the total in and returns the higher of both levels.
 func (m *moments) level(t Tally, now time.Time) float64 {
 	if d, ok := m.slot.next(t, now, slotLength); ok {
-		m.last = append(m.last, moment{now, compare(d)})
+		c := compare(d)
+		m.last = append(m.last, moment{now, c})
+		m.all = m.all.plus(c)
 	}
 	for len(m.last) > 0 && now.Sub(m.last[0].at) >= lately {
 		m.last = m.last[1:]
@@ -102,5 +107,5 @@
 	for _, x := range m.last {
 		c = c.plus(x.c)
 	}
-	return c.level()
+	return max(c.level(), m.all.level())
 }
--- a/rollout/release.go
+++ b/rollout/release.go
@@ -54,10 +54,7 @@
 	mostTrial  = 3000
 	// trialMargin is the part of the requests that is left of the bound: for
 	// records that come late, and for shares of few sessions that are not even.
-	trialMargin = 0.015
-	// sendsPerRequest is how often a request is sent, at most some: larger models
-	// are asked after smaller ones, and failures are tried again.
-	sendsPerRequest = 1.5
+	trialMargin = 0.02
 	// holdPart of the length is how long a release that is near to being found
 	// bad stays in its phase at most: long enough for some more answers, short
 	// enough for a good one to be done in time.
@@ -76,13 +73,13 @@
 }
 
 // TrialShare is the share of requests that the release gets while it is tried, for a
-// service with so many requests a second: what the bound leaves of the part in
+// service whose replicas get so many a second: what the bound leaves of the part in
 // which it gets all, so that even one that shows nothing stays within it.
 func (r Release) TrialShare(b Bound, rate float64) int {
 	if rate <= 0 {
 		return leastTrial
 	}
-	part := b.Part + b.Slack/(rate*sendsPerRequest*r.Length.Seconds()) - (1 - wholeFrom) - trialMargin
+	part := b.Part + b.Slack/(rate*r.Length.Seconds()) - (1 - wholeFrom) - trialMargin
 	return int(min(mostTrial, max(leastTrial, Whole*part/(wholeFrom-trialFrom))))
 }
 
--- a/rollout/tally.go
+++ b/rollout/tally.go
@@ -144,6 +144,12 @@
 	return now, old
 }
 
+// Answers is how many answers of both releases there were.
+func (t Tally) Answers() uint64 {
+	n, o := t.All()
+	return n.Evidence().count() + o.Evidence().count()
+}
+
 // size grows with each thing that is counted.
 func (t Tally) size() uint64 {
 	n, o := t.All()
