--- a/cmd/fieldvale-soak/main.go
+++ b/cmd/fieldvale-soak/main.go
@@ -83,7 +83,7 @@
 	}
 	r, err := soak.Run(ctx, soak.Settings{Seed: seed, Binary: b, For: o.For, Nodes: o.Nodes, Replicas: o.Replicas, Clients: o.Clients, Dir: d})
 	ok := err == nil && len(r.Broken) == 0
-	fmt.Printf("seed=%d ok=%t answered=%d failed=%d after: answered=%d failed=%d faults=%d\n", seed, ok, r.Answered, r.Failed, r.LateAnswered, r.LateFailed, len(r.Faults))
+	fmt.Printf("seed=%d ok=%t answered=%d failed=%d after: answered=%d failed=%d faults=%d release=%s\n", seed, ok, r.Answered, r.Failed, r.LateAnswered, r.LateFailed, len(r.Faults), r.Release)
 	for _, c := range slices.Sorted(maps.Keys(r.Causes)) {
 		fmt.Printf("  %6d %s\n", r.Causes[c], c)
 	}
