--- a/entry/verdict.go
+++ b/entry/verdict.go
@@ -2,15 +2,8 @@
 
 import "fieldvale/rollout"
 
-// Verdicts on an attempt, for the metrics.
-const (
-	verdictGood    = "good"
-	verdictFailed  = "failed"
-	verdictBroken  = "broken"
-	verdictNothing = "nothing"
-)
-
-var verdicts = map[outcomeOf]string{showsGood: verdictGood, showsFailed: verdictFailed, showsBroken: verdictBroken, showsNothing: verdictNothing}
+// verdicts name what attempts show, for the metrics.
+var verdicts = map[outcomeOf]string{showsGood: "good", showsFailed: "failed", showsBroken: "broken", showsNothing: "nothing"}
 
 // judge counts what the attempt shows of its release, if one is under way.
 func (a *attempt) judge(bad bool) {
@@ -18,10 +11,7 @@
 	o := a.shows(bad)
 	r.events.judged(a.w.f.Service, a.replica.Release, verdicts[o])
 	rel, ok := r.view.Get().Releases[a.w.f.Service]
-	if !ok || rel.State != rollout.Running {
-		return
-	}
-	if o == showsNothing {
+	if !ok || rel.State != rollout.Running || o == showsNothing {
 		return
 	}
 	v := saw{release: a.replica.Release, kind: rollout.KindOf(a.pace()), outcome: o}
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -213,4 +213,10 @@
 	if g, _ := j.Total().All(); g != want {
 		t.Errorf("total %+v, want %+v", g, want)
 	}
+	// Its clock was set back before it was started again.
+	tell(-5, 4, 1)
+	want = rollout.Counts{Good: 17, Failed: 4}
+	if g, _ := j.Total().All(); g != want {
+		t.Errorf("total %+v, want %+v", g, want)
+	}
 }
--- a/rollout/origins.go
+++ b/rollout/origins.go
@@ -11,24 +11,35 @@
 
 // told is what one instance has told.
 type told struct {
-	// ended is what it saw in earlier lives, now what it saw in this one.
-	ended, now Tally
+	// now is what it saw in its present life; past are its earlier ones.
+	now  Tally
+	past map[int64]bool
 }
 
 func newOrigins() *origins { return &origins{from: map[string]told{}} }
 
 // take takes a report in. One of an earlier life, or older than what is known,
-// changes nothing.
+// changes nothing. Lives have no order: an instance's clock may be set back between
+// two of them.
 func (o *origins) take(origin string, t Tally) {
 	k := o.from[origin]
 	switch {
-	case t.Life < k.now.Life || t.Life == k.now.Life && t.size() <= k.now.size():
+	case k.past[t.Life] || t.Life == k.now.Life && t.size() <= k.now.size():
 		return
-	case t.Life > k.now.Life:
-		k.ended = k.ended.Plus(k.now)
+	case t.Life != k.now.Life:
+		k.past = withLife(k.past, k.now.Life)
 		k.now = Tally{Life: t.Life}
 	}
 	o.total = o.total.Plus(t.minus(k.now))
 	k.now = t
 	o.from[origin] = k
 }
+
+// withLife returns the lives with one more.
+func withLife(l map[int64]bool, life int64) map[int64]bool {
+	if l == nil {
+		l = map[int64]bool{}
+	}
+	l[life] = true
+	return l
+}
--- a/rollout/tally.go
+++ b/rollout/tally.go
@@ -17,8 +17,8 @@
 
 // Tally is what one instance saw of a service while it changes its release.
 type Tally struct {
-	// Life tells one run of the instance from its next: counts begin at 0 again,
-	// and a later life has the greater one.
+	// Life tells one run of the instance from others, in which counts begin at 0
+	// again.
 	Life     int64
 	New, Old [Kinds]Counts
 }
