--- a/rollout/release_test.go
+++ b/rollout/release_test.go
@@ -44,6 +44,19 @@
 	}
 }
 
+// A release that is near to being found bad stays a little longer in its trial, and
+// is not done while it is.
+func TestASuspectReleaseWaits(t *testing.T) {
+	const length = 100 * time.Second
+	r := rollout.NewRelease("s", "v2", 1, length).Next().Next()
+	if r.IsDue(90*time.Second, time.Minute, true) || !r.IsDue(90*time.Second, time.Minute, false) || !r.IsDue(93*time.Second, time.Minute, true) {
+		t.Error("a suspect release does not wait for 3 in 100 of its length")
+	}
+	if r = r.Next(); r.IsDue(length, time.Minute, true) || !r.IsDue(length, time.Minute, false) {
+		t.Error("a suspect release is done")
+	}
+}
+
 func ExampleRelease_PhaseLength() {
 	r := rollout.NewRelease("s", "v2", 1, 100*time.Second)
 	var at time.Duration
