--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -298,3 +298,24 @@
 		return d, http.StatusOK
 	}
 }
+
+// A release of 14 s whose answers take five times as long in a third of the cases
+// got 497 requests after it should have been taken back: its trial has some 30
+// requests, which is too few for the comparison of waits to be sure, and it was done.
+func TestASlowReleaseOfAShortLengthIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTrialFleet(t, 6)
+		f.answer = func(r *pool.Replica, _ int, u *rand.Rand) (time.Duration, int) {
+			d := time.Duration((100 + u.ExpFloat64()*200) * float64(time.Millisecond))
+			if r.Release == "v2" && u.Float64() < 0.33 {
+				d *= 5
+			}
+			return d, http.StatusOK
+		}
+		f.release(rollout.NewRelease("s", "v2", 1, 14*time.Second), trialRoutes(9), 30, time.Minute)
+		if !f.found() {
+			t.Errorf("a release slow in a third of its answers is done after %d requests", f.got["v2"])
+		}
+		f.sum.Wait()
+	})
+}
