The demo's caller looks a request up that may have run; billing says what it decides

Change: such a request counts as found, which may be billed or not, at most as many as were under way; one that the service lacks for 1 s is sent with a new key, and counts as doubled if both run.

--- a/bill/book.go
+++ b/bill/book.go
@@ -31,6 +31,16 @@
 	return lower || !first && len(w) > 0
 }
 
+// Owners are those whose records the words name, for the log.
+func Owners(w []Word) (l []string) {
+	for _, x := range w {
+		if x.Repeat {
+			l = append(l, x.Owner)
+		}
+	}
+	return l
+}
+
 // Window is how long a holder knows a request id. A caller that repeats a
 // request later than this is billed again.
 const Window = 10 * time.Minute
--- a/cmd/fieldvale-demo/client.go
+++ b/cmd/fieldvale-demo/client.go
@@ -25,6 +25,9 @@
 	lost state = iota
 	answered
 	refused
+	// found is a request whose entry died and that the service's records
+	// show to have run: the caller has no answer, and maybe no bill.
+	found
 )
 
 // result is one request with what became of it.
@@ -33,16 +36,24 @@
 	state   state
 	// wrong tells of an answer that the caller should not have got.
 	wrong string
-	// key is the key under which a request that may not be repeated ran.
-	key  string
-	took time.Duration
-	last error
+	// key is the key under which a request that may not be repeated ran, and
+	// unrun in how many looks the service's records did not have it.
+	key   string
+	unrun int
+	took  time.Duration
+	last  error
 }
 
 const (
-	maxTries   = 10
-	tryPause   = 250 * time.Millisecond
+	maxTries = 10
+	tryPause = 250 * time.Millisecond
+	// looks is how often the service's records must lack a request that may have
+	// run before it is sent with a new key: some 1 s, in which one that was under
+	// way would have run.
+	looks      = 4
 	tryTimeout = 10 * time.Second
+	// again ends the new key of a request that did not run under its first.
+	again = "-again"
 )
 
 // client sends requests as the customers' programs would: to any instance,
@@ -188,9 +199,14 @@
 		r.state = refused
 		return comeBack(status)
 	}
-	if status == http.StatusConflict && c.ranAtService(q, r.key) {
-		r.state = answered
-		return false
+	if status == http.StatusConflict {
+		if c.ranAtService(q, r.key) {
+			r.state = found
+			return false
+		}
+		if r.unrun++; r.unrun == looks {
+			r.key += again
+		}
 	}
 	r.state = lost
 	return true
--- a/cmd/fieldvale-demo/run.go
+++ b/cmd/fieldvale-demo/run.go
@@ -254,7 +254,7 @@
 		}
 		for k, x := range m {
 			if !strings.HasSuffix(k, "/") {
-				once[b.Service+"/"+k] += x
+				once[b.Service+"/"+strings.TrimSuffix(k, again)] += x
 			}
 		}
 	}
@@ -271,7 +271,7 @@
 
 func (d *demo) report() error {
 	d.table()
-	sent, ok, no, gone := len(d.results), d.count(answered), d.count(refused), d.count(lost)
+	sent, ok, no, gone, ran := len(d.results), d.count(answered), d.count(refused), d.count(lost), d.count(found)
 	two, wrong, bill := d.doubled(), d.misrouted(), d.s.billed()
 	shown := 0
 	for _, r := range d.results {
@@ -283,8 +283,10 @@
 	for _, b := range d.broken {
 		fmt.Println("demo: broken:", b)
 	}
-	good := gone == 0 && two == 0 && wrong == 0 && bill == ok && len(d.broken) == 0 && ok >= leastAnswered*sent/100
-	fmt.Printf("demo: sent=%d answered=%d refused=%d lost=%d doubled=%d misrouted=%d billed=%d ok=%t\n", sent, ok, no, gone, two, wrong, bill, good)
+	// One that died with its entry may be billed or not; no more than were under
+	// way can be such.
+	good := gone == 0 && two == 0 && wrong == 0 && ok <= bill && bill <= ok+ran && ran <= workers && len(d.broken) == 0 && ok >= leastAnswered*sent/100
+	fmt.Printf("demo: sent=%d answered=%d refused=%d lost=%d found=%d doubled=%d misrouted=%d billed=%d ok=%t\n", sent, ok, no, gone, ran, two, wrong, bill, good)
 	if !good {
 		return errBroken
 	}
--- a/control/bills.go
+++ b/control/bills.go
@@ -230,6 +230,9 @@
 	n.book.Flushed(l)
 	n.mu.Unlock()
 	if added > 0 {
+		for _, x := range r {
+			n.log("orphan_bill", "owner", owner, "seq", x.Seq, "request", x.RequestID, "beaten", x.Beaten)
+		}
 		n.log("orphan_settled", "owner", owner, "records", added)
 	}
 	return nil
--- a/entry/biller.go
+++ b/entry/biller.go
@@ -53,6 +53,15 @@
 	// those found to be billed before.
 	Alone   atomic.Uint64
 	Repeats atomic.Uint64
+	// Log is told of each record that no other instance held in time, and of each
+	// found to be a repeat; it may be nil.
+	Log func(event string, fields ...any)
+}
+
+func (b *Biller) log(event string, r bill.Record, fields ...any) {
+	if b.Log != nil {
+		b.Log(event, append([]any{"request", r.RequestID, "seq", r.Seq}, fields...)...)
+	}
 }
 
 // pendingRecord is counted in any case once nobody could know its request.
@@ -104,6 +113,7 @@
 		return
 	}
 	b.Alone.Add(1)
+	b.log("bill_pending", r)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.pending) >= maxPending {
@@ -144,6 +154,7 @@
 		return true
 	}
 	b.Repeats.Add(1)
+	b.log("bill_repeat", r, "first", bill.Owners(w))
 	b.settle(func(l bill.Ledger) bill.Ledger { return l.WithVoid(r.Seq) })
 	b.release(ctx, h, r)
 	return true
--- a/process/entry.go
+++ b/process/entry.go
@@ -44,6 +44,7 @@
 	h := httpconn.New()
 	k := rpc.NewLocal(s.Control, s.FleetKey)
 	e.biller = entry.NewBiller(rpc.NewPeers(s.FleetKey), e.view, s.ID, e.incarnation)
+	e.biller.Log = func(event string, f ...any) { l.WithFields(logging.Fields(f...)).Info(event) }
 	e.router = entry.NewRouter(entry.Ports{
 		View: e.view, Engines: backend.NewEngines(h), Services: backend.NewServices(h), Claims: k,
 		Rater: platform.New(h, "", s.Rating), Biller: e.biller, Clock: time.Now, Self: s.ID,
