A release in doubt stays in its trial; waits are compared in larger groups

Nothing held a release back that was not near to being found bad, and once it has all requests nothing can tell. Change: a moment lasts until it has 8 waits of each kind, 4 s at most; waits measured by the prompt's reading are grouped by the model alone; besides the plain test one with late spans weighing more; a release that looks slow by 1.4 standard deviations and does not differ from a slow one by as many is in doubt, and stays in its trial, up to 1.5 times its length; judges tell all others of a doubt.

--- a/cmd/fieldvale-node/duties.go
+++ b/cmd/fieldvale-node/duties.go
@@ -30,6 +30,7 @@
 		case <-tell.C:
 			n.tell(n.router.Tallies())
 			n.tellBad()
+			n.tellDoubt()
 		case <-see.C:
 			n.see()
 		case <-hup:
--- a/cmd/fieldvale-node/releases.go
+++ b/cmd/fieldvale-node/releases.go
@@ -78,7 +78,7 @@
 // turn is how long this instance lets those ranked before it write a record
 // of the service's release. Those that don't judge it, and don't know whether it
 // is suspect, leave the judges time.
-func (n *node) turn(rel rollout.Release) (wait time.Duration, suspect bool) {
+func (n *node) turn(rel rollout.Release) (wait time.Duration, s rollout.Standing) {
 	m := n.ranked(rel.Service)
 	i := slices.IndexFunc(m, func(x peer.Member) bool { return x.ID == n.s.ID })
 	if i < 0 {
@@ -88,7 +88,7 @@
 	if i >= judges {
 		wait += judgesFirst
 	}
-	return wait, n.router.IsSuspect(rel)
+	return wait, n.router.Standing(rel)
 }
 
 // record writes a release's progress, unless another instance did before.
--- a/cmd/fieldvale-node/report.go
+++ b/cmd/fieldvale-node/report.go
@@ -79,16 +79,17 @@
 	return r.From, t, err
 }
 
-// wireVerdict tells that an instance found a release bad.
+// wireVerdict tells that an instance found a release bad, or is in doubt of it.
 type wireVerdict struct {
 	From    string `json:"from"`
 	Service string `json:"service"`
 	Order   int64  `json:"order"`
+	Doubt   bool   `json:"doubt,omitempty"`
 }
 
-// encodeVerdict returns the datagram that tells of a bad release.
-func encodeVerdict(from string, r rollout.Release) ([]byte, error) {
-	b, err := json.Marshal(wireVerdict{From: from, Service: r.Service, Order: r.Order})
+// encodeVerdict returns the datagram that tells of a bad release, or of a doubt.
+func encodeVerdict(from string, r rollout.Release, doubt bool) ([]byte, error) {
+	b, err := json.Marshal(wireVerdict{From: from, Service: r.Service, Order: r.Order, Doubt: doubt})
 	return b, errors.Wrap(err, "encodeVerdict")
 }
 
--- a/cmd/fieldvale-node/tally.go
+++ b/cmd/fieldvale-node/tally.go
@@ -5,6 +5,7 @@
 
 	"fieldvale/entry"
 	"fieldvale/peer"
+	"fieldvale/rollout"
 )
 
 const (
@@ -43,15 +44,27 @@
 // store has it: one that can't write there would be the only one to know.
 func (n *node) tellBad() {
 	for _, r := range n.router.BadReleases() {
-		b, err := encodeVerdict(n.s.ID, r)
-		if err != nil {
-			n.event("verdict_unsent", "service", r.Service, "error", err)
-			continue
-		}
-		n.sendAll(tagVerdict, n.others(n.placer.Members()), b, r.Service)
+		n.tellVerdict(r, false)
 	}
 }
 
+// tellDoubt tells all instances on the list of releases that are in doubt: those that
+// don't judge have few answers to see it by, and may record the next phase.
+func (n *node) tellDoubt() {
+	for _, r := range n.router.DoubtfulReleases() {
+		n.tellVerdict(r, true)
+	}
+}
+
+func (n *node) tellVerdict(r rollout.Release, doubt bool) {
+	b, err := encodeVerdict(n.s.ID, r, doubt)
+	if err != nil {
+		n.event("verdict_unsent", "service", r.Service, "error", err)
+		return
+	}
+	n.sendAll(tagVerdict, n.others(n.placer.Members()), b, r.Service)
+}
+
 // judges returns the other instances that judge the service's release.
 func (n *node) judges(service string) []peer.Member {
 	m := n.ranked(service)
@@ -79,13 +92,17 @@
 	n.router.ReportTally(origin, t)
 }
 
-// receiveVerdict takes in that another instance found a release bad.
+// receiveVerdict takes in that another instance found a release bad, or is in doubt.
 func (n *node) receiveVerdict(from string, b []byte) {
 	v, err := decodeVerdict(b)
 	if err != nil {
 		n.event("datagram_unreadable", "from", from, "error", err)
 		return
 	}
+	if v.Doubt {
+		n.router.ReportDoubt(v.Service, v.Order)
+		return
+	}
 	if n.router.ReportBad(v.Service, v.Order) {
 		n.event("release_bad_told", "service", v.Service, "order", v.Order, "by", v.From)
 	}
--- a/entry/releases.go
+++ b/entry/releases.go
@@ -27,6 +27,8 @@
 	urgent bool
 	// told says that another instance found the release bad.
 	told bool
+	// doubted is when another instance last said that it is in doubt.
+	doubted time.Time
 	// waits are the attempts whose answers are waited for.
 	waits map[*wait]bool
 }
@@ -185,19 +187,7 @@
 // ReportBad takes in that another instance found a release under way to be bad.
 // It reports whether that is news here.
 func (r *Router) ReportBad(service string, order int64) bool {
-	rel, ok := r.view.Get().Releases[service]
-	if !ok || rel.Order != order || rel.State != rollout.Running {
-		return false
-	}
-	s := r.releases
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.of(rel)
-	if t == nil || t.isBad() {
-		return false
-	}
-	t.told = true
-	return true
+	return r.told(service, order, func(t *trial) { t.told = true })
 }
 
 // sendsPerRequest is how often a request is sent, at most some: larger models are
@@ -211,28 +201,81 @@
 	s := r.releases
 	s.mu.Lock()
 	var n uint64
-	var origins int
+	known := false
 	if t := s.of(rel); t != nil {
-		n, origins = t.judge.Total().Answers(), t.judge.Finding().Origins
+		n, known = t.judge.Total().Answers(), r.hearsMost(t)
 	}
 	s.mu.Unlock()
-	if 2*origins > r.fleet() && ran > 0 {
+	if known && ran > 0 {
 		return float64(n) / ran.Seconds()
 	}
 	return sendsPerRequest * r.rate(rel.Service)
 }
 
-// IsSuspect reports whether a release under way is near to being found bad.
-func (r *Router) IsSuspect(rel rollout.Release) bool {
+// doubtLasts is how long the word of another instance holds that a release is in
+// doubt: two of its words may be lost.
+const doubtLasts = 1300 * time.Millisecond
+
+// Standing returns what a release under way shows here, and in doubt also what
+// others told of it.
+func (r *Router) Standing(rel rollout.Release) rollout.Standing {
 	s := r.releases
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.of(rel)
-	return t != nil && t.judge.Finding().Level() >= suspectLevel
+	if t == nil {
+		return rollout.Standing{}
+	}
+	x := t.judge.Finding().Standing()
+	x.Doubt = x.Doubt && r.hearsMost(t) || r.clock().Before(t.doubted.Add(doubtLasts))
+	return x
+}
+
+// hearsMost reports whether most of the fleet tell this instance what they see of the
+// release. One that hears few has too few answers to be in doubt by.
+func (r *Router) hearsMost(t *trial) bool { return 2*t.judge.Finding().Origins > r.fleet() }
+
+// ReportDoubt takes in that another instance, which judges the release, is in doubt
+// of it.
+func (r *Router) ReportDoubt(service string, order int64) {
+	r.told(service, order, func(t *trial) { t.doubted = r.clock() })
 }
 
-// suspectLevel is how near a test must be for a release not to climb yet.
-const suspectLevel = 0.5
+// told changes the trial of a release under way that is not found bad yet. It reports
+// whether there is one.
+func (r *Router) told(service string, order int64, f func(*trial)) bool {
+	rel, ok := r.view.Get().Releases[service]
+	if !ok || rel.Order != order || rel.State != rollout.Running {
+		return false
+	}
+	s := r.releases
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.of(rel)
+	if t == nil || t.isBad() {
+		return false
+	}
+	f(t)
+	return true
+}
+
+// DoubtfulReleases returns the releases under way that are in doubt by this
+// instance's own judgement.
+func (r *Router) DoubtfulReleases() []rollout.Release {
+	var l []rollout.Release
+	s := r.releases
+	for _, rel := range r.view.Get().Releases {
+		if rel.State != rollout.Running {
+			continue
+		}
+		s.mu.Lock()
+		if t := s.of(rel); t != nil && t.judge.Finding().Doubt && r.hearsMost(t) {
+			l = append(l, rel)
+		}
+		s.mu.Unlock()
+	}
+	return l
+}
 
 // ReportTally takes in what another instance saw of a release under way.
 func (r *Router) ReportTally(origin string, t ReleaseTally) {
--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -151,8 +151,8 @@
 func (f *trialFleet) release(rel rollout.Release, a []*route.Route, rate int, patience time.Duration) {
 	start := time.Now()
 	since := start
-	for step := 0; time.Since(start) < rel.Length && !f.found(); step++ {
-		if rel.State == rollout.Running && rel.IsDue(time.Since(start), time.Since(since), f.suspect(rel)) {
+	for step := 0; rel.State == rollout.Running && time.Since(start) < 2*rel.Length && !f.found(); step++ {
+		if rel.State == rollout.Running && rel.IsDue(time.Since(start), time.Since(since), f.standing(rel)) {
 			rel, since = rel.Next(), time.Now()
 			rel.Trial = rel.TrialShare(rollout.Bound{Part: 0.15, Slack: 30}, float64(rate))
 			f.phase(rel)
@@ -162,13 +162,12 @@
 	}
 }
 
-func (f *trialFleet) suspect(rel rollout.Release) bool {
+func (f *trialFleet) standing(rel rollout.Release) (s rollout.Standing) {
 	for _, r := range f.routers {
-		if r.IsSuspect(rel) {
-			return true
-		}
+		x := r.Standing(rel)
+		s.Suspect, s.Doubt = s.Suspect || x.Suspect, s.Doubt || x.Doubt
 	}
-	return false
+	return s
 }
 
 func (f *trialFleet) found() bool {
@@ -300,8 +299,10 @@
 }
 
 // A release of 14 s whose answers take five times as long in a third of the cases
-// got 497 requests after it should have been taken back: its trial has some 30
-// requests, which is too few for the comparison of waits to be sure, and it was done.
+// got 497 requests after it should have been taken back. Its trial has some 30
+// requests. Compared within each half second and each kind, most of them had nothing
+// to be compared with: release_seen told pace=0.47 when 12 of 23 had waited longer
+// than 74 in 100 of the old release's had, and nothing held the release back.
 func TestASlowReleaseOfAShortLengthIsFound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTrialFleet(t, 6)
--- a/entry/wait.go
+++ b/entry/wait.go
@@ -37,7 +37,7 @@
 	if !ok || !rel.IsShared() {
 		return
 	}
-	a.wait = &wait{release: a.replica.Release, kind: rollout.KindOf(a.pace()), since: a.sent, ends: rollout.SpanEnds(a.span())}
+	a.wait = &wait{release: a.replica.Release, kind: rollout.KindOf(a.waitKind()), since: a.sent, ends: rollout.SpanEnds(a.span())}
 	r.releases.await(rel, a.wait)
 }
 
@@ -57,6 +57,15 @@
 	return t
 }
 
+// waitKind names what the attempt's wait compares with: where it is measured by the
+// prompt's reading, only by the model, as a trial of 30 requests has few of each route.
+func (a *attempt) waitKind() string {
+	if a.placed.ready > 0 {
+		return a.w.modelName()
+	}
+	return a.pace()
+}
+
 // answered counts the end of the wait; came says that it was an answer's head.
 func (a *attempt) answered(came bool) {
 	if a.wait == nil {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -43,6 +43,7 @@
 	kinds  [Kinds]relative
 	pace   moments
 	slow   float64
+	doubt  bool
 	cause  string
 }
 
@@ -84,7 +85,7 @@
 	}
 	total, _ := t.All()
 	j.answer = j.answer.With(Evidence{Good: total.Good + total.Broken, Bad: total.Failed})
-	j.slow = j.pace.level(t, now)
+	j.slow, j.doubt = j.pace.level(t, now)
 }
 
 // slot is a span of time whose answers are taken in together: the new release's
@@ -177,6 +178,8 @@
 	// Whose, Kind, Answers and Pace are how near the tests are to
 	// finding the release bad; from 1 on they have.
 	Whose, Kind, Answers, Pace float64
+	// Doubt says that its answers look slow, and are too few to tell.
+	Doubt bool
 	// Cause says for what it was found bad; empty if it was not.
 	Cause string
 }
@@ -186,12 +189,17 @@
 	return Finding{
 		Origins: len(j.told.from), Whose: j.whose.level(), Kind: j.kindLevel(),
 		Answers: j.answer.Sum() / j.answer.Limit(),
-		Pace:    j.slow, Cause: j.cause,
+		Pace:    j.slow, Doubt: j.doubt, Cause: j.cause,
 	}
 }
 
-// Level is how near any of the tests is.
-func (f Finding) Level() float64 { return max(f.Whose, f.Kind, f.Answers, f.Pace) }
+// suspectLevel is how near a test must be for a release to be suspect.
+const suspectLevel = 0.5
+
+// Standing returns what keeps the release from its next phase.
+func (f Finding) Standing() Standing {
+	return Standing{Suspect: max(f.Whose, f.Kind, f.Answers, f.Pace) >= suspectLevel, Doubt: f.Doubt}
+}
 
 // Bad reports whether the release was found bad.
 func (j *Judge) Bad() bool { return j.cause != "" }
--- a/rollout/pace.go
+++ b/rollout/pace.go
@@ -12,8 +12,16 @@
 	slowRate = 0.65
 	// slowLimit is by how many standard deviations it must be surer than chance.
 	slowLimit = 4
+	// doubtFrom is by how many standard deviations a release must look slow to be in
+	// doubt, and differ from a slow one not to be. Of 100 good ones like the old one 8
+	// look so by chance.
+	doubtFrom = 1.4
 	// minTimed is how many waits for answers of each release there must be.
 	minTimed = 8
+	// perKind is how many waits of a kind a moment should have, and longest how long
+	// it lasts at most for that.
+	perKind = 8
+	longest = 4 * time.Second
 )
 
 // comparison is of how long both releases' answers are waited for: the log-rank
@@ -22,70 +30,137 @@
 // count, kinds that take unlike times are not mixed, nor are moments of unlike load,
 // and no instance needs to know what is usual.
 type comparison struct {
+	spans [Spans]span
+	// now and old are how many waits there were, of so many kinds.
+	now, old, kinds uint64
+}
+
+// span is one span of the waits.
+type span struct {
 	// came are the new release's answers, and expected how many there would be if
 	// it were like the old one, whose are others.
 	came, expected, others, variance float64
-	// now and old are how many waits there were.
-	now, old uint64
+	// waited is how many requests waited at its beginning.
+	waited float64
 }
 
 // compare compares what was counted in one moment.
 func compare(t Tally) (c comparison) {
 	for i := range t.New {
 		n, o := t.New[i].Waits, t.Old[i].Waits
-		c.now += n.Came[0] + n.Passed[0]
-		c.old += o.Came[0] + o.Passed[0]
+		waits, before := n.Came[0]+n.Passed[0], o.Came[0]+o.Passed[0]
+		c.now += waits
+		c.old += before
+		c.kinds += min(1, waits+before)
 		for s := range n.Came {
-			c = c.with(float64(n.Came[s]), float64(n.Passed[s]), float64(o.Came[s]), float64(o.Passed[s]))
+			c.spans[s] = c.spans[s].plus(spanOf(float64(n.Came[s]), float64(n.Passed[s]), float64(o.Came[s]), float64(o.Passed[s])))
 		}
 	}
 	return c
 }
 
-// with adds one span of one kind: the new release's answers that came in it and
+// spanOf is one span of one kind: the new release's answers that came in it and
 // requests that passed it, and the old one's.
-func (c comparison) with(came, passed, oldCame, oldPassed float64) comparison {
+func spanOf(came, passed, oldCame, oldPassed float64) span {
 	r, all := came+passed, came+passed+oldCame+oldPassed
 	if all < 2 || r == 0 || r == all {
-		return c
+		return span{}
 	}
 	d := came + oldCame
-	c.came += came
-	c.others += oldCame
-	c.expected += d * r / all
-	c.variance += d * r / all * (all - r) / all * (all - d) / (all - 1)
-	return c
+	return span{
+		came: came, others: oldCame, waited: all,
+		expected: d * r / all, variance: d * r / all * (all - r) / all * (all - d) / (all - 1),
+	}
+}
+
+func (s span) plus(o span) span {
+	return span{
+		came: s.came + o.came, expected: s.expected + o.expected, others: s.others + o.others,
+		variance: s.variance + o.variance, waited: s.waited + o.waited,
+	}
 }
 
 func (c comparison) plus(o comparison) comparison {
-	return comparison{
-		came: c.came + o.came, expected: c.expected + o.expected, others: c.others + o.others,
-		variance: c.variance + o.variance, now: c.now + o.now, old: c.old + o.old,
+	for i := range c.spans {
+		c.spans[i] = c.spans[i].plus(o.spans[i])
 	}
+	c.now, c.old = c.now+o.now, c.old+o.old
+	return c
 }
 
+// isEnough reports whether the moment has enough waits of each kind.
+func (c comparison) isEnough() bool { return c.now+c.old >= perKind*c.kinds }
+
 // level is how near the comparison is to showing that the new release is slow; from
-// 1 on it does.
+// 1 on it does. All spans count the same, or late ones more, by the root of how many
+// answers came before: a release that has all answers later shows it in early spans,
+// one of which some are slow in late ones.
 func (c comparison) level() float64 {
-	if c.now < minTimed || c.old < minTimed || c.variance <= 0 || c.others <= 0 {
+	if c.now < minTimed || c.old < minTimed {
+		return 0
+	}
+	same, late := c.sums()
+	return max(same.level(), late.level())
+}
+
+// sums are the spans together, all alike and late ones with more weight.
+func (c comparison) sums() (same, late span) {
+	waiting := 1.0
+	for _, s := range c.spans {
+		if s.waited == 0 {
+			continue
+		}
+		same = same.plus(s)
+		late = late.plus(s.times(math.Sqrt(1 - waiting)))
+		waiting *= 1 - (s.came+s.others)/s.waited
+	}
+	return same, late
+}
+
+// isDoubtful reports whether the new release looks slow, and whether the comparison
+// is too short to tell.
+func (c comparison) isDoubtful() bool {
+	same, late := c.sums()
+	return same.isDoubtful() || late.isDoubtful()
+}
+
+// times returns the span with a weight.
+func (s span) times(w float64) span {
+	return span{came: w * s.came, expected: w * s.expected, others: w * s.others, variance: w * w * s.variance}
+}
+
+func (s span) level() float64 {
+	if s.variance <= 0 || s.others <= 0 {
 		return 0
 	}
 	// The rates are of answers that came to those expected.
-	rate := c.came / c.expected * (c.others + c.came - c.expected) / c.others
+	rate := s.came / s.expected * (s.others + s.came - s.expected) / s.others
 	if rate >= 1 {
 		return 0
 	}
-	sure := (c.expected - c.came) / math.Sqrt(c.variance) / slowLimit
-	return max(0, min(sure, math.Log(rate)/math.Log(slowRate)))
+	return max(0, min(s.later()/slowLimit, math.Log(rate)/math.Log(slowRate)))
+}
+
+// later is by how many standard deviations the new release's answers come later.
+func (s span) later() float64 { return (s.expected - s.came) / math.Sqrt(s.variance) }
+
+func (s span) isDoubtful() bool {
+	if s.variance <= 0 {
+		return false
+	}
+	slow := -math.Log(slowRate) * math.Sqrt(s.variance)
+	return s.later() >= doubtFrom && slow-s.later() <= doubtFrom
 }
 
 // moments are the comparisons of the last moments, the oldest first, and of all
 // together: a service with few requests needs all, one that turns slow late shows it
 // by the last.
 type moments struct {
-	slot slot
-	last []moment
-	all  comparison
+	// began and total are of when the last moment ended.
+	began time.Time
+	total Tally
+	last  []moment
+	all   comparison
 }
 
 type moment struct {
@@ -93,19 +168,23 @@
 	c  comparison
 }
 
-// level takes the total in and returns the higher of both levels.
-func (m *moments) level(t Tally, now time.Time) float64 {
-	if d, ok := m.slot.next(t, now, slotLength); ok {
-		c := compare(d)
+// level takes the total in and returns the higher of both levels, and whether the
+// release is in doubt by either. What came since the last moment ended counts as one
+// of its own.
+func (m *moments) level(t Tally, now time.Time) (level float64, doubt bool) {
+	c := compare(t.minus(m.total))
+	if age := now.Sub(m.began); age >= longest || age >= slotLength && c.isEnough() {
 		m.last = append(m.last, moment{now, c})
 		m.all = m.all.plus(c)
+		m.began, m.total, c = now, t, comparison{}
 	}
 	for len(m.last) > 0 && now.Sub(m.last[0].at) >= lately {
 		m.last = m.last[1:]
 	}
-	var c comparison
+	l := c
 	for _, x := range m.last {
-		c = c.plus(x.c)
+		l = l.plus(x.c)
 	}
-	return max(c.level(), m.all.level())
+	all := m.all.plus(c)
+	return max(l.level(), all.level()), l.isDoubtful() || all.isDoubtful()
 }
--- a/rollout/release.go
+++ b/rollout/release.go
@@ -59,10 +59,16 @@
 	// bad stays in its phase at most: long enough for some more answers, short
 	// enough for a good one to be done in time.
 	holdPart = 0.03
+	// doubtUntil is the part of the length until which one in doubt stays in its
+	// trial at most: a release that is never done nor taken back helps nobody.
+	doubtUntil = 1.5
 	// leastPart of a phase is how long it lasts at least when phases are late.
 	leastPart = 0.15
 )
 
+// trialPhase is the phase in which both releases get requests of all kinds.
+const trialPhase = 1
+
 // phaseEnds are the parts of the length at which the next phase may begin.
 var phaseEnds = []float64{trialFrom, wholeFrom, doneFrom}
 
@@ -113,23 +119,35 @@
 
 func (r Release) part(f float64) time.Duration { return time.Duration(f * float64(r.Length)) }
 
+// Standing is what a release shows that is not found bad.
+type Standing struct {
+	// Suspect says that it is near to being found bad, Doubt that it looks slow and
+	// had too few requests to tell.
+	Suspect, Doubt bool
+}
+
 // IsDue reports whether the next phase may begin, for a release that was ordered
 // ran ago and is in its phase for lasted. Phases that are late, as after an outage,
 // are made up for, but none is left out. A suspect one waits a little longer, and is
 // not done: it has all requests by then, and shows what it is within a second. Of 35
 // runs under faults two ended with a bad release done that had got 6 and 8 requests.
-func (r Release) IsDue(ran, lasted time.Duration, suspect bool) bool {
+// One in doubt stays in its trial, as only there it can be compared: it is late
+// then, if it is good.
+func (r Release) IsDue(ran, lasted time.Duration, s Standing) bool {
 	if r.Phase < 0 {
 		return true
 	}
 	if r.Phase >= len(phaseEnds) {
 		return false
 	}
-	if suspect && r.Phase == len(phaseEnds)-1 {
+	if s.Suspect && r.Phase == len(phaseEnds)-1 {
 		return false
 	}
 	until := r.part(phaseEnds[r.Phase])
-	if suspect {
+	switch {
+	case s.Doubt && r.Phase == trialPhase:
+		until = r.part(doubtUntil)
+	case s.Suspect:
 		until += r.part(holdPart)
 	}
 	least := time.Duration(leastPart * float64(r.PhaseLength()))
--- a/rollout/release_test.go
+++ b/rollout/release_test.go
@@ -48,15 +48,34 @@
 // is not done while it is.
 func TestASuspectReleaseWaits(t *testing.T) {
 	const length = 100 * time.Second
+	suspect := rollout.Standing{Suspect: true}
 	r := rollout.NewRelease("s", "v2", 1, length).Next().Next()
-	if r.IsDue(90*time.Second, time.Minute, true) || !r.IsDue(90*time.Second, time.Minute, false) || !r.IsDue(93*time.Second, time.Minute, true) {
+	if r.IsDue(90*time.Second, time.Minute, suspect) || !r.IsDue(90*time.Second, time.Minute, rollout.Standing{}) || !r.IsDue(93*time.Second, time.Minute, suspect) {
 		t.Error("a suspect release does not wait for 3 in 100 of its length")
 	}
-	if r = r.Next(); r.IsDue(length, time.Minute, true) || !r.IsDue(length, time.Minute, false) {
+	if r = r.Next(); r.IsDue(length, time.Minute, suspect) || !r.IsDue(length, time.Minute, rollout.Standing{}) {
 		t.Error("a suspect release is done")
 	}
 }
 
+// A release whose answers may be slow got all requests after a trial of some 30, as
+// long as it was not near to being found bad, and was done a second later. From then
+// on nothing could tell: there was no old release to compare it with.
+func TestAReleaseInDoubtStaysInItsTrial(t *testing.T) {
+	const length = 100 * time.Second
+	doubt := rollout.Standing{Doubt: true}
+	r := rollout.NewRelease("s", "v2", 1, length).Next().Next()
+	if r.IsDue(length, time.Minute, doubt) || r.IsDue(149*time.Second, time.Minute, doubt) {
+		t.Error("a release in doubt leaves its trial")
+	}
+	if !r.IsDue(150*time.Second, time.Minute, doubt) {
+		t.Error("a release in doubt never ends")
+	}
+	if !r.Next().IsDue(length, time.Minute, doubt) {
+		t.Error("doubt holds a release that can't be compared any more")
+	}
+}
+
 func ExampleRelease_PhaseLength() {
 	r := rollout.NewRelease("s", "v2", 1, 100*time.Second)
 	var at time.Duration
--- a/state/releases.go
+++ b/state/releases.go
@@ -54,13 +54,13 @@
 
 // due returns what is to be recorded of a running release after the wait for
 // this instance's turn, and whether that is so by now.
-func (r *release) due(now time.Time, wait time.Duration, suspect bool) (Record, bool) {
+func (r *release) due(now time.Time, wait time.Duration, s rollout.Standing) (Record, bool) {
 	c := r.current()
 	ran, lasted := r.ran(now)-wait, now.Sub(r.since)-wait
 	if r.record.Release.Order != r.order.Order {
 		return r.next(c.Next(), ran), ran >= 0
 	}
-	if c.IsDue(ran, lasted, suspect) {
+	if c.IsDue(ran, lasted, s) {
 		return r.next(c.Next(), ran), true
 	}
 	return r.next(c, ran), ran-c.Ran >= time.Duration(keepEvery*float64(c.Length))
@@ -107,8 +107,8 @@
 }
 
 // Turn is how long this instance waits for each service's release while others
-// may record what is due, and whether the release is near to being found bad.
-type Turn func(rel rollout.Release) (wait time.Duration, suspect bool)
+// may record what is due, and what the release shows.
+type Turn func(rel rollout.Release) (wait time.Duration, s rollout.Standing)
 
 // Due returns the releases of which something is to be recorded by now: those
 // that no record tells of yet, those whose phase has lasted, each one phase
@@ -124,8 +124,8 @@
 		if !r.isRunning() {
 			continue
 		}
-		wait, suspect := turn(r.current())
-		if n, ok := r.due(now, wait, suspect); ok {
+		wait, standing := turn(r.current())
+		if n, ok := r.due(now, wait, standing); ok {
 			l = append(l, n)
 		}
 	}
