An instance that all ask at once sends its answers at the pace of its link

One of the second tier asks it 1.3 s after the change; 47 instances ask that one in the same 50 ms, 6 kB each. Its link loses most of the answers; each waits 0.6 s, asks again with all others, and loses again: 12 instances of 82 knew after 4.4 s more. Change: answers with news go out one after another at 1 MB/s at most; the wait adds to their age.

--- a/relay/ask.go
+++ b/relay/ask.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// answerRate is how many bytes of answers an instance sends in a second at most: four
+// fifths of a link of 10 Mbit/s. Where 47 instances asked the one that knew a change at once,
+// 6 kB each, their answers overran its link and most were lost, twice in a row.
+const answerRate = 1e6
+
+// awaitLink waits until the link has room for an answer's items, and returns for how
+// long.
+func (n *Node) awaitLink(bytes int) time.Duration {
+	now := n.clock()
+	n.mu.Lock()
+	if n.linkFree.Before(now) {
+		n.linkFree = now
+	}
+	d := n.linkFree.Sub(now)
+	n.linkFree = n.linkFree.Add(time.Duration(float64(bytes) / answerRate * float64(time.Second)))
+	n.mu.Unlock()
+	time.Sleep(d)
+	return d
+}
+
 // reply sends what there is to say.
 func (n *Node) reply(to string, q question, c store.Changes, s status) {
 	var items []byte
@@ -111,6 +131,7 @@
 		items, s = nil, tooLarge
 	}
 	a := newAnswer(q.ID, c, s)
+	a.Age += n.awaitLink(len(items)).Milliseconds()
 	a.Hops, a.Followers = n.log.Hops(), n.followers.count(n.clock())
 	if err := n.send(to, q.ID, message{Answer: &a}, items); err != nil {
 		n.event("answer_unsent", "to", to, "error", err)
--- a/relay/away_test.go
+++ b/relay/away_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"fieldvale/peer"
 )
 
 // The instances that watch are turned away by the store, each on its own way,
@@ -25,6 +27,33 @@
 	})
 }
 
+// The store fell silent for a third of 82 instances, both that watch among them, and
+// keys were revoked then: 18 to 34 requests were let through by those that did not know
+// of it three seconds later. One of the second tier had asked the store 1.3 s after the
+// change. All others asked it then, at once: 47 answers of 6 kB, most of which its link
+// lost. They waited 0.6 s in vain, asked again together, and lost them again. What each
+// asked of whom, and what came, showed it: ok=false of the one that knew, twice, by
+// 30 instances in the same 50 ms.
+func TestOneThatKnowsTellsAllOverASlowLink(t *testing.T) {
+	withFleet(t, 82, func(t *testing.T, f *fleet, s *fakeStore) {
+		f.net.mu.Lock()
+		f.net.rate = 10e6 / 8
+		f.net.mu.Unlock()
+		r := peer.Rank(watchersKey, f.members())
+		for i, m := range r {
+			f.away[m.ID].silent = true
+			f.away[m.ID].set(i < 3 || i%3 == 0)
+		}
+		rev := s.put("a", random(9_000))
+		time.Sleep(2 * time.Second)
+		for id, on := range f.on {
+			if got, _, _ := on.state(); got < rev {
+				t.Errorf("%s is at revision %d 2 s after revision %d", id, got, rev)
+			}
+		}
+	})
+}
+
 // While the store is away few instances go on asking it, and all are back
 // soon after it.
 func TestStoreThatIsAwayIsLeftAlone(t *testing.T) {
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -192,6 +192,8 @@
 type flag struct {
 	mu sync.Mutex
 	on bool
+	// silent says that calls made while it is on hear nothing, in place of a refusal.
+	silent bool
 }
 
 func (f *flag) set(on bool) {
@@ -215,6 +217,9 @@
 
 func (g gate) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
 	if g.away.get() {
+		if g.away.silent {
+			<-ctx.Done()
+		}
 		return store.Changes{}, errDown
 	}
 	c, err := g.fakeStore.Changes(ctx, prefix, after, wait)
--- a/relay/node.go
+++ b/relay/node.go
@@ -53,6 +53,8 @@
 	// silent are the instances that gave no answer the last time.
 	silent map[string]bool
 	source string
+	// linkFree is when the link has room for another answer.
+	linkFree time.Time
 	// sourceFollowers is how many unlisted instances, this one among them, the
 	// one followed last says it has.
 	sourceFollowers int
