Evacuated data centres get nothing; entries of other writers name no replica; lives are told apart

Change: an order stands as long as its key is there, also while the store is away; the replicas of a data centre that is given back count as cold until they say otherwise. The id of a replica is of one life (name and start).

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -15,12 +15,15 @@
 // may still be missing: the users' platform states about two seconds.
 const ReturnWithin = 2200 * time.Millisecond
 
-// Set is the replicas known, by id. It is not safe for concurrent use.
+// Set is the replicas known, by the platform's name. It is not safe for concurrent
+// use.
 type Set struct {
 	replicas map[string]pool.Replica
-	// ids are those of replicas in their order; nil if they have to be sorted
+	// names are those of replicas in their order; nil if they have to be sorted
 	// again.
-	ids []string
+	names []string
+	// assumed are the replicas taken to be cold without their word for it.
+	assumed map[string]bool
 	// missing are replicas whose entry went while that proves nothing.
 	missing map[string]bool
 	// doubtUntil is when a missing entry means again that the replica went;
@@ -31,43 +34,72 @@
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{replicas: map[string]pool.Replica{}, missing: map[string]bool{}}
+	return &Set{replicas: map[string]pool.Replica{}, assumed: map[string]bool{}, missing: map[string]bool{}}
 }
 
-// Put adds a replica or takes its newer entry.
-func (s *Set) Put(r pool.Replica) {
-	if _, ok := s.replicas[r.ID]; !ok {
-		s.ids = nil
+// Put adds a replica or takes its newer entry, and returns the entry before it, if
+// there was one. One that is assumed to be cold stays so until it has said itself
+// that it was: an entry that says warm may be older than what made it cold.
+func (s *Set) Put(r pool.Replica) (was pool.Replica, known bool) {
+	name := r.PlatformName()
+	was, known = s.replicas[name]
+	if !known {
+		s.names = nil
 	}
-	s.replicas[r.ID] = r
-	delete(s.missing, r.ID)
+	switch {
+	case !r.ColdUntil.IsZero() || was.ID != r.ID:
+		delete(s.assumed, name)
+	case s.assumed[name]:
+		r.ColdUntil = was.ColdUntil
+	}
+	s.replicas[name] = r
+	delete(s.missing, name)
+	return was, known
+}
+
+// AssumeCold takes the data centre's replicas to be cold for as long as cold says
+// of each; it returns how many are.
+func (s *Set) AssumeCold(dataCentre string, now time.Time, cold func(pool.Replica) time.Duration) int {
+	n := 0
+	for name, r := range s.replicas {
+		until := now.Add(cold(r))
+		if r.DataCentre != dataCentre || !until.After(now) || !until.After(r.ColdUntil) {
+			continue
+		}
+		s.replicas[name] = r.WithColdUntil(until)
+		s.assumed[name] = true
+		n++
+	}
+	return n
 }
 
 // Remove takes a replica out whose entry went at now. One that had not said
 // that it leaves is kept while its entry may be back soon.
-func (s *Set) Remove(id string, now time.Time) {
-	r, ok := s.replicas[id]
+func (s *Set) Remove(name string, now time.Time) {
+	r, ok := s.replicas[name]
 	if !ok {
 		return
 	}
 	if s.doubts(now) && !r.Leaving {
-		s.missing[id] = true
+		s.missing[name] = true
 		return
 	}
-	s.drop(id)
+	s.Drop(name)
 }
 
-// drop takes a replica out.
-func (s *Set) drop(id string) {
-	delete(s.replicas, id)
-	s.ids = nil
+// Drop takes a replica out.
+func (s *Set) Drop(name string) {
+	delete(s.replicas, name)
+	delete(s.assumed, name)
+	delete(s.missing, name)
+	s.names = nil
 }
 
-// Retain removes all replicas but those with the given ids.
-func (s *Set) Retain(ids map[string]bool, now time.Time) {
-	for id := range s.replicas {
-		if !ids[id] {
-			s.Remove(id, now)
+// Retain removes all replicas but those with the given names.
+func (s *Set) Retain(names map[string]bool, now time.Time) {
+	for name := range s.replicas {
+		if !names[name] {
+			s.Remove(name, now)
 		}
 	}
 }
@@ -87,30 +119,29 @@
 }
 
 // Settle drops the replicas that are still missing once the doubt is over,
-// and returns their ids.
+// and returns their names.
 func (s *Set) Settle(now time.Time) []string {
 	if len(s.missing) == 0 || s.doubts(now) {
 		return nil
 	}
 	gone := slices.Collect(maps.Keys(s.missing))
-	for _, id := range gone {
-		s.drop(id)
+	for _, name := range gone {
+		s.Drop(name)
 	}
-	clear(s.missing)
 	return gone
 }
 
 // Len returns how many replicas there are.
 func (s *Set) Len() int { return len(s.replicas) }
 
-// Replicas returns the replicas in the order of their ids.
+// Replicas returns the replicas in the order of their names.
 func (s *Set) Replicas() []pool.Replica {
-	if s.ids == nil {
-		s.ids = slices.Sorted(maps.Keys(s.replicas))
+	if s.names == nil {
+		s.names = slices.Sorted(maps.Keys(s.replicas))
 	}
-	l := make([]pool.Replica, len(s.ids))
-	for i, id := range s.ids {
-		l[i] = s.replicas[id]
+	l := make([]pool.Replica, len(s.names))
+	for i, name := range s.names {
+		l[i] = s.replicas[name]
 	}
 	return l
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -20,7 +20,12 @@
 
 // Replica is one backend server as the platform's instance list gives it.
 type Replica struct {
+	// ID is of one life of the replica: what is known by it is forgotten when
+	// the replica starts again.
 	ID string
+	// Name is what the platform calls it, in each of its lives; empty where that
+	// is the ID.
+	Name string
 	// Addr is the IP number and port.
 	Addr       string
 	DataCentre string
@@ -36,7 +41,10 @@
 	// ChecksFence says that it refuses orders with a lower fence.
 	ChecksFence bool
 	Leaving     bool
-	Load        Load
+	// ColdUntil is until when it has just started and may get a few requests
+	// only; zero for a warm one.
+	ColdUntil time.Time
+	Load      Load
 }
 
 // Load is what a replica last said of itself.
@@ -54,6 +62,23 @@
 	return r.Kind == Engine && !r.Leaving && slices.Contains(r.Versions, v)
 }
 
+// IsCold reports whether it has just started and may get a few requests only.
+func (r Replica) IsCold(now time.Time) bool { return now.Before(r.ColdUntil) }
+
+// PlatformName is what the platform calls the replica.
+func (r Replica) PlatformName() string {
+	if r.Name != "" {
+		return r.Name
+	}
+	return r.ID
+}
+
+// WithColdUntil returns r as cold until then.
+func (r Replica) WithColdUntil(t time.Time) Replica {
+	r.ColdUntil = t
+	return r
+}
+
 // WithLeaving returns r marked as leaving.
 func (r Replica) WithLeaving() Replica {
 	r.Leaving = true
--- a/route/table.go
+++ b/route/table.go
@@ -30,6 +30,11 @@
 	Models []Model
 	// Slots is how many requests a replica runs at once.
 	Slots int
+	// ColdFor is how long a replica is cold after its start, and ColdPerSecond how
+	// many requests a second it then bears; 0 for services whose replicas bear all
+	// at once. ColdFor is a span because it is of starts yet to come.
+	ColdFor       time.Duration
+	ColdPerSecond float64
 }
 
 // Cost returns the price of the service's model with that name; 0 if it is not
--- a/state/change.go
+++ b/state/change.go
@@ -12,12 +12,17 @@
 	// Table is nil if the configuration did not change.
 	Table    *route.Table
 	Replicas []pool.Replica
-	// Gone are the ids of replicas whose entries went.
-	Gone []string
-	// Known, if not nil, are the ids of all replicas there are.
+	// Gone are the names of replicas whose entries went, Unusable of those whose
+	// entries another writer has put in place of theirs.
+	Gone, Unusable []string
+	// Known, if not nil, are the names of all replicas there are.
 	Known   map[string]bool
 	Orders  []rollout.Release
 	Records []Record
+	// Evacuated are data centres whose replicas are to get nothing more, Restored
+	// those of which that is over. Where Known is given, Evacuated are all there
+	// are.
+	Evacuated, Restored []string
 	// Members are instances of the fleet that announce themselves, Left the
 	// ids of those whose announcement is over.
 	Members []peer.Member
--- a/state/state.go
+++ b/state/state.go
@@ -27,8 +27,12 @@
 	log      func(event string, fields ...any)
 	table    *route.Table
 	replicas *discovery.Set
-	releases map[string]*release
-	members  map[string]peer.Member
+	// evacuated are the data centres whose replicas get nothing. An order stands
+	// until it is known to be taken back, also while the store can't be reached:
+	// that leaves room unused, and the other way breaks the operator's word.
+	evacuated map[string]bool
+	releases  map[string]*release
+	members   map[string]peer.Member
 	// lapsed are the members whose announcement is over, until when they are
 	// kept all the same.
 	lapsed map[string]time.Time
@@ -43,7 +47,7 @@
 // New returns an empty state that puts what it knows into v.
 // onMembers is told of each change of the fleet.
 func New(v *entry.Current, l *lease.Lease, clock func() time.Time, log func(event string, fields ...any), onMembers func([]peer.Member)) *State {
-	return &State{view: v, lease: l, clock: clock, log: log, replicas: discovery.NewSet(), releases: map[string]*release{}, members: map[string]peer.Member{}, lapsed: map[string]time.Time{}, start: newStart(), onMembers: onMembers}
+	return &State{view: v, lease: l, clock: clock, log: log, replicas: discovery.NewSet(), evacuated: map[string]bool{}, releases: map[string]*release{}, members: map[string]peer.Member{}, lapsed: map[string]time.Time{}, start: newStart(), onMembers: onMembers}
 }
 
 // Apply takes news in.
@@ -56,6 +60,7 @@
 		s.log("config_in_force", "version", c.Table.Version, "routes", c.Table.Routes())
 	}
 	s.applyReplicas(c, now)
+	s.applyEvacuations(c, now)
 	s.applyMembers(c, now)
 	for _, o := range c.Orders {
 		s.order(o, now)
@@ -69,10 +74,11 @@
 // applyReplicas takes the replicas' changes in.
 func (s *State) applyReplicas(c Change, now time.Time) {
 	for _, r := range c.Replicas {
-		s.replicas.Put(r)
-		if r.Leaving {
-			s.log("replica_leaving", "replica", r.ID, "service", r.Service)
-		}
+		was, known := s.replicas.Put(r)
+		s.logReplica(r, was, known, now)
+	}
+	for _, name := range c.Unusable {
+		s.replicas.Drop(name)
 	}
 	for _, id := range c.Gone {
 		s.replicas.Remove(id, now)
@@ -168,7 +174,7 @@
 			m[k] = r.current()
 		}
 	}
-	s.view.Put(entry.NewView(nil, s.replicas.Replicas(), s.memberList(), nil).WithRoutes(s.table, m))
+	s.view.Put(entry.NewView(nil, s.serving(), s.memberList(), nil).WithRoutes(s.table, m))
 }
 
 // Tick does what is due by the time alone.
