Cold replicas get what they bear from the whole fleet, by their group's one keeper

Cause: nothing knew a replica that has just started.

Change: what a replica says of its being cold is kept as a moment; requests go to warm ones, and to cold ones only as the group's keeper allows, which counts what it sent there in the last second. A keeper sends to cold ones only if it is first of its own list, has a current list and has not just started; half of the bound each, as two keepers can hold at a time unlike lists. One that was not reached or broke off counts as cold for 7 s: it may have started again before it can say so.

Ruled out: a part of the bound for each instance (24.5 by 65 is less than one a second, and one each is 65); a right without the check of the list (26 and more in a second in the property test).

--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -43,6 +43,10 @@
 	// length a bad one may get: a part of them, and a number on top.
 	ExposedPart  float64
 	ExposedSlack float64
+	// ColdOverage times what a replica that has just started says that it bears a
+	// second, and ColdSlack on top, is the most that it may get from all instances.
+	ColdOverage float64
+	ColdSlack   float64
 	// AcceptConfidence is the smallest model's opinion of its own answer, out
 	// of 100, from which the answer is passed on.
 	AcceptConfidence float64
@@ -60,6 +64,9 @@
 	// no less.
 	defaultExposedPart  = 0.15
 	defaultExposedSlack = 0
+	// A cold replica gets no more than it says that it bears.
+	defaultColdOverage = 1
+	defaultColdSlack   = 0
 	// defaultConfidence: docs/MEASURES.md has the figures of other values.
 	defaultConfidence = 60
 )
@@ -72,7 +79,7 @@
 		return n, []error{err}
 	}
 	found := false
-	f.Each([]string{"node", "limits", "keys", "repeats", "releases", "models"}, func(s *inifile.Section) {
+	f.Each([]string{"node", "limits", "keys", "repeats", "releases", "replicas", "models"}, func(s *inifile.Section) {
 		found = found || s.Kind == "node"
 		n.section(s)
 	})
@@ -87,7 +94,7 @@
 	return Node{
 		Level: defaultLevel, MemoryMB: defaultMemoryMB, HonourFor: defaultHonourFor,
 		RepeatPart: defaultRepeatPart, RepeatBurst: defaultRepeatBurst,
-		ExposedPart: defaultExposedPart, ExposedSlack: defaultExposedSlack, AcceptConfidence: defaultConfidence,
+		ExposedPart: defaultExposedPart, ExposedSlack: defaultExposedSlack, ColdOverage: defaultColdOverage, ColdSlack: defaultColdSlack, AcceptConfidence: defaultConfidence,
 	}
 }
 
@@ -106,6 +113,9 @@
 	case "releases":
 		n.ExposedPart = s.Fraction("exposed_part", defaultExposedPart)
 		n.ExposedSlack = s.Fraction("exposed_slack", defaultExposedSlack)
+	case "replicas":
+		n.ColdOverage = s.Fraction("cold_overage", defaultColdOverage)
+		n.ColdSlack = s.Fraction("cold_slack", defaultColdSlack)
 	case "models":
 		n.readModels(s)
 	case "repeats":
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -86,7 +86,7 @@
 		records: make(chan state.Record), seen: map[string]entry.Trial{}, earlier: make(chan store.Announced, 1), pool: exchange.New(), stopping: make(chan struct{}),
 	}
 	n.lease = lease.New(time.Duration(honourPart*float64(s.HonourFor)), keyRule(s), n.clock())
-	n.placer = placement.NewNode(s.ID, startID(), tagged{n, tagPlacement}, n.clock, n.event)
+	n.placer = placement.NewNode(s.ID, startID(), tagged{n, tagPlacement}, n.clock, s.ApplyWithin, n.isCurrent, n.event)
 	n.store = platform.NewStore(exchange.New(), s.Store)
 	n.changes = relay.NewLog()
 	n.relay = relay.NewNode(s.ID, startID(), n.changes, n.store, tagged{n, tagRelay}, n.clock, n.event, relay.TimesFor(s.ApplyWithin))
@@ -97,6 +97,10 @@
 	return n
 }
 
+// isCurrent reports whether what the instance knows was confirmed for as long as keys
+// may be honoured by it.
+func (n *node) isCurrent() bool { return n.lease.Fresh(n.clock(), 1) }
+
 // keyRule is what the settings say of keys while the configuration can't be
 // confirmed.
 func keyRule(s settings.Node) lease.Rule {
@@ -126,6 +130,7 @@
 	return entry.Ports{
 		View: n.view, Clock: n.clock, Self: n.s.ID, DataCentre: n.s.DataCentre, Placer: n.placer, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Events: n.events(),
 		Upstream: platform.NewUpstream(n.pool, n.clock), AcceptConfidence: n.s.AcceptConfidence,
+		ColdBound: placement.ColdBound{Overage: n.s.ColdOverage, Slack: n.s.ColdSlack},
 		FleetSize: n.relay.FleetSize, Repeats: admission.Repeats{Part: repeatPartMargin * n.s.RepeatPart, Burst: repeatBurstMargin * n.s.RepeatBurst},
 	}
 }
--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -90,7 +90,7 @@
 	if next == last {
 		return []int{last}
 	}
-	b := bounds(w.r.leads.of(w.leadKey(next)), costShare(w.q.Table.Services[w.f.Service], m[next], m[last]))
+	b := bounds(w.r.leads.of(w.leadKey(next)), costShare(w.q.Table.Service(w.f.Service), m[next], m[last]))
 	switch {
 	case confidence < b.atAll:
 		return []int{last}
--- a/entry/group.go
+++ b/entry/group.go
@@ -9,22 +9,38 @@
 	"fieldvale/pool"
 )
 
-// maxCandidates bounds the replicas among which a keeper chooses.
+// maxCandidates bounds the replicas among which a keeper chooses, of the warm and of
+// the cold ones.
 const maxCandidates = 12
 
-// group returns the group that the key belongs to among the allowed replicas,
-// and its best candidates, the key's preferred replicas first.
-func (w *forwarding) group(key string, allowed, c []*pool.Replica) (string, []*pool.Replica) {
+// group returns the group that the key belongs to among the allowed replicas, and its
+// best candidates with the bits of the cold ones: the warm ones first, of each the
+// key's preferred ones first. Cold ones of other groups are left out, as those have
+// other keepers.
+func (w *forwarding) group(key string, allowed, warm, cold []*pool.Replica) (group string, c []*pool.Replica, mask uint64) {
 	if key == "" {
 		key = w.q.ID
 	}
 	g := placement.NewGroups(len(allowed), idsOf(allowed))
 	k := g.OfKey(key)
-	if in := inGroup(c, g, k); len(in) > 0 {
-		c = in
+	cold = preferred(key, inGroup(cold, g, k))
+	if in := inGroup(warm, g, k); len(in) > 0 {
+		warm = in
 	}
-	c = pool.Prefer(key, c)
-	return w.f.Service + "/" + strconv.Itoa(k), c[:min(len(c), maxCandidates)]
+	warm = preferred(key, warm)
+	for i := range cold {
+		mask |= 1 << (len(warm) + i)
+	}
+	return w.f.Service + "/" + strconv.Itoa(k), append(warm, cold...), mask
+}
+
+// preferred returns the key's preferred replicas in their order.
+func preferred(key string, l []*pool.Replica) []*pool.Replica {
+	if len(l) == 0 {
+		return nil
+	}
+	l = pool.Prefer(key, l)
+	return l[:min(len(l), maxCandidates)]
 }
 
 // inGroup returns the replicas of the group.
--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -82,14 +82,17 @@
 	// Dropped are the answers that gave way to a larger model's.
 	Dropped []Dropped
 	// Doubt says what became of the last answer that its model doubted.
-	Doubt  string
-	Sends  int
-	Runs   int
-	Events int
-	Status int
-	Run    outcome.Kind
-	Code   Code
-	Cause  error
+	Doubt string
+	// Limited is how often a replica was left out because it is cold, or may be, and
+	// gets no more now.
+	Limited int
+	Sends   int
+	Runs    int
+	Events  int
+	Status  int
+	Run     outcome.Kind
+	Code    Code
+	Cause   error
 	// Stopped says why no further attempt was made after a failed one.
 	Stopped string
 	FirstAt time.Time
--- a/entry/place.go
+++ b/entry/place.go
@@ -25,40 +25,74 @@
 	ready float64
 }
 
-// place chooses one of the replicas for the request; nil if none is left.
+// place chooses one of the replicas for the request; nil if none is left. Cold ones
+// are used by the fleet's word only: no instance knows alone what they get from all.
 func (w *forwarding) place(ctx context.Context, l []*pool.Replica) *placed {
+	warm, cold := w.byWarmth(l)
 	if w.q.Prompt.IsNone() {
-		return w.placeHere(l, "", 1)
+		if p := w.placeHere(warm, "", 1); p != nil {
+			return p
+		}
+		return w.placeOnceMore(ctx, l, cold)
 	}
 	e := w.estimate()
-	c := w.r.backends.candidates(l, w.tried, w.r.clock())
-	if len(c) == 0 {
+	warm, cold = w.candidates(warm), w.candidates(cold)
+	if len(warm)+len(cold) == 0 {
 		return nil
 	}
-	if p := w.placeByFleet(ctx, l, c, e); p != nil {
+	if p, ok := w.placeByFleet(ctx, l, warm, cold, e); ok {
 		return p
 	}
-	return w.placeHere(l, e.key, e.own)
+	return w.placeHere(warm, e.key, e.own)
 }
 
-// placeByFleet chooses one of c with the knowledge of the fleet; nil if that
-// can't be had. allowed are all replicas that the release allows.
-func (w *forwarding) placeByFleet(ctx context.Context, allowed, c []*pool.Replica, e estimate) *placed {
-	if w.r.placer == nil {
+// placeOnceMore places a request without a prompt where only cold replicas are left.
+func (w *forwarding) placeOnceMore(ctx context.Context, allowed, cold []*pool.Replica) *placed {
+	cold = w.candidates(cold)
+	if len(cold) == 0 {
+		return nil
+	}
+	p, _ := w.placeByFleet(ctx, allowed, nil, cold, estimate{})
+	if p != nil {
+		p.ready, p.idle = 0, false
+	}
+	return p
+}
+
+// candidates are the replicas that may be chosen now.
+func (w *forwarding) candidates(l []*pool.Replica) []*pool.Replica {
+	if len(l) == 0 {
 		return nil
 	}
+	return w.r.backends.candidates(l, w.tried, w.r.clock())
+}
+
+// placeByFleet chooses a replica with the knowledge of the fleet, nil if none may be
+// used now; it fails if that knowledge can't be had. allowed are all replicas that the
+// release allows.
+func (w *forwarding) placeByFleet(ctx context.Context, allowed, warm, cold []*pool.Replica, e estimate) (p *placed, ok bool) {
+	if w.r.placer == nil {
+		return nil, false
+	}
 	now := w.r.clock()
-	g, c := w.group(e.key, allowed, c)
-	x, t, ok := w.r.placer.Choose(ctx, g, w.ask(e, c))
+	g, c, mask := w.group(e.key, allowed, warm, cold)
+	a := w.ask(e, c)
+	a.Cold, a.ColdPerSecond = mask, w.coldPerSecond()
+	x, t, ok := w.r.placer.Choose(ctx, g, a)
 	if !ok {
-		return nil
+		return nil, false
+	}
+	w.f.Limited += x.Limited
+	if x.Index < 0 {
+		w.retryWarm(c)
+		return nil, true
 	}
-	p := &placed{
+	p = &placed{
 		replica: c[x.Index], ticket: t, cost: x.Cost, open: true,
 		idle: x.Wait < 1, tokens: x.Cost / e.speed, ready: x.Wait + x.Cost,
 	}
 	w.r.backends.put(p.replica, p.cost, now)
-	return p
+	return p, true
 }
 
 // ask returns the question which of the replicas the prompt should go to.
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -88,7 +88,7 @@
 type Clock func() time.Time
 
 // Placer chooses replicas for prompts with the knowledge of the fleet. It
-// fails if that can't be had now.
+// fails if that can't be had now; that none may be used is an answer.
 type Placer interface {
 	Choose(ctx context.Context, group string, a placement.Ask) (placement.Choice, placement.Ticket, bool)
 	// Read says that the prompt was read, Lost that it came to nothing.
--- a/entry/router.go
+++ b/entry/router.go
@@ -15,6 +15,7 @@
 	"fieldvale/cascade"
 	"fieldvale/config"
 	"fieldvale/outcome"
+	"fieldvale/placement"
 	"fieldvale/policy"
 	"fieldvale/pool"
 	"fieldvale/rollout"
@@ -61,6 +62,8 @@
 	windows   map[string]*admission.Window
 	fleetSize func() int
 	repeats   admission.Repeats
+	// coldBound is how many requests a cold replica may get.
+	coldBound placement.ColdBound
 	// acceptConfidence is a smaller model's opinion of its own answer, out of
 	// 100, from which the answer is passed on.
 	acceptConfidence float64
@@ -84,6 +87,8 @@
 	// FleetSize is how many instances there are, 0 if that is not known; what
 	// the fleet may repeat on top is shared by it. It may be nil.
 	FleetSize func() int
+	// ColdBound is how many requests a cold replica may get from all instances.
+	ColdBound placement.ColdBound
 	// AcceptConfidence is a smaller model's opinion of its own answer, out of
 	// 100, from which the answer is passed on.
 	AcceptConfidence float64
@@ -112,7 +117,7 @@
 		learner: cascade.NewLearner(), events: e,
 		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), leads: newLeads(), answers: newAnswerSizes(), delays: newDelays(),
 		releases: newReleases(p.Clock()), windows: map[string]*admission.Window{}, repeats: p.Repeats, fleetSize: p.FleetSize,
-		acceptConfidence: p.AcceptConfidence,
+		acceptConfidence: p.AcceptConfidence, coldBound: p.ColdBound,
 	}
 }
 
--- a/placement/ask.go
+++ b/placement/ask.go
@@ -18,9 +18,9 @@
 }
 
 // ask asks the keeper and waits for its answer.
-func (n *Node) ask(ctx context.Context, k peer.Member, a Ask) (Choice, bool) {
+func (n *Node) ask(ctx context.Context, k peer.Member, group string, a Ask) (Choice, bool) {
 	return n.waiting.Ask(ctx, answerWithin, func(id uint64) error {
-		return n.net.Send(k.Addr, encode(message{Question: id, Ask: newWireAsk(a)}))
+		return n.net.Send(k.Addr, encode(message{Question: id, Ask: newWireAsk(group, a)}))
 	})
 }
 
@@ -33,7 +33,7 @@
 	}
 	switch {
 	case m.Ask != nil:
-		c := n.ledger.Choose(m.Ask.ask(), n.clock())
+		c := n.choose(m.Ask.Group, m.Ask.ask())
 		_ = n.net.Send(from, encode(message{Question: m.Question, Choice: (*wireChoice)(&c)}))
 	case m.Choice != nil:
 		n.deliver(from, m.Question, Choice(*m.Choice))
@@ -45,7 +45,7 @@
 // deliver hands an answer to who waits for it. One that comes too late is
 // given back: the asker has gone elsewhere, and the work with it.
 func (n *Node) deliver(from string, question uint64, c Choice) {
-	if !n.waiting.Deliver(question, c) {
+	if !n.waiting.Deliver(question, c) && c.Index >= 0 {
 		_ = n.net.Send(from, encode(message{Lost: c.Ticket}))
 	}
 }
--- a/placement/fault.go
+++ b/placement/fault.go
@@ -79,6 +79,8 @@
 	// outUntil is until when it is left out for that.
 	unreached int
 	outUntil  time.Time
+	// suspectUntil is until when the replica may be cold without its word for it.
+	suspectUntil time.Time
 }
 
 // at returns how likely a fault is now.
@@ -93,6 +95,9 @@
 func (f fault) with(why Fault, now time.Time) fault {
 	x := f.at(now)
 	f.likely, f.asOf = x+weights[why]*(1-x), now
+	if why == Unreached || why == Broken {
+		f.suspectUntil = now.Add(suspectFor)
+	}
 	if why != Unreached {
 		return f
 	}
@@ -117,10 +122,10 @@
 
 // isOver reports whether nothing is left of the fault.
 func (f fault) isOver(now time.Time) bool {
-	return f.at(now) < noFault && !now.Before(f.outUntil.Add(mostOut))
+	return f.at(now) < noFault && !now.Before(f.outUntil.Add(mostOut)) && !now.Before(f.suspectUntil)
 }
 
 // withRead returns the fault with a prompt counted that was read.
 func (f fault) withRead(now time.Time) fault {
-	return fault{likely: readPart * f.at(now), asOf: now}
+	return fault{likely: readPart * f.at(now), asOf: now, suspectUntil: f.suspectUntil}
 }
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -65,8 +65,11 @@
 	runs runs
 	busy map[string]int
 	// faults are what instances met with at replicas.
-	faults  map[string]fault
-	kept    map[keptPart]time.Time
+	faults map[string]fault
+	kept   map[keptPart]time.Time
+	// sent are the last second's requests by replica, for services whose replicas
+	// are bounded while they are cold.
+	sent    map[string]arrivals
 	next    uint64
 	sweepAt time.Time
 }
@@ -76,18 +79,19 @@
 func NewLedger(start uint64) *Ledger {
 	return &Ledger{
 		pending: map[string]float64{}, open: map[uint64]work{}, busy: map[string]int{},
-		faults: map[string]fault{}, kept: map[keptPart]time.Time{}, next: start,
+		faults: map[string]fault{}, kept: map[keptPart]time.Time{}, sent: map[string]arrivals{}, next: start,
 	}
 }
 
 // Choose places a prompt where it counts for the least time, and notes it
-// there.
-func (l *Ledger) Choose(a Ask, now time.Time) Choice {
+// there. only says that no other instance is the group's keeper, as far as can be
+// known: else nothing is placed at a cold replica.
+func (l *Ledger) Choose(a Ask, only bool, now time.Time) Choice {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep(now)
 	l.endRuns(now)
-	c := l.best(a, now)
+	c := l.best(a, only, now)
 	if c.Index < 0 {
 		return c
 	}
@@ -99,13 +103,18 @@
 
 // best returns the choice with the least time, as it counts; its index is
 // below 0 if there is none.
-func (l *Ledger) best(a Ask, now time.Time) Choice {
-	best, least := Choice{Index: -1}, 0.0
+func (l *Ledger) best(a Ask, only bool, now time.Time) Choice {
+	best, least, limited := Choice{Index: -1}, 0.0, 0
 	for i := range a.Replicas {
+		if !l.mayTake(a, i, only, now) {
+			limited++
+			continue
+		}
 		if c, t := l.at(a, i, now); best.Index < 0 || t < least {
 			best, least = c, t
 		}
 	}
+	best.Limited = limited
 	return best
 }
 
@@ -134,6 +143,7 @@
 	}
 	l.open[c.Ticket] = w
 	l.pending[r] += c.Cost
+	l.noteArrival(a, r, now)
 	for _, p := range a.Shared {
 		if len(l.kept) < maxKept {
 			l.kept[keptPart{p.Key, r}] = now.Add(keptFor)
@@ -222,6 +232,7 @@
 			delete(l.faults, r)
 		}
 	}
+	l.sweepArrivals(now)
 	for k, t := range l.kept {
 		if now.After(t) {
 			delete(l.kept, k)
--- a/placement/wire.go
+++ b/placement/wire.go
@@ -23,6 +23,10 @@
 	Far      uint64     `json:"Far,omitempty"`
 	Away     float64    `json:"Away,omitempty"`
 	Within   float64    `json:"Within,omitempty"`
+	// Group is sent with cold replicas: who keeps it may send there.
+	Group         string  `json:"Group,omitempty"`
+	Cold          uint64  `json:"Cold,omitempty"`
+	ColdPerSecond float64 `json:"ColdPerS,omitempty"`
 }
 
 type wirePart struct {
@@ -31,8 +35,11 @@
 	Again float64 `json:"Again,omitempty"`
 }
 
-func newWireAsk(a Ask) *wireAsk {
-	w := &wireAsk{Replicas: a.Replicas, Read: a.Read, Hold: a.Hold, Far: a.Far, Away: a.Away, Within: a.Within}
+func newWireAsk(group string, a Ask) *wireAsk {
+	w := &wireAsk{Replicas: a.Replicas, Read: a.Read, Hold: a.Hold, Far: a.Far, Away: a.Away, Within: a.Within, Cold: a.Cold, ColdPerSecond: a.ColdPerSecond}
+	if a.Cold != 0 {
+		w.Group = group
+	}
 	for _, p := range a.Shared {
 		w.Shared = append(w.Shared, wirePart(p))
 	}
@@ -40,7 +47,7 @@
 }
 
 func (w *wireAsk) ask() Ask {
-	a := Ask{Replicas: w.Replicas, Read: w.Read, Hold: w.Hold, Far: w.Far, Away: w.Away, Within: w.Within}
+	a := Ask{Replicas: w.Replicas, Read: w.Read, Hold: w.Hold, Far: w.Far, Away: w.Away, Within: w.Within, Cold: w.Cold, ColdPerSecond: w.ColdPerSecond}
 	for _, p := range w.Shared {
 		a.Shared = append(a.Shared, Part(p))
 	}
@@ -48,10 +55,11 @@
 }
 
 type wireChoice struct {
-	Index  int     `json:"Index"`
-	Wait   float64 `json:"Wait"`
-	Cost   float64 `json:"Cost"`
-	Ticket uint64  `json:"Ticket"`
+	Index   int     `json:"Index"`
+	Limited int     `json:"Limited,omitempty"`
+	Wait    float64 `json:"Wait"`
+	Cost    float64 `json:"Cost"`
+	Ticket  uint64  `json:"Ticket"`
 }
 
 // encode can't fail: a message has numbers and texts only.
--- a/route/table.go
+++ b/route/table.go
@@ -85,6 +85,15 @@
 	return t
 }
 
+// Service returns what the configuration says of the service; nothing where there is
+// no table or it is not named there.
+func (t *Table) Service(name string) Service {
+	if t == nil {
+		return Service{}
+	}
+	return t.Services[name]
+}
+
 // Find returns the route of the host with the longest prefix of the path.
 func (t *Table) Find(host, path string) (*Route, bool) {
 	for _, r := range t.byHost[strings.ToLower(host)] {
--- a/state/replicas.go
+++ b/state/replicas.go
@@ -39,10 +39,7 @@
 // coldFor is how long the replica is taken to be cold that may have turned so just
 // now; 0 where its service's replicas don't.
 func (s *State) coldFor(r pool.Replica) time.Duration {
-	if s.table == nil {
-		return 0
-	}
-	if v := s.table.Services[r.Service]; v.ColdPerSecond > 0 {
+	if v := s.table.Service(r.Service); v.ColdPerSecond > 0 {
 		return v.ColdFor + coldWordWithin
 	}
 	return 0
