--- a/docs/days/draw.py
+++ b/deploy/days/draw.py
@@ -1,8 +1,9 @@
 #!/usr/bin/env python3
-"""Draws days with a release and one to four troubles beside it, by seed, plays them
+"""Draws days with a release, or with --cold with replicas that turn cold and data
+centres that are emptied, and one to four troubles beside it, by seed, plays them
 on clones of a repository, and tells which broke a rule or missed a duty.
 
-  draw.py --bench PROGRAM SITE REPO FIRST-LAST [--good] [--jobs N] [--out DIR] [--log]
+  draw.py --bench PROGRAM SITE REPO FIRST-LAST [--good | --cold] [--jobs N] [--out DIR] [--log]
 
 SITE is a site file, REPO a clone whose branch is played; clones are made beside it.
 """
@@ -32,6 +33,33 @@
 def site(path):
     with open(path,'rb') as f: return tomllib.load(f)
 
+# troubles that make replicas cold, or empty a data centre
+COLD=[
+ dict(kind='cold_return',for_s=2.0), dict(kind='cold_return',for_s=3.0,how='dark'), dict(kind='evacuate',for_s=5.0),
+ dict(kind='evacuate',for_s=9.0), dict(kind='evacuate',for_s=6.0,how='warm'), dict(kind='srv_crash',share=.4,for_s=1.0),
+ dict(kind='srv_crash',share=.5,for_s=3.0,how='dark'), dict(kind='srv_flap',share=.3,gap_s=1.0,for_s=6.0), dict(kind='srv_cut',share=.3,for_s=3.0,how='reborn'),
+]
+
+def cold_day(s, seed):
+    """two to four of those, in any zones, beside one to four other troubles"""
+    r=random.Random(f'cold/{seed}')
+    length=s['length_s']; zones=[z['name'] for z in s['zones']]
+    ts=[t for t in s['troubles'] if not t['kind'].startswith('rollout')]+[t for t in s['troubles'] if t['kind'].startswith('rollout')][:1]
+    plan=[]; faults=[]
+    for _ in range(r.randint(2,4)):
+        t=dict(r.choice(COLD)); t['at']=round(r.uniform(1,length-6),1)
+        if t['kind'] in('cold_return','evacuate'): t['zone']=r.choice(zones)
+        if t['kind'] in('srv_crash','srv_flap') : t['service']=s['services'][0]['name']
+        faults.append(t)
+    for _ in range(r.randint(1,4)):
+        t=dict(r.choice(ts) if r.random()<.4 else r.choice(OTHERS))
+        t['at']=round(r.uniform(.5,length-4),1)
+        (plan if t['kind'] in PLANNED else faults).append(t)
+    o=[ '[[day]]', f'name = "cold-{seed}"','slot = "trouble"',f'seed = {seed}','one = 0.8','zero = 0.4','goal = { floor = 0.3 }']
+    if r.random()<.4: o.append('closing = '+lit(dict(kind=r.choice(['kill_all','power_off_all']),down_s=1.0)))
+    o+=['plan = ['] + ['  '+lit(x)+',' for x in plan]+[']','faults = [']+['  '+lit(x)+',' for x in faults]+[']']
+    return '\n'.join(o)+'\n', dict(how='cold'), plan+faults
+
 def lit(d):
     return '{ '+', '.join(f'{k} = '+(json.dumps(v) if not isinstance(v,bool) else str(v).lower()) for k,v in d.items())+' }'
 
@@ -72,7 +100,7 @@
 
 def main():
     a=argparse.ArgumentParser(); a.add_argument('--bench',required=True); a.add_argument('site'); a.add_argument('repo'); a.add_argument('seeds')
-    a.add_argument('--good',action='store_true'); a.add_argument('--jobs',type=int,default=6); a.add_argument('--out',default='drawn')
+    a.add_argument('--good',action='store_true'); a.add_argument('--cold',action='store_true'); a.add_argument('--jobs',type=int,default=6); a.add_argument('--out',default='drawn')
     a.add_argument('--log',action='store_true'); a.add_argument('--small',action='store_true')
     a=a.parse_args(); s=site(a.site); os.makedirs(a.out,exist_ok=True)
     x=a.seeds.split('-'); seeds=range(int(x[0]),int(x[-1])+1)
@@ -86,8 +114,8 @@
     def one(seed):
         w=q.get()
         try:
-            t,rel,tr=day(s,seed,a.good)
-            base=f'{a.out}/{os.path.basename(a.site)[:-5]}-{"good" if a.good else "bad"}-{seed}'
+            t,rel,tr=cold_day(s,seed) if a.cold else day(s,seed,a.good)
+            base=f'{a.out}/{os.path.basename(a.site)[:-5]}-{"cold" if a.cold else "good" if a.good else "bad"}-{seed}'
             open(base+'.toml','w').write(t)
             j,out=play(a.bench,w,a.site,base+'.toml',base+'.json',base+'.log' if a.log else None,['--small'] if a.small else [])
             return seed,rel,tr,j,out
