Requests stay in the regions of their route and customer

allowed_regions was not read. Data centres' regions come from the settings; with one region, as everywhere now, nothing changes.

--- a/adapter/inifile/inifile.go
+++ b/adapter/inifile/inifile.go
@@ -98,6 +98,16 @@
 	return t
 }
 
+// All returns all keys with their values, for a section whose keys are names.
+func (s *Section) All() map[string]string {
+	m := map[string]string{}
+	for _, k := range s.s.Keys() {
+		s.used[k.Name()] = true
+		m[k.Name()] = k.String()
+	}
+	return m
+}
+
 // List returns the values that blanks or commas part.
 func (s *Section) List(key string) []string {
 	return strings.Fields(strings.ReplaceAll(s.Text(key), ",", " "))
--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -43,6 +43,8 @@
 	// length a bad one may get: a part of them, and a number on top.
 	ExposedPart  float64
 	ExposedSlack float64
+	// Regions are the data centres' regions by their names.
+	Regions map[string]string
 	// ColdOverage times what a replica that has just started says that it bears a
 	// second, and ColdSlack on top, is the most that it may get from all instances.
 	ColdOverage float64
@@ -79,7 +81,7 @@
 		return n, []error{err}
 	}
 	found := false
-	f.Each([]string{"node", "limits", "keys", "repeats", "releases", "replicas", "models"}, func(s *inifile.Section) {
+	f.Each([]string{"node", "limits", "keys", "repeats", "releases", "replicas", "models", "regions"}, func(s *inifile.Section) {
 		found = found || s.Kind == "node"
 		n.section(s)
 	})
@@ -118,6 +120,8 @@
 		n.ColdSlack = s.Fraction("cold_slack", defaultColdSlack)
 	case "models":
 		n.readModels(s)
+	case "regions":
+		n.Regions = s.All()
 	case "repeats":
 		n.RepeatPart = s.Fraction("part", defaultRepeatPart)
 		n.RepeatBurst = s.Fraction("burst", defaultRepeatBurst)
--- a/cmd/fieldvale-node/duties.go
+++ b/cmd/fieldvale-node/duties.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"time"
 
 	"fieldvale/adapter/settings"
@@ -49,5 +50,5 @@
 	if len(e) > 0 {
 		return
 	}
-	n.event("settings_read", "changed", s != n.s, "level", s.Level)
+	n.event("settings_read", "changed", !reflect.DeepEqual(s, n.s), "level", s.Level)
 }
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -128,7 +128,7 @@
 
 func (n *node) routerPorts() entry.Ports {
 	return entry.Ports{
-		View: n.view, Clock: n.clock, Self: n.s.ID, DataCentre: n.s.DataCentre, Placer: n.placer, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Events: n.events(),
+		View: n.view, Clock: n.clock, Self: n.s.ID, DataCentre: n.s.DataCentre, Regions: n.s.Regions, Placer: n.placer, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Events: n.events(),
 		Upstream: platform.NewUpstream(n.pool, n.clock), AcceptConfidence: n.s.AcceptConfidence,
 		ColdBound: placement.ColdBound{Overage: n.s.ColdOverage, Slack: n.s.ColdSlack},
 		FleetSize: n.relay.FleetSize, Repeats: admission.Repeats{Part: repeatPartMargin * n.s.RepeatPart, Burst: repeatBurstMargin * n.s.RepeatBurst},
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -189,7 +189,7 @@
 // take chooses a replica among those that the release allows.
 func (w *forwarding) take(ctx context.Context) *placed {
 	v := w.r.view.Get()
-	l := v.byService[w.f.Service]
+	l := w.inRegions(v.byService[w.f.Service])
 	if rel, ok := v.Releases[w.f.Service]; ok {
 		l = w.ofRelease(l, rel)
 	}
--- /dev/null
+++ b/entry/regions_test.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+
+	"fieldvale/pool"
+	"fieldvale/route"
+)
+
+// Where route and customer both name regions, both bind; a data centre of which no
+// region is known serves neither.
+func TestRequestsStayInTheirRegions(t *testing.T) {
+	all := []*pool.Replica{{ID: "n1", DataCentre: "a"}, {ID: "n2", DataCentre: "b"}, {ID: "s", DataCentre: "c"}, {ID: "unknown", DataCentre: "d"}}
+	r := &Router{regions: map[string]string{"a": "north", "b": "north", "c": "south"}}
+	for _, c := range []struct{ route, customer, want string }{
+		{"", "", "n1 n2 s unknown"},
+		{"north", "", "n1 n2"},
+		{"", "south", "s"},
+		{"north south", "south", "s"},
+		{"north", "south", ""},
+		{"west", "", ""},
+	} {
+		w := &forwarding{r: r, q: &Opaque{Route: &route.Route{Regions: strings.Fields(c.route)}, Customer: route.Customer{Regions: strings.Fields(c.customer)}}}
+		var got []string
+		for _, x := range w.inRegions(all) {
+			got = append(got, x.ID)
+		}
+		if g := strings.Join(got, " "); g != c.want {
+			t.Errorf("route %q, customer %q: %q, want %q", c.route, c.customer, g, c.want)
+		}
+	}
+}
--- a/entry/router.go
+++ b/entry/router.go
@@ -49,6 +49,8 @@
 	events   *Events
 
 	dataCentre string
+	// regions are the data centres' regions.
+	regions map[string]string
 
 	upstream Upstream
 	placer   Placer
@@ -97,6 +99,8 @@
 	// DataCentre is where this instance is; requests that share little with
 	// others stay there where replicas are alike.
 	DataCentre string
+	// Regions are the data centres' regions by their names.
+	Regions map[string]string
 	// Rand seeds the choice of replicas.
 	Rand rand.Source
 	// Events may be nil.
@@ -111,7 +115,7 @@
 	}
 	return &Router{
 		view: p.View, engines: p.Engines, services: p.Services, claims: p.Claims, rater: p.Rater,
-		biller: p.Biller, clock: p.Clock, self: p.Self, dataCentre: p.DataCentre,
+		biller: p.Biller, clock: p.Clock, self: p.Self, dataCentre: p.DataCentre, regions: p.Regions,
 		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
--- a/route/route.go
+++ b/route/route.go
@@ -44,6 +44,8 @@
 	// Models are the sizes to choose from, smallest first; none leaves the
 	// choice to the client.
 	Models []string
+	// Regions are where its requests may run; none given allows all.
+	Regions []string
 	// Split shares requests between services; it has at least one part.
 	Split []Part
 }
--- a/route/table.go
+++ b/route/table.go
@@ -60,6 +60,8 @@
 	// Priority takes the place of the route's if Ranked.
 	Priority int
 	Ranked   bool
+	// Regions are where its requests may run; none given allows all.
+	Regions []string
 }
 
 // Limits bound what a client may send. Zero fields bound nothing.
