--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -24,10 +24,7 @@
 
 // draw counts one answer.
 func draw(r *rand.Rand, c rollout.Counts, b behaviour) rollout.Counts {
-	d := time.Duration(float64(usualTime) * math.Exp(0.6*r.NormFloat64()))
-	if r.Float64() < b.slow {
-		d *= 5
-	}
+	d := drawTime(r, b)
 	switch x := r.Float64(); {
 	case x < b.failed:
 		return c.WithFailed()
@@ -37,6 +34,15 @@
 	return wait(c.WithGood(), d)
 }
 
+// drawTime is the time that one answer takes.
+func drawTime(r *rand.Rand, b behaviour) time.Duration {
+	d := time.Duration(float64(usualTime) * math.Exp(0.6*r.NormFloat64()))
+	if r.Float64() < b.slow {
+		d *= 5
+	}
+	return d
+}
+
 // target is the time in which answers should come.
 const target = 3 * time.Second
 
