A release is also compared with the old one before its trial, where that has turned slower; one in doubt never passes

Cause: both releases' waits were only compared moment by moment. Where the old one's replicas have more to do than they can, and the new one's a tenth of the requests, a slow release looks like the old one. Mend: the old release's waits before the new one had requests are kept; where the old one has turned slower since, the new one must be as fast as that was, or shows to be slow, or, with too few waits to rule that out, stays in its trial, also past its length (before: until half as long again).

The check that a release in doubt ends at 1.5 of its length is replaced by the opposite, as the users ask now, and by one that it goes on when the doubt is over.

Ruled out: no share at all while the old one is under load: sessions that have moved would have to move back.

--- a/rollout/pace.go
+++ b/rollout/pace.go
@@ -51,7 +51,7 @@
 func compare(t Tally) (c comparison) {
 	for i := range t.New {
 		n, o := t.New[i].Waits, t.Old[i].Waits
-		waits, before := n.Came[0]+n.Passed[0], o.Came[0]+o.Passed[0]
+		waits, before := n.begun(), o.begun()
 		c.now += waits
 		c.old += before
 		c.kinds += min(1, waits+before)
@@ -132,6 +132,12 @@
 	return same.isDoubtful() || early.isDoubtful() || same.later() >= 0 && late.isDoubtful()
 }
 
+// rulesSlowOut reports whether the comparison shows that the new release is not slow.
+func (c comparison) rulesSlowOut() bool {
+	same, early, _ := c.sums()
+	return same.rulesSlowOut() && early.rulesSlowOut()
+}
+
 // times returns the span with a weight.
 func (s span) times(w float64) span {
 	return span{came: w * s.came, expected: w * s.expected, others: w * s.others, variance: w * w * s.variance}
@@ -157,15 +163,19 @@
 	return (s.expected - s.came) / math.Sqrt(s.variance)
 }
 
-func (s span) isDoubtful() bool {
-	slow := -math.Log(slowRate) * math.Sqrt(s.variance)
-	return s.later() >= doubtFrom && slow-s.later() <= doubtFrom
+func (s span) isDoubtful() bool { return s.later() >= doubtFrom && !s.rulesSlowOut() }
+
+// rulesSlowOut reports whether a slow release's answers would come later by more than
+// chance explains.
+func (s span) rulesSlowOut() bool {
+	return -math.Log(slowRate)*math.Sqrt(s.variance)-s.later() > doubtFrom
 }
 
 // moments are the comparisons of the last moments, the oldest first, and of all
 // together: a service with few requests needs all, one that turns slow late shows it
 // by the last.
 type moments struct {
+	before before
 	// began and total are of when the last moment ended.
 	began time.Time
 	total Tally
@@ -196,5 +206,7 @@
 		l = l.plus(x.c)
 	}
 	all := m.all.plus(c)
-	return max(l.level(), all.level()), all.isDoubtful()
+	m.before.take(t)
+	beside, unlike := m.before.level(t)
+	return max(l.level(), all.level(), beside), all.isDoubtful() || unlike
 }
--- a/rollout/release.go
+++ b/rollout/release.go
@@ -61,9 +61,6 @@
 	// bad stays in its phase at most: long enough for some more answers, short
 	// enough for a good one to be done in time.
 	holdPart = 0.03
-	// doubtUntil is the part of the length until which one in doubt stays in its
-	// trial at most: a release that is never done nor taken back helps nobody.
-	doubtUntil = 1.5
 	// leastPart of a phase is how long it lasts at least when phases are late.
 	leastPart = 0.15
 )
@@ -133,8 +130,9 @@
 // are made up for, but none is left out. A suspect one waits a little longer, and is
 // not done: it has all requests by then, and shows what it is within a second. Of 35
 // runs under faults two ended with a bad release done that had got 6 and 8 requests.
-// One in doubt stays in its trial, as only there it can be compared, for as long as
-// it is suspect as well: it is late then, if it is good.
+// One in doubt stays in its trial, as only there it can be compared, also beyond its
+// length: a comparison that could not be made lets no release pass, and a good one that
+// is late costs less than a bad one that is done.
 func (r Release) IsDue(ran, lasted time.Duration, s Standing) bool {
 	if r.Phase < 0 {
 		return true
@@ -142,14 +140,11 @@
 	if r.Phase >= len(phaseEnds) {
 		return false
 	}
-	if s.Suspect && (r.Phase == len(phaseEnds)-1 || s.Doubt && r.Phase == trialPhase) {
+	if s.Suspect && r.Phase == len(phaseEnds)-1 || s.Doubt && r.Phase == trialPhase {
 		return false
 	}
 	until := r.part(phaseEnds[r.Phase])
-	switch {
-	case s.Doubt && r.Phase == trialPhase:
-		until = r.part(doubtUntil)
-	case s.Suspect:
+	if s.Suspect {
 		until += r.part(holdPart)
 	}
 	least := time.Duration(leastPart * float64(r.PhaseLength()))
--- a/rollout/release_test.go
+++ b/rollout/release_test.go
@@ -68,8 +68,11 @@
 	if r.IsDue(length, time.Minute, doubt) || r.IsDue(149*time.Second, time.Minute, doubt) {
 		t.Error("a release in doubt leaves its trial")
 	}
-	if !r.IsDue(150*time.Second, time.Minute, doubt) {
-		t.Error("a release in doubt never ends")
+	if r.IsDue(10*length, time.Minute, doubt) {
+		t.Error("a release in doubt passes when its length is long over")
+	}
+	if !r.IsDue(length, time.Minute, rollout.Standing{}) {
+		t.Error("a release that is late for its doubt does not go on once that is over")
 	}
 	if r.IsDue(time.Hour, time.Minute, rollout.Standing{Doubt: true, Suspect: true}) {
 		t.Error("a release in doubt that is suspect gets all requests")
--- a/rollout/tally.go
+++ b/rollout/tally.go
@@ -68,6 +68,9 @@
 	return w
 }
 
+// begun is how many waits there were.
+func (w Waits) begun() uint64 { return w.Came[0] + w.Passed[0] }
+
 func (w Waits) size() (n uint64) {
 	for i := range w.Came {
 		n += w.Came[i] + w.Passed[i]
