The product's own roll-out judges slow answers beside the version that is replaced

Cause: evidence of a version counted failures and ratings only; one whose answers all come whole and late took step after step. Change: an entry follows the median time of each version's answers for their work, and one of a new version that takes four times as long as the old one's do now counts as bad. The old one's median follows the load, so that what slows all versions speaks against none.

The test fails without it: a third of the answers five times slower, found; sound ones beside it and under load four times slower, not. Ruled out: comparing over all instances by spans of waiting as for releases of the platform: it would need the old version's answers in what instances tell each other.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,6 +22,8 @@
 	// best is the last whole answer that was rated too low.
 	best *Answer
 	by   version.ID
+	// slow says that the last answer speaks against its version by its time.
+	slow bool
 	// held is that answer's chunks, if the request is streamed.
 	held *collector
 	// unknown is set by a step of which it is not known that it did not run.
@@ -106,13 +109,16 @@
 		return Answer{}, err
 	}
 	var a Answer
+	var sent time.Time
 	err = r.attempts(ctx, q, x, func(b *pool.Replica) (err error) {
+		sent = r.clock()
 		a, err = r.engines.Chat(ctx, b, newAttempt(q, x))
 		return err
 	})
 	if err != nil {
 		return a, err
 	}
+	c.slow = r.answerIsSlow(v, q.Caller, x, a, r.clock().Sub(sent))
 	c.by, c.session, c.moved = x, n, c.moved || moved
 	c.spent = c.spent.Plus(price(v, x, a))
 	return a, nil
@@ -122,7 +128,7 @@
 // rating the next step is tried: quality goes before cost.
 func (r *Router) accept(ctx context.Context, q Request, c *cascadeRun, s policy.Step, a Answer) bool {
 	if s.Accept == 0 {
-		r.weigh(r.view.Get(), q, c.by, a.Body)
+		r.weigh(r.view.Get(), q, c, a.Body)
 		return true
 	}
 	c.best = &a
@@ -131,7 +137,7 @@
 		r.events.unrated(q.ID, err)
 		return false
 	}
-	r.evidence.rated(c.by, f)
+	r.rated(c, f)
 	r.mu.Lock()
 	r.learner.Saw(learnKey(q, s), f >= s.Accept)
 	r.mu.Unlock()
--- a/entry/router.go
+++ b/entry/router.go
@@ -59,6 +59,7 @@
 	leads    *leads
 	answers  *answerSizes
 	delays   *delays
+	paces    *paces
 	releases *releases
 	// windows bound the repeats of opaque requests by service.
 	windows   map[string]*admission.Window
@@ -119,7 +120,7 @@
 		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
-		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), leads: newLeads(), answers: newAnswerSizes(), delays: newDelays(),
+		upstream: p.Upstream, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), leads: newLeads(), answers: newAnswerSizes(), delays: newDelays(), paces: newPaces(),
 		releases: newReleases(p.Clock()), windows: map[string]*admission.Window{}, repeats: p.Repeats, fleetSize: p.FleetSize,
 		acceptConfidence: p.AcceptConfidence, coldBound: p.ColdBound,
 	}
@@ -360,12 +361,24 @@
 }
 
 // weigh counts an answer that the policy does not rate.
-func (r *Router) weigh(v *View, q Request, x version.ID, answer []byte) {
-	if inForce(v, q.Caller, x) {
-		r.evidence.later(x, q.Body, answer)
+func (r *Router) weigh(v *View, q Request, c *cascadeRun, answer []byte) {
+	switch {
+	case c.slow:
+		r.evidence.bad(c.by)
+	case inForce(v, q.Caller, c.by):
+		r.evidence.later(c.by, q.Body, answer)
+	default:
+		r.evidence.good(c.by)
+	}
+}
+
+// rated counts an answer by its rating, and as bad whatever that is if it is slow.
+func (r *Router) rated(c *cascadeRun, rating float64) {
+	if c.slow {
+		r.evidence.bad(c.by)
 		return
 	}
-	r.evidence.good(x)
+	r.evidence.rated(c.by, rating)
 }
 
 func (r *Router) bill(v *View, q Request, x version.ID, a bill.Amount) {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -106,7 +107,7 @@
 		r.billCut(q, c)
 		return r.streamFailure(c, err, started)
 	}
-	r.weigh(r.view.Get(), q, c.by, []byte(a.Text))
+	r.weigh(r.view.Get(), q, c, []byte(a.Text))
 	r.finish(q, c, c.by, false)
 	return nil
 }
@@ -163,7 +164,9 @@
 		return nil
 	}
 	var a Answer
+	var began time.Time
 	err = r.attempts(ctx, q, x, func(b *pool.Replica) (err error) {
+		began = r.clock()
 		t := newAttempt(q, x)
 		t.Resume = *sent
 		a, err = r.engines.Stream(ctx, b, t, sink)
@@ -173,6 +176,7 @@
 		c.unknown = c.unknown || outcome.Of(err) == outcome.Unknown && !isFailure(err)
 		return a, err
 	}
+	c.slow = r.answerIsSlow(v, q.Caller, x, a, r.clock().Sub(began))
 	c.by, c.session, c.moved = x, n, c.moved || moved
 	c.spent = c.spent.Plus(price(v, x, a))
 	return a, nil
