--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -91,6 +91,8 @@
 	n.changes = relay.NewLog()
 	n.relay = relay.NewNode(s.ID, startID(), n.changes, n.store, tagged{n, tagRelay}, n.clock, n.event, relay.TimesFor(s.ApplyWithin))
 	n.state = state.New(n.view, n.lease, n.clock, n.event, n.setMembers)
+	n.metrics.Gauge("replicas_cold", "Replicas that have just started, as this instance knows.", func() float64 { return float64(n.state.Cold()) })
+	n.metrics.Gauge("data_centres_evacuated", "Data centres whose replicas get nothing.", func() float64 { return float64(n.state.Evacuated()) })
 	n.releases = platform.NewReleases(n.store)
 	n.router = entry.NewRouter(n.routerPorts())
 	n.ingress = platform.NewIngress(platform.Ports{Router: n.router, View: n.view, Lease: n.lease, Clock: n.clock, AwaitStart: n.state.AwaitStart, StartRetry: n.state.StartRetry, Answered: n.answered(), Refused: n.refused()})
--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -50,6 +50,7 @@
 // answered logs and counts each routed request.
 func (n *node) answered() func(*entry.Forwarded) {
 	c := n.metrics.Counter("routed_total", "Routed requests by service and result.", "service", "code")
+	l := n.metrics.Counter("replicas_limited_total", "Replicas that were left out for a request because they are cold, or may be, and got no more then, by service.", "service")
 	d := n.metrics.Histogram("routed_first_seconds", "Time to the answer or to the first event.", "service")
 	return func(f *entry.Forwarded) {
 		q := f.Request
@@ -58,6 +59,9 @@
 			code = "ok"
 		}
 		c.WithLabelValues(f.Service, code).Inc()
+		if f.Limited > 0 {
+			l.WithLabelValues(f.Service).Add(float64(f.Limited))
+		}
 		if !f.FirstAt.IsZero() {
 			d.WithLabelValues(f.Service).Observe(f.FirstAt.Sub(q.Arrived).Seconds())
 		}
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -70,7 +70,12 @@
 	for _, why := range []placement.Fault{placement.Unreached, placement.Broken} {
 		l := placement.NewLedger(0)
 		a := placement.Ask{Replicas: []string{"a"}, Read: 1, ColdPerSecond: 3}
-		l.Lost(choose(l, a, noon).Ticket, why, noon)
+		if g := l.Lost(choose(l, a, noon).Ticket, why, noon); !g.MayBeCold {
+			t.Errorf("%s: %+v says nothing of it", why, g)
+		}
+		if g := l.Lost(choose(l, a, noon).Ticket, why, noon); g.MayBeCold {
+			t.Errorf("%s: %+v says it twice", why, g)
+		}
 		count := func(now time.Time) int {
 			n := 0
 			for range 10 {
--- a/placement/keeper.go
+++ b/placement/keeper.go
@@ -117,8 +117,12 @@
 		n.ledger.Read(m.Read, n.clock())
 	}
 	if m.Lost != 0 {
-		if r := n.ledger.Lost(m.Lost, Fault(m.Fault), n.clock()); r != "" {
-			n.log("replica_avoided", "replica", r, "reason", Fault(m.Fault))
+		t := n.ledger.Lost(m.Lost, Fault(m.Fault), n.clock())
+		if t.Avoided {
+			n.log("replica_avoided", "replica", t.Replica, "reason", Fault(m.Fault))
+		}
+		if t.MayBeCold {
+			n.log("replica_may_be_cold", "replica", t.Replica, "reason", Fault(m.Fault), "left", suspectFor)
 		}
 	}
 }
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -49,6 +49,8 @@
 	run *run
 	// parts are what the replica keeps once it has read the prompt.
 	parts []Part
+	// bounded says that the service's replicas are bounded while they are cold.
+	bounded bool
 }
 
 type keptPart struct {
@@ -135,7 +137,7 @@
 // note counts the prompt at the replica chosen for it.
 func (l *Ledger) note(a Ask, c Choice, now time.Time) {
 	r := a.Replicas[c.Index]
-	w := work{replica: r, parts: a.Shared, cost: c.Cost, forgetAt: now.Add(forgetFactor*span(c.Wait+c.Cost) + forgetMargin)}
+	w := work{replica: r, parts: a.Shared, bounded: a.ColdPerSecond > 0, cost: c.Cost, forgetAt: now.Add(forgetFactor*span(c.Wait+c.Cost) + forgetMargin)}
 	if a.Hold > 0 {
 		w.run = &run{replica: r, endAt: now.Add(span(c.Wait + c.Cost + a.Hold))}
 		l.busy[r]++
@@ -172,35 +174,44 @@
 	l.close(ticket)
 }
 
-// Lost says that the work came to nothing. It returns the replica if it is
-// avoided from now on, empty if not or if it was before.
-func (l *Ledger) Lost(ticket uint64, why Fault, now time.Time) (avoided string) {
+// Turn is what a fault changes of what is held of its replica.
+type Turn struct {
+	Replica string
+	// Avoided says that others are preferred from now on, and MayBeCold that it is
+	// bounded as one that may have started again; neither was so before.
+	Avoided, MayBeCold bool
+}
+
+// Lost says that the work came to nothing, and returns what that changes.
+func (l *Ledger) Lost(ticket uint64, why Fault, now time.Time) Turn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w, ok := l.open[ticket]
 	if !ok {
-		return ""
+		return Turn{}
 	}
+	t := Turn{Replica: w.replica}
 	if why != NoFault {
 		for _, p := range w.parts {
 			delete(l.kept, keptPart{p.Key, w.replica})
 		}
-		if l.failed(w.replica, why, now) {
-			avoided = w.replica
-		}
+		t = l.failed(w.replica, why, now)
+		t.MayBeCold = t.MayBeCold && w.bounded
 	}
 	l.endRun(w.run)
 	l.close(ticket)
-	return avoided
+	return t
 }
 
-// failed counts a fault of the replica. It reports whether the replica is
-// avoided by it and was not before.
-func (l *Ledger) failed(replica string, why Fault, now time.Time) bool {
+// failed counts a fault of the replica, and returns what it changes.
+func (l *Ledger) failed(replica string, why Fault, now time.Time) Turn {
 	was := l.faults[replica]
 	f := was.with(why, now)
 	l.faults[replica] = f
-	return was.at(now) < avoidedFrom && f.likely >= avoidedFrom
+	return Turn{
+		Replica: replica, Avoided: was.at(now) < avoidedFrom && f.likely >= avoidedFrom,
+		MayBeCold: !now.Before(was.suspectUntil) && now.Before(f.suspectUntil),
+	}
 }
 
 // close takes the work off its replica.
--- a/placement/ledger_test.go
+++ b/placement/ledger_test.go
@@ -91,8 +91,9 @@
 func TestLedgerAvoidsFaultyReplicas(t *testing.T) {
 	l := placement.NewLedger(0)
 	a := placement.Ask{Replicas: []string{"a", "b"}, Read: 10, Shared: shared(100), Hold: 100}
-	if r := l.Lost(choose(l, a, noon).Ticket, placement.Unreached, noon); r != "a" {
-		t.Errorf("%q is avoided from now on, want a", r)
+	want := placement.Turn{Replica: "a", Avoided: true}
+	if g := l.Lost(choose(l, a, noon).Ticket, placement.Unreached, noon); g != want {
+		t.Errorf("%+v from now on, want %+v", g, want)
 	}
 	for range 3 {
 		c := choose(l, a, noon)
--- a/state/replicas.go
+++ b/state/replicas.go
@@ -45,6 +45,26 @@
 	return 0
 }
 
+// Cold returns how many replicas count as cold.
+func (s *State) Cold() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, now := 0, s.clock()
+	for _, r := range s.replicas.Replicas() {
+		if r.IsCold(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Evacuated returns how many data centres are to be emptied.
+func (s *State) Evacuated() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.evacuated)
+}
+
 // serving are the replicas that may get requests by where they are.
 func (s *State) serving() []pool.Replica {
 	l := s.replicas.Replicas()
