A plain service's replica that broke off or was not reached counts as cold where its service is bounded

Cause: requests without a prompt are placed without a keeper, and only a keeper held a replica that may have started again to its bound. Change: an instance takes one that it could not reach, or whose answer ended early, as cold for as long as a keeper would; one that fails or is slow is not meant. No effect on services that state no bound (all plain ones of the deployments now).

--- a/entry/homes.go
+++ b/entry/homes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fieldvale/placement"
 	"fieldvale/pool"
 )
 
@@ -81,6 +82,21 @@
 	}
 }
 
+// suspect notes that the replica may have started again without its word.
+func (b *backends) suspect(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(id).suspectUntil = now.Add(placement.SuspectFor)
+}
+
+// mayBeCold reports whether the replica may have started again without its word.
+func (b *backends) mayBeCold(id string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state[id]
+	return s != nil && now.Before(s.suspectUntil)
+}
+
 // unused is the state of a replica that was not used yet.
 var unused backend
 
--- a/entry/warmth.go
+++ b/entry/warmth.go
@@ -1,6 +1,10 @@
 package entry
 
-import "fieldvale/pool"
+import (
+	"time"
+
+	"fieldvale/pool"
+)
 
 // coldPerSecond is how many requests a keeper may send to one of the service's cold
 // replicas in any second; 0 where those bear all at once.
@@ -18,26 +22,30 @@
 		return l, nil
 	}
 	now := w.r.clock()
-	n := 0
-	for _, r := range l {
-		if r.IsCold(now) {
-			n++
-		}
-	}
-	if n == 0 {
-		return l, nil
-	}
-	warm, cold = make([]*pool.Replica, 0, len(l)-n), make([]*pool.Replica, 0, n)
-	for _, r := range l {
-		if r.IsCold(now) {
+	for i, r := range l {
+		switch isCold := w.isCold(r, now); {
+		case isCold && cold == nil:
+			warm = append(make([]*pool.Replica, 0, len(l)), l[:i]...)
+			cold = append(cold, r)
+		case isCold:
 			cold = append(cold, r)
-		} else {
+		case cold != nil:
 			warm = append(warm, r)
 		}
 	}
+	if cold == nil {
+		return l, nil
+	}
 	return warm, cold
 }
 
+// isCold reports whether the replica has just started. A request without a prompt is
+// placed without a keeper, who hears of faults: so one that this instance did not reach,
+// or that broke off, may have started again.
+func (w *forwarding) isCold(r *pool.Replica, now time.Time) bool {
+	return r.IsCold(now) || w.q.Prompt.IsNone() && w.r.backends.mayBeCold(r.ID, now)
+}
+
 // retryWarm has the client come back when the first of the replicas is warm: until then
 // they get no more.
 func (w *forwarding) retryWarm(l []*pool.Replica) {
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -28,11 +28,12 @@
 	// cold: the second or so between its writes, and the seconds in which a change of
 	// the store is known everywhere.
 	wordWithin = 3 * time.Second
-	// suspectFor is how long a replica counts as cold that could not be reached, or
-	// broke off: it may have started again, and be tried again so late for that.
-	suspectFor = mostOut + wordWithin
 )
 
+// SuspectFor is how long a replica counts as cold that could not be reached, or
+// broke off: it may have started again, and be tried again so late for that.
+const SuspectFor = mostOut + wordWithin
+
 // arrivals are the moments at which a replica was sent its requests of the last span,
 // the oldest first.
 type arrivals []time.Time
--- a/placement/fault.go
+++ b/placement/fault.go
@@ -96,7 +96,7 @@
 	x := f.at(now)
 	f.likely, f.asOf = x+weights[why]*(1-x), now
 	if why == Unreached || why == Broken {
-		f.suspectUntil = now.Add(suspectFor)
+		f.suspectUntil = now.Add(SuspectFor)
 	}
 	if why != Unreached {
 		return f
--- a/placement/keeper.go
+++ b/placement/keeper.go
@@ -122,7 +122,7 @@
 			n.log("replica_avoided", "replica", t.Replica, "reason", Fault(m.Fault))
 		}
 		if t.MayBeCold {
-			n.log("replica_may_be_cold", "replica", t.Replica, "reason", Fault(m.Fault), "left", suspectFor)
+			n.log("replica_may_be_cold", "replica", t.Replica, "reason", Fault(m.Fault), "left", SuspectFor)
 		}
 	}
 }
