--- a/cmd/fieldvale-measure/main.go
+++ b/cmd/fieldvale-measure/main.go
@@ -14,13 +14,18 @@
 
 const usage = `fieldvale-measure replays the decision code on seeded traces, beside baselines,
 and measures the cost of the router and of the control by the size of the
-fleet. It prints one line for each figure and writes plots.`
+fleet. It prints one line for each figure and writes plots.
+
+--trials compares ways to decide by runs made elsewhere: a file of comma-separated
+lines with decision, way, day and figure, the way that stands first. It prints a
+table with means, paired differences and their spread.`
 
 var options struct {
-	Seed  uint64   `long:"seed" default:"1" description:"seed of the traces"`
-	Item  []string `long:"item" description:"measure only these: cascade, placement, overload, rollout, policy, bills, router, fleet"`
-	Sizes []int    `long:"size" description:"sizes of fleets; 7, 35, 100 and 350 if none"`
-	Plots string   `long:"plots" value-name:"DIR" description:"write plots there"`
+	Seed   uint64   `long:"seed" default:"1" description:"seed of the traces"`
+	Item   []string `long:"item" description:"measure only these: cascade, placement, overload, rollout, policy, bills, router, fleet"`
+	Sizes  []int    `long:"size" description:"sizes of fleets; 7, 35, 100 and 350 if none"`
+	Trials string   `long:"trials" value-name:"FILE" description:"compare the ways to decide whose runs the file lists, and measure nothing"`
+	Plots  string   `long:"plots" value-name:"DIR" description:"write plots there"`
 }
 
 func main() {
@@ -55,7 +60,28 @@
 	return len(options.Item) == 0
 }
 
+// compare sets the ways to decide of a file beside each other.
+func compare(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "compare")
+	}
+	defer f.Close()
+	l, err := measure.ReadTrials(f)
+	if err != nil {
+		return err
+	}
+	c := measure.Compare(l)
+	if err := measure.WriteComparison(os.Stdout, c); err != nil || options.Plots == "" {
+		return err
+	}
+	return measure.PlotComparison(c, options.Plots)
+}
+
 func run() error {
+	if options.Trials != "" {
+		return compare(options.Trials)
+	}
 	r := measure.NewReport(os.Stdout)
 	for _, x := range []struct {
 		name string
