--- a/entry/place.go
+++ b/entry/place.go
@@ -33,7 +33,7 @@
 		if p := w.placeHere(warm, "", 1); p != nil {
 			return p
 		}
-		return w.placeOnceMore(ctx, l, cold)
+		return w.placeCold(ctx, l, cold)
 	}
 	e := w.estimate()
 	warm, cold = w.candidates(warm), w.candidates(cold)
@@ -46,15 +46,16 @@
 	return w.placeHere(warm, e.key, e.own)
 }
 
-// placeOnceMore places a request without a prompt where only cold replicas are left.
-func (w *forwarding) placeOnceMore(ctx context.Context, allowed, cold []*pool.Replica) *placed {
+// placeCold places a request without a prompt where only cold replicas are left.
+func (w *forwarding) placeCold(ctx context.Context, allowed, cold []*pool.Replica) *placed {
 	cold = w.candidates(cold)
 	if len(cold) == 0 {
 		return nil
 	}
 	p, _ := w.placeByFleet(ctx, allowed, nil, cold, estimate{})
 	if p != nil {
-		p.ready, p.idle = 0, false
+		// Nothing was estimated, and there is no prompt to be read.
+		p.ready, p.tokens, p.idle = 0, 0, false
 	}
 	return p
 }
