--- a/rollout/before_test.go
+++ b/rollout/before_test.go
@@ -90,7 +90,7 @@
 	for _, c := range []struct {
 		now, old int
 		want     bool
-	}{{2, 300, true}, {0, 300, true}, {2, 60, false}, {0, 0, false}, {12, 300, false}} {
+	}{{2, 300, true}, {0, 300, true}, {2, 60, true}, {2, 30, false}, {0, 0, false}, {12, 300, false}} {
 		r := rand.New(rand.NewPCG(1, 1))
 		j := rollout.NewJudge()
 		var l rollout.Tally
--- a/rollout/pace.go
+++ b/rollout/pace.go
@@ -19,11 +19,10 @@
 	// minTimed is how many waits for answers of each release there must be.
 	minTimed = 8
 	// A release that has had fewer than leastSeen waits beside manyBeside or more of the
-	// old one was not seen: it gets 3 in 100 requests or more in its trial, so that as
-	// many bring five. In a soak three that failed half of their answers were done after
-	// 2 to 4 requests.
+	// old one was not seen: a trial's share, 3 to 12 in 100, brings five beside 40 to 160.
+	// In a soak four that failed half of their answers were done after 2 to 4 requests.
 	leastSeen  = 5
-	manyBeside = 150
+	manyBeside = 40
 	// perKind is how many waits of a kind a moment should have, and longest how long
 	// it lasts at most for that. In moments of 0.5 s a trial of 30 requests of 9 kinds
 	// had 1.7 waits in a group: the median of 30 runs with a third of the answers five
