A judge that hears few is in doubt by itself, and one that has just started ends no trial

Change: an instance that is to judge, or knows no other, is in doubt by its own answers; whoever ends a trial has known of it for 1.5 s, in which others tell of their doubt three times.

--- a/cmd/fieldvale-node/releases.go
+++ b/cmd/fieldvale-node/releases.go
@@ -77,18 +77,19 @@
 
 // turn is how long this instance lets those ranked before it write a record
 // of the service's release. Those that don't judge it, and don't know whether it
-// is suspect, leave the judges time.
+// is suspect, leave the judges time. One that knows no other instance is a judge.
 func (n *node) turn(rel rollout.Release) (wait time.Duration, s rollout.Standing) {
 	m := n.ranked(rel.Service)
 	i := slices.IndexFunc(m, func(x peer.Member) bool { return x.ID == n.s.ID })
 	if i < 0 {
 		i = len(m)
 	}
+	isJudge := i < judges
 	wait = time.Duration(i) * turnLength
-	if i >= judges {
+	if !isJudge {
 		wait += judgesFirst
 	}
-	return wait, n.router.Standing(rel)
+	return wait, n.router.Standing(rel, isJudge)
 }
 
 // record writes a release's progress, unless another instance did before.
--- a/entry/releases.go
+++ b/entry/releases.go
@@ -217,8 +217,12 @@
 const doubtLasts = 1300 * time.Millisecond
 
 // Standing returns what a release under way shows here, and in doubt also what
-// others told of it.
-func (r *Router) Standing(rel rollout.Release) rollout.Standing {
+// others told of it. One that is not to judge it has too few answers of its own to be
+// in doubt by; one that is has no others to rely on, also where it hears of few: five
+// instances that had started beside a store that turned them away knew nobody, each
+// took its own 5 to 80 answers for none, and a release that fails half of its answers
+// was done after two.
+func (r *Router) Standing(rel rollout.Release, judges bool) rollout.Standing {
 	s := r.releases
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -227,7 +231,7 @@
 		return rollout.Standing{}
 	}
 	x := t.judge.Finding().Standing()
-	x.Doubt = x.Doubt && r.hearsMost(t) || r.clock().Before(t.doubted.Add(doubtLasts))
+	x.Doubt = x.Doubt && (judges || r.hearsMost(t)) || r.clock().Before(t.doubted.Add(doubtLasts))
 	return x
 }
 
--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -164,7 +164,7 @@
 
 func (f *trialFleet) standing(rel rollout.Release) (s rollout.Standing) {
 	for _, r := range f.routers {
-		x := r.Standing(rel)
+		x := r.Standing(rel, false)
 		s.Suspect, s.Doubt = s.Suspect || x.Suspect, s.Doubt || x.Doubt
 	}
 	return s
@@ -337,3 +337,27 @@
 		return d, http.StatusOK
 	}
 }
+
+// Callers of a service got failures for half of their answers: its new release was done
+// after two requests. Its instances had just started, the store turned them away before
+// one was on the fleet's list, and each took what it saw alone for too little to be in
+// doubt by. One that judges the release is in doubt by its own answers; one that leaves
+// that to others is not.
+func TestAJudgeThatHearsFewIsInDoubtByItself(t *testing.T) {
+	f := newTrialFleet(t, 5)
+	rel := rollout.NewRelease("s", "v2", 1, 6*time.Second).Next().Next()
+	f.phase(rel)
+	r := f.routers[0]
+	for range 60 {
+		w := &wait{release: "v1", since: time.Now(), ends: rollout.SpanEnds(time.Second)}
+		r.releases.await(rel, w)
+		r.releases.answered(rel, w, true, w.since)
+	}
+	r.releases.weigh(rel, saw{release: "v1", outcome: showsGood}, time.Now(), r.events)
+	if s := r.Standing(rel, false); s.Doubt {
+		t.Error("one that leaves it to others is in doubt")
+	}
+	if s := r.Standing(rel, true); !s.Doubt {
+		t.Error("a judge that hears nobody is not in doubt of a release of which nothing was seen")
+	}
+}
--- a/rollout/release.go
+++ b/rollout/release.go
@@ -63,6 +63,10 @@
 	holdPart = 0.03
 	// leastPart of a phase is how long it lasts at least when phases are late.
 	leastPart = 0.15
+	// leastTrialKnown is how long an instance must have known of the trial before it
+	// ends it: others tell of their doubt three times meanwhile. One that had started
+	// 0.4 s before ended the trial of a release that two judges were in doubt of.
+	leastTrialKnown = 1500 * time.Millisecond
 )
 
 // trialPhase is the phase in which both releases get requests of all kinds.
@@ -148,6 +152,9 @@
 		until += r.part(holdPart)
 	}
 	least := time.Duration(leastPart * float64(r.PhaseLength()))
+	if r.Phase == trialPhase {
+		least = max(least, leastTrialKnown)
+	}
 	return ran >= until && lasted >= least
 }
 
--- a/rollout/release_test.go
+++ b/rollout/release_test.go
@@ -62,7 +62,7 @@
 // long as it was not near to being found bad, and was done a second later. From then
 // on nothing could tell: there was no old release to compare it with.
 func TestAReleaseInDoubtStaysInItsTrial(t *testing.T) {
-	const length = 100 * time.Second
+	const length = 20 * time.Second
 	doubt := rollout.Standing{Doubt: true}
 	r := rollout.NewRelease("s", "v2", 1, length).Next().Next()
 	if r.IsDue(length, time.Minute, doubt) || r.IsDue(149*time.Second, time.Minute, doubt) {
@@ -71,6 +71,9 @@
 	if r.IsDue(10*length, time.Minute, doubt) {
 		t.Error("a release in doubt passes when its length is long over")
 	}
+	if r.IsDue(length, time.Second, rollout.Standing{}) {
+		t.Error("one that has just learnt of the trial ends it before others can tell it of their doubt")
+	}
 	if !r.IsDue(length, time.Minute, rollout.Standing{}) {
 		t.Error("a release that is late for its doubt does not go on once that is over")
 	}
