A failed attempt's line names the request's content, and whether an answer had begun

Two causes of replicas that end one after another could not be told apart: each try of one request has an id of its own, and nothing said that their content is the same.

--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"strconv"
 	"time"
 
 	"fieldvale/entry"
@@ -10,10 +11,12 @@
 // events logs what the router tells of, and passes bad releases on.
 func (n *node) events() *entry.Events {
 	judged := n.metrics.Counter("release_answers_total", "Attempts by release and what they count as when releases are judged.", "service", "release", "verdict")
+	broken := n.metrics.Counter("attempts_failed_total", "Attempts at backend servers that came to nothing, by service and whether an answer had begun.", "service", "began")
 	return &entry.Events{
 		Judged: func(service, release, verdict string) { judged.WithLabelValues(service, release, verdict).Inc() },
-		Attempt: func(request, replica string, err error) {
-			n.event("attempt_failed", "request", request, "replica", replica, "error", err)
+		Attempt: func(f entry.FailedAttempt) {
+			broken.WithLabelValues(f.Service, strconv.FormatBool(f.Began)).Inc()
+			n.event("attempt_failed", "request", f.Request, "content", f.Content, "replica", f.Replica, "began", f.Began, "events", f.Events, "error", f.Err)
 		},
 		BadRelease: func(r rollout.Release, t rollout.Tally, f rollout.Finding) {
 			n.event("release_bad", append(seen(r, t, f), "cause", f.Cause)...)
@@ -66,7 +69,7 @@
 			d.WithLabelValues(f.Service).Observe(f.FirstAt.Sub(q.Arrived).Seconds())
 		}
 		age, _ := n.lease.Age(n.clock())
-		n.event("routed", "request", q.ID, "route", q.Route.Name, "customer", q.Customer.Name, "session", q.Session, "config", q.Table.Version, "config_age", age,
+		n.event("routed", "request", q.ID, "content", f.Content, "route", q.Route.Name, "customer", q.Customer.Name, "session", q.Session, "config", q.Table.Version, "config_age", age,
 			"service", f.Service, "replica", f.Replica, "release", f.Release, "model", f.Model, "confidence", f.Confidence, "dropped", f.Dropped, "doubt", f.Doubt,
 			"prompt", q.Prompt.In, "most", q.Prompt.MaxOut, "limited", f.Limited, "sends", f.Sends, "runs", f.Runs, "events", f.Events, "status", f.Status, "code", code, "run", f.Run, "cause", causeText(f.Cause), "stopped", f.Stopped,
 			"first", since(f.FirstAt, q.Arrived), "took", f.EndedAt.Sub(q.Arrived), "allowed", q.Deadline.Sub(q.Arrived))
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -37,8 +37,10 @@
 	// left says that the client left meanwhile: what broke off then was no
 	// fault of the replica.
 	left bool
-	// ran says that the replica worked on the request.
-	ran bool
+	// ran says that the replica worked on the request, and began that its answer's head
+	// came: an engine sends it as the run begins, a plain service at its end.
+	ran   bool
+	began bool
 	// failed says that the replica answered with a failure.
 	failed bool
 	// wait is counted where two releases are compared; nil elsewhere and once the
@@ -60,7 +62,7 @@
 		return err
 	}
 	defer reply.Close()
-	a.ran = true
+	a.ran, a.began = true, true
 	a.w.f.Runs++
 	if !reply.Head().IsSuccess() {
 		a.failed = reply.Head().Status >= 500
@@ -99,7 +101,11 @@
 	w.unplace(a.placed, a.fault(err, bad))
 	r.backends.doneOpaque(a.replica.ID, bad, isUnreached(err), r.clock())
 	if failed && !errors.Is(err, errPaid) || bad {
-		r.events.attempt(w.q.ID, a.replica.ID, orFailure(err, w.f.Status))
+		w.f.Content = w.q.Fingerprint().String()
+		r.events.attempt(FailedAttempt{
+			Request: w.q.ID, Service: w.f.Service, Replica: a.replica.ID, Content: w.f.Content,
+			Began: a.began, Events: a.events, Err: orFailure(err, w.f.Status),
+		})
 	}
 	a.judge(bad)
 }
--- a/entry/events.go
+++ b/entry/events.go
@@ -5,11 +5,24 @@
 	"fieldvale/rollout"
 )
 
+// FailedAttempt is an attempt of a request that came to nothing.
+type FailedAttempt struct {
+	Request string
+	Service string
+	Replica string
+	// Content is the same for requests that ask the same, empty where that is not known.
+	Content string
+	// Began says that the replica had begun to answer, after which Events were passed on.
+	Began  bool
+	Events int
+	Err    error
+}
+
 // Events is told of what an operator may want to see. Its functions may be
 // nil and must not block.
 type Events struct {
 	// Attempt is a failed attempt of a request at a backend server.
-	Attempt func(request, replica string, err error)
+	Attempt func(FailedAttempt)
 	// Unrated is an answer that the rating service did not rate.
 	Unrated func(request string, err error)
 	// Unrecorded is a claim whose end was not recorded: a caller who asks
@@ -34,9 +47,9 @@
 	}
 }
 
-func (e *Events) attempt(request, replica string, err error) {
+func (e *Events) attempt(f FailedAttempt) {
 	if e.Attempt != nil {
-		e.Attempt(request, replica, err)
+		e.Attempt(f)
 	}
 }
 
--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -7,6 +7,7 @@
 
 	"fieldvale/outcome"
 	"fieldvale/prompt"
+	"fieldvale/quarantine"
 	"fieldvale/route"
 )
 
@@ -34,6 +35,18 @@
 	// TimeoutAt is when the route's time ends; the earlier of it and
 	// Deadline binds.
 	TimeoutAt time.Time
+
+	// fingerprint is of the content; zero as long as nobody asked for it.
+	fingerprint quarantine.Fingerprint
+}
+
+// Fingerprint names the content, whatever the attempt's id. It is worked out when it is
+// first asked for: most requests need none. It is not safe for concurrent use.
+func (q *Opaque) Fingerprint() quarantine.Fingerprint {
+	if q.fingerprint == (quarantine.Fingerprint{}) {
+		q.fingerprint = quarantine.Content{Caller: q.Customer.Name, Method: q.Method, Host: q.Route.Host, Target: q.Target, Body: q.Body}.Fingerprint()
+	}
+	return q.fingerprint
 }
 
 // until is when the request has to be answered.
@@ -86,6 +99,8 @@
 	// Limited is how often a replica was left out because it is cold, or may be, and
 	// gets no more now.
 	Limited int
+	// Content is the request's fingerprint if an attempt failed, else empty.
+	Content string
 	Sends   int
 	Runs    int
 	Events  int
--- a/entry/router.go
+++ b/entry/router.go
@@ -308,7 +308,7 @@
 		if err == nil {
 			return nil
 		}
-		r.events.attempt(q.ID, b.ID, err)
+		r.events.attempt(FailedAttempt{Request: q.ID, Service: x.String(), Replica: b.ID, Err: err})
 		tried, last = append(tried, b.ID), worse(last, err)
 		if ctx.Err() != nil || !r.retry(err, false) {
 			return last
--- a/entry/service.go
+++ b/entry/service.go
@@ -132,7 +132,7 @@
 		if err == nil {
 			return a, nil
 		}
-		r.events.attempt(q.ID, b.ID, err)
+		r.events.attempt(FailedAttempt{Request: q.ID, Service: q.Service, Replica: b.ID, Err: err})
 		tried, last = append(tried, b.ID), worse(last, err)
 		if ctx.Err() != nil || !r.retry(err, q.Once) {
 			return a, last
--- a/process/entry.go
+++ b/process/entry.go
@@ -60,8 +60,8 @@
 
 func (e *Entry) events() *entry.Events {
 	return &entry.Events{
-		Attempt: func(request, replica string, err error) {
-			e.log.WithFields(logging.Fields("request", request, "replica", replica, "error", err)).Warn("attempt_failed")
+		Attempt: func(f entry.FailedAttempt) {
+			e.log.WithFields(logging.Fields("request", f.Request, "replica", f.Replica, "error", f.Err)).Warn("attempt_failed")
 		},
 		Unrated: func(request string, err error) {
 			e.log.WithFields(logging.Fields("request", request, "error", err)).Warn("answer_unrated")
--- /dev/null
+++ b/quarantine/fingerprint_test.go
@@ -0,0 +1,46 @@
+package quarantine_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"fieldvale/quarantine"
+)
+
+// A client that tries again sends the same content under another id; its fingerprint stays.
+func ExampleContent_Fingerprint() {
+	first := quarantine.Content{Caller: "inverness-loc", Method: "POST", Host: "lm", Target: "/suggest/?x=1", Body: []byte("{}")}
+	again, other := first, first
+	other.Caller = "borders-loc"
+	fmt.Println(first.Fingerprint() == again.Fingerprint(), first.Fingerprint() == other.Fingerprint())
+	// Output: true false
+}
+
+func TestContentsAreToldApart(t *testing.T) {
+	c := quarantine.Content{Caller: "a", Method: "POST", Host: "h", Target: "/p", Body: bytes.Repeat([]byte("x"), 4<<20)}
+	for name, o := range map[string]quarantine.Content{
+		"another caller":         {Caller: "b", Method: c.Method, Host: c.Host, Target: c.Target, Body: c.Body},
+		"another parameter":      {Caller: c.Caller, Method: c.Method, Host: c.Host, Target: "/p?a=1", Body: c.Body},
+		"another host":           {Caller: c.Caller, Method: c.Method, Host: "i", Target: c.Target, Body: c.Body},
+		"no body":                {Caller: c.Caller, Method: c.Method, Host: c.Host, Target: c.Target},
+		"a letter moved over":    {Caller: "aP", Method: "OST", Host: c.Host, Target: c.Target, Body: c.Body},
+		"the last byte is other": {Caller: c.Caller, Method: c.Method, Host: c.Host, Target: c.Target, Body: append(c.Body[:len(c.Body)-1:len(c.Body)-1], 'y')},
+	} {
+		if o.Fingerprint() == c.Fingerprint() {
+			t.Errorf("%s: the same fingerprint", name)
+		}
+	}
+}
+
+func TestFingerprintsAreRead(t *testing.T) {
+	f := quarantine.Content{Body: []byte("b")}.Fingerprint()
+	if g, err := quarantine.ParseFingerprint(f.String()); err != nil || g != f {
+		t.Errorf("got %s, %v, want %s", g, err, f)
+	}
+	for _, bad := range []string{"", "00", f.String() + "00", "g" + f.String()[1:]} {
+		if _, err := quarantine.ParseFingerprint(bad); err == nil {
+			t.Errorf("%q was read", bad)
+		}
+	}
+}
