Beliefs go by a clock that counts the time for which a machine was suspended

The steady reading stands still while a machine is suspended: an instance that woke after ten seconds took its configuration for fresh and honoured keys that were taken away meanwhile. The time of day and the steady reading come with one look; the time since the machine's start is read where they moved against each other, and with each tick. Time-outs of requests under way stood still too and are set anew.

--- a/adapter/exchange/exchange_test.go
+++ b/adapter/exchange/exchange_test.go
@@ -70,10 +70,10 @@
 func TestAnswersOfOtherRequestsAreSkipped(t *testing.T) {
 	stray := strings.ReplaceAll(ok, "Id: a", "Id: b")
 	mine := func(h http.Header) bool { return h.Get("Id") == "a" }
-	if b, err := get(New(), scripted(t, stray+ok), mine); err != nil || b != "ok" {
+	if b, err := get(New(time.Now), scripted(t, stray+ok), mine); err != nil || b != "ok" {
 		t.Errorf("%q, %v", b, err)
 	}
-	if _, err := get(New(), scripted(t, stray+stray+stray), mine); !errors.Is(err, ErrStray) {
+	if _, err := get(New(time.Now), scripted(t, stray+stray+stray), mine); !errors.Is(err, ErrStray) {
 		t.Errorf("strays only: %v", err)
 	}
 }
@@ -89,7 +89,7 @@
 		{"closing", strings.ReplaceAll(ok, "Id:", "Connection: close\r\nId:"), 2},
 		{"no time to keep", strings.ReplaceAll(ok, "Id:", "Keep-Alive: timeout=0\r\nId:"), 2},
 	} {
-		p := New()
+		p := New(time.Now)
 		a := scripted(t, c.answer, c.answer)
 		for range 2 {
 			if b, err := get(p, a, nil); err != nil || b != "ok" {
@@ -109,13 +109,13 @@
 	}
 	a := l.Addr().String()
 	_ = l.Close()
-	if _, err := get(New(), a, nil); outcome.Of(err) != outcome.NotRun {
+	if _, err := get(New(time.Now), a, nil); outcome.Of(err) != outcome.NotRun {
 		t.Errorf("nobody listens: %v", err)
 	}
-	if _, err := get(New(), scripted(t, closes), nil); outcome.Of(err) != outcome.Unknown {
+	if _, err := get(New(time.Now), scripted(t, closes), nil); outcome.Of(err) != outcome.Unknown {
 		t.Errorf("no answer: %v", err)
 	}
-	if _, err := get(New(), scripted(t, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"+closes), nil); err == nil {
+	if _, err := get(New(time.Now), scripted(t, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"+closes), nil); err == nil {
 		t.Error("half an answer is taken for a whole one")
 	}
 }
@@ -139,7 +139,7 @@
 			_, _ = io.WriteString(c, ok)
 		}
 	}()
-	p := New()
+	p := New(time.Now)
 	q := &Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, 16<<20)}
 	for range 2 {
 		r, err := p.Do(t.Context(), l.Addr().String(), q)
--- a/adapter/exchange/pool.go
+++ b/adapter/exchange/pool.go
@@ -49,6 +49,7 @@
 	probes singleflight.Group
 	// sweepAt is when idle connections are looked through again.
 	sweepAt time.Time
+	clock   func() time.Time
 }
 
 // conn is a connection and what was read of it ahead.
@@ -60,7 +61,7 @@
 }
 
 // New returns a pool with no connections.
-func New() *Pool { return &Pool{idle: map[string][]*conn{}} }
+func New(clock func() time.Time) *Pool { return &Pool{idle: map[string][]*conn{}, clock: clock} }
 
 // Dialed returns how many connections were opened.
 func (p *Pool) Dialed() int {
@@ -143,7 +144,7 @@
 		c := l[len(l)-1]
 		p.idle[addr] = l[:len(l)-1]
 		p.mu.Unlock()
-		if time.Now().Before(c.expires) && httpconn.Quiet(c.c) {
+		if p.clock().Before(c.expires) && httpconn.Quiet(c.c) {
 			return c
 		}
 		_ = c.c.Close()
@@ -154,10 +155,10 @@
 // belong to no request.
 func (p *Pool) put(addr string, c *conn, keep time.Duration) {
 	_ = c.c.SetDeadline(time.Time{})
-	c.expires = time.Now().Add(keep)
+	c.expires = p.clock().Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sweep(time.Now())
+	p.sweep(p.clock())
 	if c.r.Buffered() > 0 || keep <= 0 || len(p.idle[addr]) >= idlePerPeer {
 		_ = c.c.Close()
 		return
--- a/adapter/exchange/probe_test.go
+++ b/adapter/exchange/probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 )
 
 func TestRefuses(t *testing.T) {
@@ -10,7 +11,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p, addr := New(), l.Addr().String()
+	p, addr := New(time.Now), l.Addr().String()
 	if p.Refuses(t.Context(), addr) {
 		t.Error("a server that listens counts as ended")
 	}
@@ -22,7 +23,7 @@
 	}
 	// The kept connection was closed with the server's queue, or is still open: either
 	// way the next look goes to the port.
-	p = New()
+	p = New(time.Now)
 	if !p.Refuses(t.Context(), addr) {
 		t.Error("a server that is gone does not count as ended")
 	}
--- a/cmd/fieldvale-node/duties.go
+++ b/cmd/fieldvale-node/duties.go
@@ -25,6 +25,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+			n.wake()
 			n.state.Tick()
 			n.quarantine.Tick()
 			n.tell(n.router.UrgentTallies())
@@ -41,6 +42,18 @@
 	}
 }
 
+// wake sees to what stood still if the machine was suspended: time-outs of requests under
+// way. All beliefs go by a clock that counted on.
+func (n *node) wake() {
+	was := n.resumedAfter
+	n.machine.Look()
+	n.resumedAfter = n.machine.Suspended()
+	if d := n.resumedAfter - was; d > 0 {
+		n.event("resumed", "suspended_for", d)
+		n.router.Resumed()
+	}
+}
+
 // reload reads the settings again. What can't change while the process runs
 // is logged and left.
 func (n *node) reload() {
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -19,6 +19,7 @@
 	"fieldvale/adapter/settings"
 	"fieldvale/adapter/socket"
 	"fieldvale/admission"
+	"fieldvale/clock"
 	"fieldvale/entry"
 	"fieldvale/lease"
 	"fieldvale/peer"
@@ -54,6 +55,10 @@
 	path  string
 	log   log.Interface
 	clock func() time.Time
+	// machine is the clock behind, which finds out when the machine was suspended.
+	machine *clock.Clock
+	// resumedAfter is for how long it was suspended, as timed duties last saw.
+	resumedAfter time.Duration
 
 	metrics  *metrics.Registry
 	view     *entry.Current
@@ -86,13 +91,14 @@
 // newNode returns an instance that is not serving yet.
 func newNode(s settings.Node, path string, l log.Interface) *node {
 	limitMemory(s.MemoryMB)
+	c := clock.New()
 	n := &node{
-		s: s, path: path, log: l, clock: time.Now, metrics: metrics.New(), view: entry.NewCurrent(),
-		records: make(chan state.Record), seen: map[string]entry.Trial{}, earlier: make(chan store.Announced, 1), pool: exchange.New(), stopping: make(chan struct{}),
+		s: s, path: path, log: l, clock: c.Now, machine: c, metrics: metrics.New(), view: entry.NewCurrent(),
+		records: make(chan state.Record), seen: map[string]entry.Trial{}, earlier: make(chan store.Announced, 1), pool: exchange.New(c.Now), stopping: make(chan struct{}),
 	}
 	n.lease = lease.New(time.Duration(honourPart*float64(s.HonourFor)), keyRule(s), n.clock())
 	n.placer = placement.NewNode(s.ID, startID(), tagged{n, tagPlacement}, n.clock, s.ApplyWithin, n.isCurrent, n.event)
-	n.store = platform.NewStore(exchange.New(), s.Store)
+	n.store = platform.NewStore(exchange.New(c.Now), s.Store, c.Now)
 	n.held = make(chan heldChange, mostHeldWaiting)
 	n.changes = relay.NewLog()
 	n.relay = relay.NewNode(s.ID, startID(), n.changes, n.store, tagged{n, tagRelay}, n.clock, n.event, relay.TimesFor(s.ApplyWithin))
--- a/cmd/fieldvale-node/stop.go
+++ b/cmd/fieldvale-node/stop.go
@@ -45,7 +45,7 @@
 	close(n.stopping)
 	n.ingress.Leave()
 	time.Sleep(min(leaveDelay, n.s.StopWithin/2))
-	x, cancel := context.WithDeadline(context.Background(), end)
+	x, cancel := context.WithTimeout(context.Background(), end.Sub(n.clock()))
 	defer cancel()
 	if err := n.ingress.Shutdown(x); err != nil {
 		n.event("stop_incomplete", "error", err)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -58,13 +58,15 @@
 // on. The error is a *Failure; if the sink had its head by then, the answer
 // must be broken off.
 func (r *Router) Forward(ctx context.Context, q *Opaque, out ForwardSink) (*Forwarded, error) {
-	x, cancel := context.WithDeadline(ctx, q.until())
+	x, cancel := context.WithTimeout(ctx, q.until().Sub(r.clock()))
 	defer cancel()
 	w := &forwarding{r: r, q: q, out: out, after: q.After, model: -1, askedBy: -1}
 	w.f = &Forwarded{Request: q, Service: q.Route.Service(q.ID), Confidence: -1}
 	if len(q.Route.Models) > 0 && (q.Prompt.Model == prompt.AnyModel || q.Prompt.Model == "") {
 		w.model = 0
 	}
+	r.underway.add(w, cancel)
+	defer r.underway.remove(w)
 	r.received(w.f.Service)
 	err := w.run(x)
 	w.f.EndedAt = r.clock()
@@ -105,11 +107,12 @@
 		w.cause = err
 		return w.ends(true, "too late already")
 	}
-	if errors.Is(err, errCaller) || errors.Is(ctx.Err(), context.Canceled) {
+	isLate := !w.r.clock().Before(w.q.until())
+	if errors.Is(err, errCaller) || errors.Is(ctx.Err(), context.Canceled) && !isLate {
 		return w.ends(true, "the client left")
 	}
 	w.cause = err
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || isLate {
 		return w.ends(true, "out of time")
 	}
 	switch {
--- a/entry/router.go
+++ b/entry/router.go
@@ -53,6 +53,7 @@
 	regions map[string]string
 
 	upstream   Upstream
+	underway   *underway
 	prober     Prober
 	quarantine Quarantine
 	placer     Placer
@@ -126,7 +127,7 @@
 		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
-		upstream: p.Upstream, quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), leads: newLeads(), answers: newAnswerSizes(), delays: newDelays(), paces: newPaces(),
+		upstream: p.Upstream, underway: newUnderway(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), leads: newLeads(), answers: newAnswerSizes(), delays: newDelays(), paces: newPaces(),
 		releases: newReleases(p.Clock()), windows: map[string]*admission.Window{}, repeats: p.Repeats, fleetSize: p.FleetSize,
 		acceptConfidence: p.AcceptConfidence, coldBound: p.ColdBound,
 	}
--- /dev/null
+++ b/entry/underway_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/admission"
+	"fieldvale/outcome"
+	"fieldvale/pool"
+	"fieldvale/rollout"
+	"fieldvale/route"
+)
+
+// silentUpstream holds each request until it is called off.
+type silentUpstream struct{ sent chan struct{} }
+
+func (s silentUpstream) Send(ctx context.Context, r *pool.Replica, _ Dispatch) (Reply, error) {
+	s.sent <- struct{}{}
+	<-ctx.Done()
+	return nil, outcome.New(outcome.Unknown, "read", r.ID, ctx.Err())
+}
+
+// A machine was suspended for a minute while a request waited for its replica. Its time-out
+// stood still: without a look after the suspension the client would wait for a minute more
+// than it asked for.
+func TestTimeoutsThatStoodStill(t *testing.T) {
+	var suspended atomic.Int64
+	now := func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+	v := NewCurrent()
+	v.Put(NewView(nil, []pool.Replica{{ID: "r", Kind: pool.Service, Service: "s", Slots: 1}}, nil, nil).
+		WithRoutes(route.New(1, nil, nil, nil, route.Limits{}), map[string]rollout.Release{}))
+	u := silentUpstream{make(chan struct{}, 1)}
+	r := NewRouter(Ports{View: v, Clock: now, Rand: rand.NewPCG(1, 1), Upstream: u, Repeats: admission.Repeats{Burst: 9}})
+	end := now().Add(time.Minute)
+	q := &Opaque{ID: "q", Table: v.Get().Table, Route: &route.Route{Kind: route.Repeatable, MaxAttempts: 2, Split: []route.Part{{Service: "s"}}}, Arrived: now(), Deadline: end, TimeoutAt: end}
+	done := make(chan error, 1)
+	var f *Forwarded
+	go func() {
+		var err error
+		f, err = r.Forward(t.Context(), q, &clientSink{})
+		done <- err
+	}()
+	<-u.sent
+	suspended.Store(int64(2 * time.Minute))
+	r.Resumed()
+	select {
+	case err := <-done:
+		var e *Failure
+		if !errors.As(err, &e) || e.Code != TooLate || f.Stopped != "out of time" {
+			t.Errorf("ended with %v, %q, want that the deadline passed", err, f.Stopped)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the request waits on although its time is over")
+	}
+}
