--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -91,7 +91,11 @@
 // newNode returns an instance that is not serving yet.
 func newNode(s settings.Node, path string, l log.Interface) *node {
 	limitMemory(s.MemoryMB)
-	c := clock.New()
+	return newNodeBy(clock.New(), s, path, l)
+}
+
+// newNodeBy returns an instance that goes by the clock.
+func newNodeBy(c *clock.Clock, s settings.Node, path string, l log.Interface) *node {
 	n := &node{
 		s: s, path: path, log: l, clock: c.Now, machine: c, metrics: metrics.New(), view: entry.NewCurrent(),
 		records: make(chan state.Record), seen: map[string]entry.Trial{}, earlier: make(chan store.Announced, 1), pool: exchange.New(c.Now), stopping: make(chan struct{}),
--- a/cmd/fieldvale-node/site_test.go
+++ b/cmd/fieldvale-node/site_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"fieldvale/adapter/logging"
 	"fieldvale/adapter/settings"
 	"fieldvale/adapter/socket"
+	"fieldvale/clock"
 	"fieldvale/platform/sitetest"
 )
 
@@ -29,6 +31,18 @@
 	stop     context.CancelFunc
 	done     chan error
 	logs     *syncBuffer
+	// suspended is for how long the machine was suspended, in nanoseconds.
+	suspended atomic.Int64
+}
+
+// clock is the machine's, which s.suspended moves on.
+func (s *site) clock() *clock.Clock {
+	start := time.Now()
+	boot := func() time.Duration { return time.Since(start) + time.Duration(s.suspended.Load()) }
+	return clock.NewFrom(start, clock.Sources{
+		Read: func() clock.Reading { return clock.Reading{Steady: time.Since(start), Wall: boot()} },
+		Boot: func() (time.Duration, error) { return boot(), nil },
+	})
 }
 
 type syncBuffer struct {
@@ -103,7 +117,7 @@
 	n := settings.Node{ID: "n1", DataCentre: "z", Listen: freePort(s.t), Ready: freePort(s.t), Metrics: freePort(s.t), Peers: freeDatagramPort(s.t),
 		Store: s.store.Addr(), Level: "info", StopWithin: 4 * time.Second, ApplyWithin: 2 * time.Second, MemoryMB: 200, HonourFor: 5 * time.Second, RepeatPart: 0.9, RepeatBurst: 54, AcceptConfidence: 50}
 	change(&n)
-	s.node = newNode(n, "", l)
+	s.node = newNodeBy(s.clock(), n, "", l)
 	var ctx context.Context
 	ctx, s.stop = context.WithCancel(context.Background())
 	go func() { s.done <- s.node.run(ctx, nil) }()
