--- a/cmd/fieldvale-soak/main.go
+++ b/cmd/fieldvale-soak/main.go
@@ -33,6 +33,7 @@
 	Nodes    int           `long:"nodes" default:"5" description:"instances"`
 	Replicas int           `long:"replicas" default:"4" description:"replicas"`
 	Clients  int           `long:"clients" default:"12" description:"clients"`
+	Crashing bool          `long:"crashing" description:"send a request all the while under which replicas end"`
 }
 
 func main() { os.Exit(run()) }
@@ -81,9 +82,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
-	r, err := soak.Run(ctx, soak.Settings{Seed: seed, Binary: b, For: o.For, Nodes: o.Nodes, Replicas: o.Replicas, Clients: o.Clients, Dir: d})
+	r, err := soak.Run(ctx, soak.Settings{Seed: seed, Binary: b, For: o.For, Nodes: o.Nodes, Replicas: o.Replicas, Clients: o.Clients, Crashing: o.Crashing, Dir: d})
 	ok := err == nil && len(r.Broken) == 0
-	fmt.Printf("seed=%d ok=%t answered=%d failed=%d after: answered=%d failed=%d faults=%d release=%s\n", seed, ok, r.Answered, r.Failed, r.LateAnswered, r.LateFailed, len(r.Faults), r.Release)
+	fmt.Printf("seed=%d ok=%t answered=%d failed=%d after: answered=%d failed=%d faults=%d crashed=%d release=%s\n", seed, ok, r.Answered, r.Failed, r.LateAnswered, r.LateFailed, len(r.Faults), r.Crashed, r.Release)
 	for _, c := range slices.Sorted(maps.Keys(r.Causes)) {
 		fmt.Printf("  %6d %s\n", r.Causes[c], c)
 	}
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -25,8 +25,11 @@
 	byAddr   map[string]*quarantine.Node
 	replicas []*replica
 	lives    int
-	// loss is how many of a hundred datagrams are lost.
-	loss int
+	// loss is how many of a hundred datagrams are lost, bytes what all had.
+	loss  int
+	bytes int
+	// held is what the store holds.
+	held map[quarantine.Fingerprint]quarantine.Entry
 	// ends are the replicas that ended by the culprits, refused the innocent requests
 	// that were, of all.
 	ends, refused, all int
@@ -103,6 +106,7 @@
 }
 
 func (w wire) Send(addr string, b []byte) error {
+	w.f.bytes += len(b)
 	if n := w.f.byAddr[addr]; n != nil && w.f.rand.IntN(100) >= w.f.loss {
 		n.Receive(w.from, b)
 	}
@@ -112,25 +116,73 @@
 func newFleet(seed uint64, instances, replicas int) *fleet {
 	f := &fleet{
 		rand: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_700_000_000, 0), byAddr: map[string]*quarantine.Node{},
-		endsOf: map[quarantine.Fingerprint]int{}, thirdAt: map[quarantine.Fingerprint]time.Time{}, late: map[quarantine.Fingerprint]int{},
+		held: map[quarantine.Fingerprint]quarantine.Entry{}, endsOf: map[quarantine.Fingerprint]int{}, thirdAt: map[quarantine.Fingerprint]time.Time{}, late: map[quarantine.Fingerprint]int{},
 	}
+	f.nodes = make([]*quarantine.Node, instances)
+	f.startNodes()
+	for range replicas {
+		r := &replica{running: map[*try]bool{}}
+		f.start(r)
+		f.replicas = append(f.replicas, r)
+	}
+	return f
+}
+
+// mostListed is how many instances are on the list; the others follow one of these.
+const mostListed = 50
+
+// startNodes starts all instances anew: they know what the store holds.
+func (f *fleet) startNodes() {
 	var m []peer.Member
-	for i := range instances {
+	for i := range f.nodes {
 		id := fmt.Sprint("n", i)
-		n := quarantine.NewNode(uint64(i)<<32, quarantine.Ports{Self: id, Net: wire{f, id}, Clock: func() time.Time { return f.now }, Log: func(string, ...any) {}})
-		f.nodes = append(f.nodes, n)
-		f.byAddr[id] = n
-		m = append(m, peer.Member{ID: id, Addr: id})
+		f.nodes[i] = quarantine.NewNode(f.rand.Uint64()>>16, quarantine.Ports{
+			Self: id, Net: wire{f, id}, Clock: func() time.Time { return f.now }, Log: func(string, ...any) {},
+			Followers: func() []string { return f.followers(i) }, Held: f.hold, AnswerWithin: time.Millisecond,
+		})
+		f.byAddr[id] = f.nodes[i]
+		if i < mostListed {
+			m = append(m, peer.Member{ID: id, Addr: id})
+		}
 	}
 	for _, n := range f.nodes {
 		n.SetMembers(m)
+		for _, e := range f.held {
+			n.Keep(e)
+		}
 	}
-	for range replicas {
-		r := &replica{running: map[*try]bool{}}
-		f.start(r)
-		f.replicas = append(f.replicas, r)
+}
+
+// followers are the instances on no list that follow the i-th one.
+func (f *fleet) followers(i int) []string {
+	var l []string
+	for j := mostListed + i; i < mostListed && j < len(f.nodes); j += mostListed {
+		l = append(l, fmt.Sprint("n", j))
 	}
-	return f
+	return l
+}
+
+// storeWithin is until the store's changes are known everywhere.
+const storeWithin = time.Second
+
+// hold writes what an instance holds to the store.
+func (f *fleet) hold(e quarantine.Entry) {
+	if _, ok := f.held[e.Content]; ok {
+		return
+	}
+	f.held[e.Content] = e
+	f.in(storeWithin, func() {
+		for _, n := range f.nodes {
+			n.Keep(e)
+		}
+	})
+}
+
+// freeze has an instance hear and do nothing for some time.
+func (f *fleet) freeze(at, d time.Duration, i int) {
+	id := fmt.Sprint("n", i)
+	f.in(at, func() { delete(f.byAddr, id) })
+	f.in(at+d, func() { f.byAddr[id] = f.nodes[i] })
 }
 
 func (f *fleet) start(r *replica) {
@@ -354,6 +406,21 @@
 			c.after = 3 * time.Second
 			f.bring(c, 2)
 		}, 100, 6, 3},
+		{"three datagrams in ten lost", 7, 18, 140, 30, func(f *fleet) { f.bring(newCulprit("c"), 2) }, 100, -1, 3},
+		{"nobody hears anybody", 7, 18, 140, 100, func(f *fleet) { f.bring(newCulprit("c"), 2) }, 100, -1, -1},
+		{"300 instances", 300, 100, 140, 0, func(f *fleet) { f.bring(newCulprit("c"), 5) }, 100, -1, 3},
+		{"65 instances, outages", 65, 100, 500, 0, func(f *fleet) { f.outages() }, 0, 0, 0},
+		{"all killed twice", 7, 18, 140, 0, func(f *fleet) {
+			f.bring(newCulprit("c"), 2)
+			f.in(6*time.Second, f.startNodes)
+			f.in(12*time.Second, f.startNodes)
+		}, 100, -1, 3},
+		{"each frozen in turn", 7, 18, 140, 0, func(f *fleet) {
+			f.bring(newCulprit("c"), 2)
+			for i := range 7 {
+				f.freeze(time.Duration(2*i)*time.Second, 3*time.Second, i)
+			}
+		}, 100, -1, 3},
 		{"one time in two", 7, 18, 140, 0, func(f *fleet) {
 			c := newCulprit("c")
 			c.chance = 0.5
@@ -361,7 +428,7 @@
 		}, 100, -1, -1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			refused, all, most, sum, late := 0, 0, 0, 0, 0
+			refused, all, most, sum, late, bytes := 0, 0, 0, 0, 0, 0
 			for seed := range *seeds {
 				f := newFleet(uint64(seed), c.instances, c.replicas)
 				f.loss = c.loss
@@ -369,11 +436,12 @@
 				c.prepare(f)
 				f.play(20 * time.Second)
 				refused, all, sum, most = refused+f.refused, all+f.all, sum+f.ends, max(most, f.ends)
+				bytes += f.bytes
 				for _, n := range f.late {
 					late = max(late, n)
 				}
 			}
-			t.Logf("%d of %d innocent requests refused; replicas lost a day %.1f, at most %d; late arrivals of one %d at most", refused, all, float64(sum)/float64(*seeds), most, late)
+			t.Logf("%d of %d innocent requests refused; replicas lost a day %.1f, at most %d; late arrivals of one %d at most; %.2f kB a second and instance", refused, all, float64(sum)/float64(*seeds), most, late, float64(bytes)/float64(*seeds)/20/1000/float64(c.instances))
 			if c.mostRefused >= 0 && refused*100_000 > c.mostRefused*all {
 				t.Errorf("%d of %d innocent requests were refused, want %d of 100,000 at most", refused, all, c.mostRefused)
 			}
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -17,10 +17,10 @@
 	// keepers is how many instances hold a content's record: one may be killed, cut off
 	// or frozen.
 	keepers = 2
-	// answerWithin bounds the wait for a keeper's answer: the round trip between data
+	// usualAnswer bounds the wait for a keeper's answer: the round trip between data
 	// centres of a region and its work, several times over. Only contents that were at a
 	// replica as it ended wait for it.
-	answerWithin = 25 * time.Millisecond
+	usualAnswer = 25 * time.Millisecond
 	// avoidFor is how long a keeper that gave no answer is passed over.
 	avoidFor = time.Second
 	// perMessage bounds the records of one datagram: some 200 bytes each.
@@ -48,6 +48,8 @@
 	// must not block, and may be nil.
 	Over func(Fingerprint)
 	Log  func(event string, fields ...any)
+	// AnswerWithin bounds the wait for a keeper's answer; 0 takes the usual one.
+	AnswerWithin time.Duration
 }
 
 // Node asks keepers and is one.
@@ -69,6 +71,9 @@
 // NewNode returns an instance that knows no other one yet. start makes its questions
 // differ from those of an earlier run.
 func NewNode(start uint64, p Ports) *Node {
+	if p.AnswerWithin == 0 {
+		p.AnswerWithin = usualAnswer
+	}
 	return &Node{Ports: p, book: NewBook(), waiting: reply.New[wireAnswer](start), avoid: map[string]time.Time{}, repeats: repeats{}, kept: map[Fingerprint]bool{}}
 }
 
@@ -129,7 +134,7 @@
 }
 
 func (n *Node) askKeeper(ctx context.Context, k peer.Member, f Fingerprint) (wireAnswer, bool) {
-	return n.waiting.Ask(ctx, answerWithin, func(id uint64) error {
+	return n.waiting.Ask(ctx, n.AnswerWithin, func(id uint64) error {
 		return n.Net.Send(k.Addr, encode(message{Question: id, Ask: f.String()}))
 	})
 }
