--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -98,10 +98,12 @@
 
 // withLast adds a life to the list, and drops the oldest of too many.
 func withLast(l []string, life string) []string {
-	l = append(slices.Clip(l), life)
-	return l[max(0, len(l)-int(mostCounted)):]
+	return last(append(slices.Clip(l), life))
 }
 
+// last returns the lives at the end of the list, as many as count.
+func last(l []string) []string { return l[max(0, len(l)-int(mostCounted)):] }
+
 // WithTrial counts a trial that begins.
 func (r Record) WithTrial(now time.Time) Record {
 	r.Open++
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -63,11 +63,14 @@
 	return w
 }
 
+// oldest bounds an age: records are over long before.
+const oldest = 24 * time.Hour
+
 func (w wireRecord) record(now time.Time) Record {
-	r := Record{Score: min(mostCounted, max(0, w.Score)), Replicas: w.Replicas, Tried: w.Tried, Ended: w.Ended, Open: w.Open, By: w.By}
-	r.LastAt = now.Add(-time.Duration(w.Age) * time.Millisecond)
+	r := Record{Score: min(mostCounted, max(0, w.Score)), Replicas: last(w.Replicas), Tried: last(w.Tried), Ended: max(0, w.Ended), Open: max(0, w.Open), By: w.By}
+	r.LastAt = now.Add(-time.Duration(max(0, min(w.Age, oldest.Milliseconds()))) * time.Millisecond)
 	if w.Trial > 0 {
-		r.TrialUntil = now.Add(min(trialFor, time.Duration(w.Trial)*time.Millisecond))
+		r.TrialUntil = now.Add(time.Duration(min(trialFor.Milliseconds(), w.Trial)) * time.Millisecond)
 	}
 	return r
 }
@@ -80,5 +83,11 @@
 
 func decode(b []byte) (message, error) {
 	var m message
-	return m, errors.Wrap(json.Unmarshal(b, &m), "quarantine.decode")
+	if err := json.Unmarshal(b, &m); err != nil {
+		return m, errors.Wrap(err, "quarantine.decode")
+	}
+	if m.Answer != nil && (m.Answer.Decision < Free || m.Answer.Decision > Held) {
+		return m, errors.Newf("quarantine.decode: decision %d", int(m.Answer.Decision))
+	}
+	return m, nil
 }
