A replica that ends is one finding against its release, not one for each request there

The same cause elsewhere: a request that brings replicas down had up to 60 others break off with each, all counted against the release that ran there. Forty requests at one replica that ends: 40 findings before, one now (each instance counts a life once).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -109,8 +109,9 @@
 			Began: a.began, Events: a.events, Err: orFailure(err, w.f.Status),
 		})
 	}
-	a.judge(bad)
-	a.report(err)
+	came := a.cameTo(err)
+	a.judge(bad, came)
+	a.report(came)
 }
 
 // fault is what the attempt shows of its replica, if its prompt was not read.
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -70,12 +70,12 @@
 
 // report tells the quarantine what the attempt came to, where that matters: its replica
 // ended, or the content is watched.
-func (a *attempt) report(err error) {
+func (a *attempt) report(came quarantine.What) {
 	w := a.w
 	if w.r.quarantine == nil {
 		return
 	}
-	e := quarantine.Event{What: a.cameTo(err), Replica: a.replica.ID}
+	e := quarantine.Event{What: came, Replica: a.replica.ID}
 	if e.What == quarantine.EndedReplica {
 		w.watched = true
 		w.tell(e)
--- a/entry/releases.go
+++ b/entry/releases.go
@@ -14,6 +14,25 @@
 	trial map[string]*trial
 	// life tells this run of the instance from others.
 	life int64
+	// ended are lives of replicas whose end was counted.
+	ended map[string]bool
+}
+
+// mostEnded bounds the lives that are remembered; beyond it an end may count twice.
+const mostEnded = 2000
+
+// firstEnd reports whether the end of the replica's life was not counted yet.
+func (s *releases) firstEnd(life string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended[life] {
+		return false
+	}
+	if len(s.ended) >= mostEnded {
+		clear(s.ended)
+	}
+	s.ended[life] = true
+	return true
 }
 
 // trial is one release's.
@@ -40,7 +59,7 @@
 const ownOrigin = ""
 
 func newReleases(start time.Time) *releases {
-	return &releases{trial: map[string]*trial{}, life: start.UnixNano()}
+	return &releases{trial: map[string]*trial{}, ended: map[string]bool{}, life: start.UnixNano()}
 }
 
 // of returns the trial of the release; a later order starts anew, and an
--- a/entry/verdict.go
+++ b/entry/verdict.go
@@ -1,14 +1,23 @@
 package entry
 
-import "fieldvale/rollout"
+import (
+	"fieldvale/quarantine"
+	"fieldvale/rollout"
+)
 
 // verdicts name what attempts show, for the metrics.
 var verdicts = map[outcomeOf]string{showsGood: "good", showsFailed: "failed", showsBroken: "broken", showsNothing: "nothing"}
 
 // judge counts what the attempt shows of its release, if one is under way.
-func (a *attempt) judge(bad bool) {
+func (a *attempt) judge(bad bool, came quarantine.What) {
 	r := a.w.r
 	o := a.shows(bad)
+	if o == showsBroken && came == quarantine.EndedReplica && !r.releases.firstEnd(a.replica.ID) {
+		// All that was at a replica as it ended is one finding: up to 60 requests of a
+		// good release broke off there at once, and a request that brings replicas down
+		// would have had it taken back.
+		o = showsNothing
+	}
 	r.events.judged(a.w.f.Service, a.replica.Release, verdicts[o])
 	rel, ok := r.view.Get().Releases[a.w.f.Service]
 	if !ok || rel.State != rollout.Running || o == showsNothing {
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -21,6 +21,9 @@
 	// centres of a region and its work, several times over. Only contents that were at a
 	// replica as it ended wait for it.
 	usualAnswer = 25 * time.Millisecond
+	// askTries is how often a keeper is asked: with three datagrams in ten lost, half of
+	// all questions have no answer.
+	askTries = 2
 	// avoidFor is how long a keeper that gave no answer is passed over.
 	avoidFor = time.Second
 	// perMessage bounds the records of one datagram: some 200 bytes each.
@@ -134,9 +137,15 @@
 }
 
 func (n *Node) askKeeper(ctx context.Context, k peer.Member, f Fingerprint) (wireAnswer, bool) {
-	return n.waiting.Ask(ctx, n.AnswerWithin, func(id uint64) error {
-		return n.Net.Send(k.Addr, encode(message{Question: id, Ask: f.String()}))
-	})
+	for range askTries {
+		a, ok := n.waiting.Ask(ctx, n.AnswerWithin, func(id uint64) error {
+			return n.Net.Send(k.Addr, encode(message{Question: id, Ask: f.String()}))
+		})
+		if ok {
+			return a, true
+		}
+	}
+	return wireAnswer{}, false
 }
 
 // Tell counts what came of an attempt, here and at the content's keepers.
