The OpenAI interface and plain calls keep what is known of a request beyond its tries

The same cause at the product's other way: each call of a request that ends backend servers had three of them, whatever was known of the calls before. An entry keeps it by itself: entries have no way to each other but their controls, so that one request may cost five servers an entry.

--- a/adapter/backend/engine.go
+++ b/adapter/backend/engine.go
@@ -4,8 +4,10 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -166,7 +168,7 @@
 			return n, err
 		}
 	}
-	return n, outcome.New(outcome.Unknown, "stream", r.ID, errors.Newf("cut before its end: %v", s.Err()))
+	return n, outcome.New(outcome.Unknown, "stream", r.ID, errors.Wrap(cmp.Or(s.Err(), io.ErrUnexpectedEOF), "cut before its end"))
 }
 
 // drain reads what follows the end marker, so that the connection is clean.
--- /dev/null
+++ b/adapter/backend/prober.go
@@ -0,0 +1,28 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/entry"
+	"fieldvale/pool"
+)
+
+// Prober implements entry.Prober over TCP.
+type Prober struct{}
+
+var _ entry.Prober = Prober{}
+
+// HasEnded implements entry.Prober: nothing listens where the backend server was.
+func (Prober) HasEnded(ctx context.Context, r *pool.Replica) bool {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", r.Addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close()
+	return false
+}
--- a/adapter/caller/errors.go
+++ b/adapter/caller/errors.go
@@ -87,6 +87,7 @@
 	entry.RanBefore:     fasthttp.StatusConflict,
 	entry.NeedsKey:      fasthttp.StatusBadRequest,
 	entry.StoreOut:      fasthttp.StatusServiceUnavailable,
+	entry.Quarantined:   fasthttp.StatusServiceUnavailable,
 }
 
 // fromFailure puts the router's last word in the API's shape.
--- /dev/null
+++ b/adapter/caller/failure_test.go
@@ -0,0 +1,20 @@
+package caller
+
+import (
+	"testing"
+
+	"fieldvale/entry"
+	"fieldvale/outcome"
+)
+
+// A failure without a status of its own would be answered with none.
+func TestEachFailureHasAStatus(t *testing.T) {
+	for _, c := range []entry.Code{
+		entry.NotReady, entry.NotAllowed, entry.UnknownModel, entry.UnknownTarget, entry.Refused, entry.TooLate, entry.Failed,
+		entry.MayHaveRun, entry.RanBefore, entry.NeedsKey, entry.StoreOut, entry.Quarantined,
+	} {
+		if e := fromFailure(&entry.Failure{Code: c, Run: outcome.NotRun}); e.status < 400 {
+			t.Errorf("%s: status %d", c, e.status)
+		}
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -111,7 +111,7 @@
 	}
 	came := a.cameTo(err)
 	a.judge(bad, came)
-	a.report(came)
+	w.watch.report(came, a.replica.ID)
 }
 
 // fault is what the attempt shows of its replica, if its prompt was not read.
--- /dev/null
+++ b/entry/crashing_test.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fieldvale/config"
+	"fieldvale/outcome"
+	"fieldvale/pool"
+	"fieldvale/quarantine"
+)
+
+// brittleServices end under one body.
+type brittleServices struct {
+	ended map[string]bool
+	sent  int
+}
+
+func (s *brittleServices) Call(_ context.Context, r *pool.Replica, c ServiceCall) (ServiceAnswer, error) {
+	if string(c.Body) != "bad" {
+		return ServiceAnswer{Status: 200}, nil
+	}
+	s.sent++
+	s.ended[r.ID] = true
+	return ServiceAnswer{}, outcome.New(outcome.Unknown, "read", r.ID, io.EOF)
+}
+
+// HasEnded implements Prober.
+func (s *brittleServices) HasEnded(_ context.Context, r *pool.Replica) bool { return s.ended[r.ID] }
+
+// A plain service's call ends each backend server that runs it, and its client calls again
+// and again with another id. What the entry knew of it ended with each call: three servers
+// a call.
+func TestOneCallEndsFewServers(t *testing.T) {
+	s := &brittleServices{ended: map[string]bool{}}
+	v := NewCurrent()
+	var l []pool.Replica
+	for i := range 40 {
+		l = append(l, pool.Replica{ID: fmt.Sprint("s", i), Kind: pool.Service, Service: "memory", Slots: 4})
+	}
+	v.Put(NewView(nil, l, nil, nil))
+	n := quarantine.NewNode(0, quarantine.Ports{Self: "n", Clock: time.Now, Log: func(string, ...any) {}})
+	r := NewRouter(Ports{View: v, Clock: time.Now, Rand: rand.NewPCG(1, 1), Services: s, Quarantine: n, Prober: s})
+	call := func(id, body string) error {
+		q := ServiceRequest{ID: id, Service: "memory", Call: "find", Body: []byte(body), Caller: config.Caller{Team: "t"}, Deadline: time.Now().Add(time.Second)}
+		_, err := r.serviceTries(t.Context(), q)
+		return err
+	}
+	for i := range 200 {
+		// Others' calls earn the budget of repeats.
+		r.budget.Request()
+		if err := call(fmt.Sprint("o", i), "good"); err != nil {
+			t.Fatalf("another's call: %v", err)
+		}
+	}
+	var last error
+	for i := range 20 {
+		last = call(fmt.Sprint("c", i), "bad")
+	}
+	if s.sent > 5 {
+		t.Errorf("it was sent %d times, want 5 at most", s.sent)
+	}
+	var f *Failure
+	if !errors.As(last, &f) || f.Code != Quarantined || f.Run != outcome.NotRun {
+		t.Errorf("the last call ended with %v, want that it was not sent", last)
+	}
+	if err := call("o", "good"); err != nil {
+		t.Errorf("another's call: %v", err)
+	}
+}
--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -50,7 +50,7 @@
 	if !ok || w.model < 0 || w.model >= last || w.started || c >= w.accepts() {
 		return nil
 	}
-	if w.onTrial {
+	if w.watch.onTrial {
 		// An answer that is cut says nothing of what the content does to replicas.
 		w.f.Doubt = doubtTrial
 		return nil
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -43,9 +43,7 @@
 	started bool
 	// after is the last event that the client has.
 	after string
-	// watched says that something is known against the content, onTrial that the attempt
-	// was allowed as a trial only.
-	watched, onTrial bool
+	watch watch
 	// unknown says that some attempt may have run without an answer.
 	unknown bool
 	retryAt time.Time
@@ -60,7 +58,7 @@
 func (r *Router) Forward(ctx context.Context, q *Opaque, out ForwardSink) (*Forwarded, error) {
 	x, cancel := context.WithTimeout(ctx, q.until().Sub(r.clock()))
 	defer cancel()
-	w := &forwarding{r: r, q: q, out: out, after: q.After, model: -1, askedBy: -1}
+	w := &forwarding{r: r, q: q, out: out, after: q.After, model: -1, askedBy: -1, watch: watch{quarantine: r.quarantine, content: q.Fingerprint}}
 	w.f = &Forwarded{Request: q, Service: q.Route.Service(q.ID), Confidence: -1}
 	if len(q.Route.Models) > 0 && (q.Prompt.Model == prompt.AnyModel || q.Prompt.Model == "") {
 		w.model = 0
@@ -180,11 +178,11 @@
 		p = w.take(ctx)
 	}
 	if p == nil {
-		w.untried()
+		w.watch.untried()
 		return errors.CombineErrors(errGiveUp, w.cause)
 	}
 	if w.hopeless(p) {
-		w.untried()
+		w.watch.untried()
 		w.giveBack(p)
 		return errHopeless
 	}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -36,54 +36,71 @@
 // round trip.
 const probeWithin = 150 * time.Millisecond
 
+// watch is what one request has to do with the quarantine. Its zero value has nothing to
+// do with any.
+type watch struct {
+	quarantine Quarantine
+	content    func() quarantine.Fingerprint
+	// verdict is the last word on whether it may be sent.
+	verdict quarantine.Verdict
+	// watched says that something is known against the content, onTrial that the attempt
+	// was allowed as a trial only.
+	watched, onTrial bool
+}
+
 // allowed asks whether the request may be sent to one more replica.
-func (w *forwarding) allowed(ctx context.Context) error {
-	q := w.r.quarantine
+func (w *watch) allowed(ctx context.Context) error {
 	w.onTrial = false
-	if q == nil || q.IsQuiet() {
+	if w.quarantine == nil || w.quarantine.IsQuiet() {
 		return nil
 	}
-	v := q.Ask(ctx, w.q.Fingerprint())
+	v := w.quarantine.Ask(ctx, w.content())
 	if v.Decision == quarantine.Free {
 		return nil
 	}
-	w.watched, w.onTrial = true, v.Decision == quarantine.Try
-	w.f.Content, w.f.Verdict = w.q.Fingerprint().String(), v
+	w.verdict, w.watched, w.onTrial = v, true, v.Decision == quarantine.Try
 	if v.May() {
 		return nil
 	}
-	w.retryAt = v.RetryAt
 	return errQuarantined
 }
 
 // untried takes a trial back that could not begin.
-func (w *forwarding) untried() {
+func (w *watch) untried() {
 	if w.onTrial {
 		w.tell(quarantine.Event{What: quarantine.Unsent})
 	}
 }
 
-func (w *forwarding) tell(e quarantine.Event) {
-	e.OnTrial = w.onTrial
-	w.r.quarantine.Tell(w.q.Fingerprint(), e)
-}
-
-// report tells the quarantine what the attempt came to, where that matters: its replica
-// ended, or the content is watched.
-func (a *attempt) report(came quarantine.What) {
-	w := a.w
-	if w.r.quarantine == nil {
+// report tells what an attempt came to, where that matters: its replica ended, or the
+// content is watched.
+func (w *watch) report(came quarantine.What, replica string) {
+	if w.quarantine == nil {
 		return
 	}
-	e := quarantine.Event{What: came, Replica: a.replica.ID}
-	if e.What == quarantine.EndedReplica {
+	if came == quarantine.EndedReplica {
 		w.watched = true
-		w.tell(e)
-		return
 	}
-	if w.onTrial || w.watched && e.What == quarantine.Served {
-		w.tell(e)
+	if w.onTrial || w.watched && came <= quarantine.Served {
+		w.tell(quarantine.Event{What: came, Replica: replica})
+	}
+}
+
+func (w *watch) tell(e quarantine.Event) {
+	e.OnTrial = w.onTrial
+	w.quarantine.Tell(w.content(), e)
+}
+
+// allowed asks whether the opaque request may be sent to one more replica.
+func (w *forwarding) allowed(ctx context.Context) error {
+	err := w.watch.allowed(ctx)
+	if w.watch.watched {
+		w.f.Content, w.f.Verdict = w.q.Fingerprint().String(), w.watch.verdict
+	}
+	if err != nil {
+		w.retryAt = w.watch.verdict.RetryAt
 	}
+	return err
 }
 
 // cameTo says what the attempt shows of the content.
@@ -103,13 +120,41 @@
 // would: one that closes a connection or breaks an answer off lives on, and one that is
 // leaving ends as it should.
 func (a *attempt) replicaEnded() bool {
-	r := a.w.r
-	if r.prober == nil || !r.view.Get().has(a.w.f.Service, a.replica.ID) {
+	return a.w.r.view.Get().has(a.w.f.Service, a.replica.ID) && a.w.r.hasEnded(a.replica)
+}
+
+// hasEnded reports whether the replica, which closed a connection, takes none any more.
+func (r *Router) hasEnded(b *pool.Replica) bool {
+	if r.prober == nil {
 		return false
 	}
 	x, cancel := context.WithTimeout(context.Background(), probeWithin)
 	defer cancel()
-	return r.prober.HasEnded(x, a.replica)
+	return r.prober.HasEnded(x, b)
+}
+
+// cameOf says what an attempt at a backend server of the product's own interfaces shows of
+// its content.
+func (r *Router) cameOf(b *pool.Replica, err error) quarantine.What {
+	switch {
+	case err == nil:
+		return quarantine.Served
+	case outcome.Of(err) == outcome.NotRun:
+		return quarantine.Unsent
+	case outcome.IsClosed(err) && !errors.Is(err, errCaller) && r.hasEnded(b):
+		return quarantine.EndedReplica
+	}
+	return quarantine.Unclear
+}
+
+// quarantined is the refusal of a request before it is sent.
+func (w *watch) quarantined() error {
+	return &Failure{Code: Quarantined, Run: outcome.NotRun, RetryAt: w.verdict.RetryAt, Message: errQuarantined.Error(), Cause: errQuarantined}
+}
+
+// watchOf returns a request's dealings with the quarantine by what it asks.
+func (r *Router) watchOf(c quarantine.Content) *watch {
+	return &watch{quarantine: r.quarantine, content: c.Fingerprint}
 }
 
 // has reports whether the service's replica takes new requests.
--- a/entry/request.go
+++ b/entry/request.go
@@ -5,6 +5,7 @@
 
 	"fieldvale/config"
 	"fieldvale/policy"
+	"fieldvale/quarantine"
 	"fieldvale/session"
 	"fieldvale/version"
 )
@@ -23,6 +24,16 @@
 	Priority int
 }
 
+// content is what the request asks, whatever its id.
+func (q Request) content() quarantine.Content {
+	return quarantine.Content{Caller: q.Caller.Team + "/" + q.Caller.Customer.Name, Target: "chat", Body: q.Body}
+}
+
+// content is what the call asks, whatever its id.
+func (q ServiceRequest) content() quarantine.Content {
+	return quarantine.Content{Caller: q.Caller.Team + "/" + q.Caller.Customer.Name, Target: q.Service + "/" + q.Call, Body: q.Body}
+}
+
 // AutoModel leaves the choice of the model to the policy.
 const AutoModel = "auto"
 
--- a/entry/router.go
+++ b/entry/router.go
@@ -300,16 +300,22 @@
 func (r *Router) tries(ctx context.Context, q Request, x version.ID, call func(*pool.Replica) error) error {
 	var tried []string
 	var last error
+	w := r.watchOf(q.content())
 	for range maxTries {
 		v := r.view.Get()
 		if ok := v.mayRun(q.Caller, x); !ok {
 			return errors.CombineErrors(errWithdrawn, last)
 		}
+		if w.allowed(ctx) != nil {
+			return worse(last, w.quarantined())
+		}
 		b := r.backends.take(v.byVersion[x], pool.Ask{Affinity: q.Session.ID}, tried, r.clock())
 		if b == nil {
+			w.untried()
 			break
 		}
 		err := call(b)
+		w.report(r.cameOf(b, err), b.ID)
 		r.backends.done(b.ID, err, r.clock())
 		r.judge(x, err)
 		if err == nil {
--- a/entry/service.go
+++ b/entry/service.go
@@ -122,12 +122,19 @@
 func (r *Router) serviceTries(ctx context.Context, q ServiceRequest) (ServiceAnswer, error) {
 	var tried []string
 	var last error
+	w := r.watchOf(q.content())
 	for range maxTries {
+		if w.allowed(ctx) != nil {
+			last = worse(last, w.quarantined())
+			break
+		}
 		b := r.backends.take(r.view.Get().byService[q.Service], pool.Ask{}, tried, r.clock())
 		if b == nil {
+			w.untried()
 			break
 		}
 		a, err := r.serviceTry(ctx, b, q)
+		w.report(r.cameOf(b, err), b.ID)
 		r.backends.done(b.ID, err, r.clock())
 		if err == nil {
 			return a, nil
--- a/process/entry.go
+++ b/process/entry.go
@@ -23,6 +23,7 @@
 	"fieldvale/adapter/socket"
 	"fieldvale/claim"
 	"fieldvale/entry"
+	"fieldvale/quarantine"
 )
 
 // Entry is a running fieldvale-entry.
@@ -36,6 +37,8 @@
 	caller      *caller.Server
 	link        *Link
 	metrics     *metrics.Registry
+	// quarantine knows what this entry saw alone: entries have no way to each other.
+	quarantine *quarantine.Node
 }
 
 // NewEntry puts an entry together.
@@ -45,10 +48,14 @@
 	k := rpc.NewLocal(s.Control, s.FleetKey)
 	e.biller = entry.NewBiller(rpc.NewPeers(s.FleetKey), e.view, s.ID, e.incarnation)
 	e.biller.Log = func(event string, f ...any) { l.WithFields(logging.Fields(f...)).Info(event) }
+	e.quarantine = quarantine.NewNode(0, quarantine.Ports{Self: s.ID, Clock: time.Now, Log: func(event string, f ...any) {
+		l.WithFields(logging.Fields(f...)).Info(event)
+	}})
 	e.router = entry.NewRouter(entry.Ports{
 		View: e.view, Engines: backend.NewEngines(h), Services: backend.NewServices(h), Claims: k,
 		Rater: platform.New(h, "", s.Rating), Biller: e.biller, Clock: time.Now, Self: s.ID,
 		Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Events: e.events(),
+		Quarantine: e.quarantine, Prober: backend.Prober{},
 	})
 	e.link = NewLink(k, e.view, e.router, e.biller, e.incarnation, func(event string, f ...any) {
 		l.WithFields(logging.Fields(f...)).Info(event)
@@ -114,6 +121,7 @@
 		return ignoreClosed(x, e.metrics.Serve(m, func() bool { return e.view.Get().Serves() }))
 	})
 	g.Go(func() error { return e.router.Run(x) })
+	g.Go(func() error { return e.sweep(x) })
 	g.Go(func() error {
 		e.link.Run(x, e.settings.Sync, func() bool { return ctx.Err() != nil }, func() {
 			e.caller.SetReady(ctx.Err() == nil && e.link.Ready())
@@ -136,6 +144,22 @@
 	return err
 }
 
+// sweepEvery is between looks for what the quarantine may forget.
+const sweepEvery = time.Second
+
+func (e *Entry) sweep(ctx context.Context) error {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			e.quarantine.Tick()
+		}
+	}
+}
+
 func ignoreClosed(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return nil
