--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -17,6 +17,8 @@
 	broken float64
 	// slow is the part of answers that take five times as long.
 	slow float64
+	// delay is what each answer takes longer.
+	delay time.Duration
 }
 
 // usualTime is the middle of the times that answers take.
@@ -40,7 +42,7 @@
 	if r.Float64() < b.slow {
 		d *= 5
 	}
-	return d
+	return d + b.delay
 }
 
 // target is the time in which answers should come.
@@ -72,6 +74,7 @@
 		{"a third breaks off", behaviour{broken: 0.3}, behaviour{broken: 0.01}, 5, 100},
 		{"half of its answers slow", behaviour{failed: 0.01, slow: 0.5}, behaviour{failed: 0.01, slow: 0.05}, 5, 120},
 		{"nearly all slow", behaviour{slow: 0.9}, behaviour{slow: 0.05}, 5, 30},
+		{"each takes some time more", behaviour{delay: 90 * time.Millisecond}, behaviour{}, 30, 120},
 		{"trouble of all replicas", behaviour{failed: 0.2, slow: 0.05}, behaviour{failed: 0.2, slow: 0.05}, 5, 0},
 		{"trouble of all, and worse", behaviour{failed: 0.5}, behaviour{failed: 0.15}, 5, 80},
 		{"all replicas loaded", behaviour{failed: 0.01, slow: 0.35}, behaviour{failed: 0.01, slow: 0.35}, 5, 0},
--- a/rollout/pace.go
+++ b/rollout/pace.go
@@ -12,6 +12,9 @@
 	slowRate = 0.65
 	// slowLimit is by how many standard deviations it must be surer than chance.
 	slowLimit = 4
+	// firstMargin is how much surer the first spans alone must be, as there are several
+	// ways to choose them.
+	firstMargin = 1.15
 	// doubtFrom is by how many standard deviations a release must look slow to be in
 	// doubt, and differ from a slow one not to be. Of 100 good ones like the old one 8
 	// look so by chance.
@@ -110,7 +113,20 @@
 		return 0
 	}
 	same, early, _ := c.sums()
-	return max(same.level(), early.level())
+	return max(same.level(), early.level(), c.firstLevel())
+}
+
+// firstLevel is the level of the first spans alone, as many as show most. A release that
+// takes some time more for each answer has none of the fast ones, and as many in the next
+// span as the old one in the one before: all spans together then show little.
+func (c comparison) firstLevel() float64 {
+	var sum span
+	level := 0.0
+	for _, s := range c.spans {
+		sum = sum.plus(s)
+		level = max(level, sum.level())
+	}
+	return level / firstMargin
 }
 
 // sums are the spans together: all alike; early ones with more weight, by the part of
