What the operator strikes stays struck; the store is compared once a second

Read as a newcomer: an instance that had not heard of a strike told its record once more, and a keeper wrote it anew (test fails without); two keepers with unlike lists of ends could tell each other forever; removals were sent with each tick.

--- a/quarantine/kept.go
+++ b/quarantine/kept.go
@@ -6,7 +6,11 @@
 func (n *Node) Keep(e Entry) {
 	n.mu.Lock()
 	n.kept[e.Content] = true
+	delete(n.struck, e.Content)
 	n.mu.Unlock()
+	if n.book.Get(e.Content).LastAt.After(e.Record.LastAt) {
+		return
+	}
 	n.logChange(n.book.Put(e.Content, e.Record, n.Clock()))
 }
 
@@ -16,6 +20,9 @@
 	known := n.kept[f]
 	delete(n.kept, f)
 	delete(n.repeats, f)
+	if known {
+		n.struck[f] = n.Clock()
+	}
 	n.mu.Unlock()
 	if known {
 		n.book.Strike(f)
@@ -38,16 +45,41 @@
 	}
 }
 
-// persistEvery is between tries to have a content written that the store does not hold yet.
-const persistEvery = time.Second
+// isStruck reports whether the record is of before its content was struck: an instance that
+// has not heard of that yet may go on telling it.
+func (n *Node) isStruck(f Fingerprint, r Record) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	at, ok := n.struck[f]
+	return ok && !r.LastAt.After(at)
+}
+
+// storeEvery is between looks for what the store lacks, or holds too long: it may be away,
+// or its answer lost.
+const storeEvery = time.Second
+
+// keepStore has the store hold what is held, and no more.
+func (n *Node) keepStore(now time.Time) {
+	if now.Before(n.storeAt) {
+		return
+	}
+	n.storeAt = now.Add(storeEvery)
+	n.release()
+	n.persist(now)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for f, at := range n.struck {
+		if now.Sub(at) > heldFor {
+			delete(n.struck, f)
+		}
+	}
+}
 
-// persist has contents written that are held and not in the store: it was away, or its
-// answer was lost.
+// persist has contents written that are held and not in the store.
 func (n *Node) persist(now time.Time) {
-	if n.Held == nil || now.Before(n.persistAt) {
+	if n.Held == nil {
 		return
 	}
-	n.persistAt = now.Add(persistEvery)
 	for _, e := range n.book.Suspects(now, mostRecords) {
 		n.mu.Lock()
 		kept := n.kept[e.Content]
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -67,8 +67,10 @@
 	repeats repeats
 	// kept are the contents that the store holds.
 	kept map[Fingerprint]bool
-	// persistAt is when contents that it lacks are looked for; it belongs to Tick.
-	persistAt time.Time
+	// struck are contents that were taken from it, and when.
+	struck map[Fingerprint]time.Time
+	// storeAt is when it is compared with what is known; it belongs to Tick.
+	storeAt time.Time
 }
 
 // NewNode returns an instance that knows no other one yet. start makes its questions
@@ -77,7 +79,7 @@
 	if p.AnswerWithin == 0 {
 		p.AnswerWithin = usualAnswer
 	}
-	return &Node{Ports: p, book: NewBook(), waiting: reply.New[wireAnswer](start), avoid: map[string]time.Time{}, repeats: repeats{}, kept: map[Fingerprint]bool{}}
+	return &Node{Ports: p, book: NewBook(), waiting: reply.New[wireAnswer](start), avoid: map[string]time.Time{}, repeats: repeats{}, kept: map[Fingerprint]bool{}, struck: map[Fingerprint]time.Time{}}
 }
 
 // SetMembers replaces the list of the fleet's instances.
@@ -244,12 +246,19 @@
 // hearOf takes a record in that another instance told. The content's first keeper is
 // believed; of others only the ends count that are not known here.
 func (n *Node) hearOf(f Fingerprint, r Record, from string, now time.Time) {
+	if n.isStruck(f, r) {
+		return
+	}
 	k := n.keepers(f)
 	mine := n.book.Get(f)
 	if mine.Score == 0 || len(k) > 0 && k[0].ID == from {
 		n.logChange(n.book.Put(f, r, now))
 		return
 	}
+	if len(mine.Replicas) >= int(mostCounted) {
+		// More ends change nothing, and those told may be older than the ones known.
+		return
+	}
 	for _, x := range r.Replicas {
 		if !slices.Contains(mine.Replicas, x) {
 			n.count(f, Event{What: EndedReplica, Replica: x, By: r.By})
--- a/quarantine/record_test.go
+++ b/quarantine/record_test.go
@@ -120,3 +120,31 @@
 		t.Errorf("%d records, want a bound of 4096", n)
 	}
 }
+
+// The operator strikes a content; an instance that has not heard of it yet tells its record
+// once more. It was held again, and written to the store anew.
+func TestStruckContentsStayStruck(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	f := newFleet(1, 3, 3)
+	f.now = now
+	c := quarantine.Content{Target: "/x"}.Fingerprint()
+	e := quarantine.Entry{Content: c, Record: quarantine.Record{Score: 5, Ended: 2, LastAt: now}}
+	for _, n := range f.nodes {
+		n.Keep(e)
+		n.Tell(c, quarantine.Event{Replica: "r9"})
+	}
+	f.now = now.Add(time.Second)
+	for _, n := range f.nodes {
+		n.Strike(c)
+		for _, o := range f.nodes {
+			o.Tick()
+		}
+	}
+	f.now = now.Add(3 * time.Second)
+	for i, n := range f.nodes {
+		n.Tick()
+		if v := n.Ask(t.Context(), c); v.Decision != quarantine.Free {
+			t.Errorf("n%d: %s", i, v.Decision)
+		}
+	}
+}
--- a/quarantine/repeat.go
+++ b/quarantine/repeat.go
@@ -46,8 +46,7 @@
 func (n *Node) Tick() {
 	now := n.Clock()
 	n.book.Sweep(now)
-	n.release()
-	n.persist(now)
+	n.keepStore(now)
 	n.mu.Lock()
 	due := n.repeats.due(now)
 	m := n.members
