--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -72,7 +72,7 @@
 	r := was
 	switch e.What {
 	case EndedReplica:
-		if until, ok := b.explained[e.Replica]; !ok || !now.Before(until) || e.OnTrial {
+		if !b.isExplained(e.Replica, now) || e.OnTrial || was.Score >= suspectFrom {
 			r = r.WithEnd(e.Replica, e.By, e.OnTrial, now)
 		}
 	case Served:
@@ -86,6 +86,14 @@
 	return Change{Content: f, Record: r, Before: was.Decide(now), Now: r.Decide(now)}
 }
 
+// isExplained reports whether the end of the replica's life is put down to a content that
+// is held. That excuses contents that were at one end at most: of ten that bring replicas
+// down at once one reached replicas seven times after the users' bound where it excused all.
+func (b *Book) isExplained(life string, now time.Time) bool {
+	until, ok := b.explained[life]
+	return ok && now.Before(until)
+}
+
 // Put takes another instance's record in, or drops the content's where that says nothing.
 func (b *Book) Put(f Fingerprint, r Record, now time.Time) Change {
 	b.mu.Lock()
