--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -78,10 +78,9 @@
 	if w.quarantine == nil {
 		return
 	}
-	if came == quarantine.EndedReplica {
-		w.watched = true
-	}
-	if w.onTrial || w.watched && came <= quarantine.Served {
+	ended := came == quarantine.EndedReplica
+	w.watched = w.watched || ended
+	if w.onTrial || ended || w.watched && came == quarantine.Served {
 		w.tell(quarantine.Event{What: came, Replica: replica})
 	}
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -10,11 +10,12 @@
 	// Score counts the replicas that ended while the request was there, less what
 	// answers took off.
 	Score float64
-	// Replicas are the lives of replicas that are counted, Tried of those that ended
+	// Replicas are the lives of replicas that are counted, TrialReplicas those that ended
 	// under a trial.
-	Replicas, Tried []string
-	// Ended is how many trials ended their replica, and Open how many have no result.
-	Ended, Open int
+	Replicas, TrialReplicas []string
+	// TrialsEnded is how many trials ended their replica, TrialsOpen how many have no
+	// result.
+	TrialsEnded, TrialsOpen int
 	// TrialUntil is until when a trial is under way.
 	TrialUntil time.Time
 	// LastAt is when the last end was heard of.
@@ -63,7 +64,7 @@
 
 // isProved reports whether ends and trials suffice to hold the content.
 func (r Record) isProved() bool {
-	return r.Score+float64(r.Open) >= heldFrom && 2*r.Ended+r.Open >= someTrials
+	return r.Score+float64(r.TrialsOpen) >= heldFrom && 2*r.TrialsEnded+r.TrialsOpen >= someTrials
 }
 
 // HeldUntil is until when the content would be held if nothing more is heard of it.
@@ -83,9 +84,9 @@
 func (r Record) WithEnd(replica, by string, onTrial bool, now time.Time) Record {
 	if onTrial {
 		r.TrialUntil = time.Time{}
-		r.Open = max(0, r.Open-1)
-		r.Ended++
-		r.Tried = withLast(r.Tried, replica)
+		r.TrialsOpen = max(0, r.TrialsOpen-1)
+		r.TrialsEnded++
+		r.TrialReplicas = withLast(r.TrialReplicas, replica)
 	}
 	if slices.Contains(r.Replicas, replica) {
 		return r
@@ -106,7 +107,7 @@
 
 // WithTrial counts a trial that begins.
 func (r Record) WithTrial(now time.Time) Record {
-	r.Open++
+	r.TrialsOpen++
 	r.TrialUntil = now.Add(trialFor)
 	return r
 }
@@ -114,13 +115,13 @@
 // WithServed counts a whole answer.
 func (r Record) WithServed() Record {
 	r.Score = max(0, r.Score-servedTakes)
-	r.Ended, r.Open, r.TrialUntil = 0, 0, time.Time{}
+	r.TrialsEnded, r.TrialsOpen, r.TrialUntil = 0, 0, time.Time{}
 	return r
 }
 
 // WithUnsent takes a trial back that no replica ran.
 func (r Record) WithUnsent() Record {
-	r.Open, r.TrialUntil = max(0, r.Open-1), time.Time{}
+	r.TrialsOpen, r.TrialUntil = max(0, r.TrialsOpen-1), time.Time{}
 	return r
 }
 
@@ -136,7 +137,7 @@
 func (r Record) WithExplained(replicas []string) Record {
 	var left []string
 	for _, x := range r.Replicas {
-		if !slices.Contains(replicas, x) || slices.Contains(r.Tried, x) {
+		if !slices.Contains(replicas, x) || slices.Contains(r.TrialReplicas, x) {
 			left = append(left, x)
 		}
 	}
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -36,11 +36,11 @@
 // wireRecord is a record with ages in place of moments, in milliseconds: clocks of
 // instances differ.
 type wireRecord struct {
-	Score    float64  `json:"s,omitempty"`
-	Replicas []string `json:"l,omitempty"`
-	Tried    []string `json:"m,omitempty"`
-	Ended    int      `json:"e,omitempty"`
-	Open     int      `json:"o,omitempty"`
+	Score         float64  `json:"s,omitempty"`
+	Replicas      []string `json:"l,omitempty"`
+	TrialReplicas []string `json:"m,omitempty"`
+	TrialsEnded   int      `json:"e,omitempty"`
+	TrialsOpen    int      `json:"o,omitempty"`
 	// Trial is for how much longer one is under way.
 	Trial int64  `json:"t,omitempty"`
 	Age   int64  `json:"g,omitempty"`
@@ -53,7 +53,7 @@
 }
 
 func newWireRecord(r Record, now time.Time) wireRecord {
-	w := wireRecord{Score: r.Score, Replicas: r.Replicas, Tried: r.Tried, Ended: r.Ended, Open: r.Open, By: r.By}
+	w := wireRecord{Score: r.Score, Replicas: r.Replicas, TrialReplicas: r.TrialReplicas, TrialsEnded: r.TrialsEnded, TrialsOpen: r.TrialsOpen, By: r.By}
 	if !r.LastAt.IsZero() {
 		w.Age = max(0, now.Sub(r.LastAt).Milliseconds())
 	}
@@ -67,7 +67,7 @@
 const oldest = 24 * time.Hour
 
 func (w wireRecord) record(now time.Time) Record {
-	r := Record{Score: min(mostCounted, max(0, w.Score)), Replicas: last(w.Replicas), Tried: last(w.Tried), Ended: max(0, w.Ended), Open: max(0, w.Open), By: w.By}
+	r := Record{Score: min(mostCounted, max(0, w.Score)), Replicas: last(w.Replicas), TrialReplicas: last(w.TrialReplicas), TrialsEnded: max(0, w.TrialsEnded), TrialsOpen: max(0, w.TrialsOpen), By: w.By}
 	r.LastAt = now.Add(-time.Duration(max(0, min(w.Age, oldest.Milliseconds()))) * time.Millisecond)
 	if w.Trial > 0 {
 		r.TrialUntil = now.Add(time.Duration(min(trialFor.Milliseconds(), w.Trial)) * time.Millisecond)
