--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -194,7 +194,7 @@
 		}
 	}
 	slices.SortFunc(l, func(x, y Entry) int {
-		return cmp.Or(cmp.Compare(y.Record.Score, x.Record.Score), y.Record.LastAt.Compare(x.Record.LastAt))
+		return cmp.Or(cmp.Compare(y.Record.Score, x.Record.Score), y.Record.LastAt.Compare(x.Record.LastAt), x.Content.compare(y.Content))
 	})
 	return l[:min(most, len(l))]
 }
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
@@ -44,6 +45,9 @@
 // String returns the fingerprint in hex, as it stands in logs and in the store.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// compare orders fingerprints, so that what is told of many has the same order each time.
+func (f Fingerprint) compare(o Fingerprint) int { return bytes.Compare(f[:], o[:]) }
+
 // ErrFingerprint says that a text is no fingerprint.
 var ErrFingerprint = errors.Newf("a fingerprint is %d hexadecimal digits", 2*fingerprintBytes)
 
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,7 +51,7 @@
 type replica struct {
 	life    string
 	up      bool
-	running map[*try]bool
+	running []*try
 }
 
 // try is an attempt under way.
@@ -121,7 +122,7 @@
 	f.nodes = make([]*quarantine.Node, instances)
 	f.startNodes()
 	for range replicas {
-		r := &replica{running: map[*try]bool{}}
+		r := &replica{}
 		f.start(r)
 		f.replicas = append(f.replicas, r)
 	}
@@ -267,7 +268,7 @@
 		return
 	}
 	w.left--
-	r.running[t] = true
+	r.running = append(r.running, t)
 	if c := w.culprit; c != nil {
 		f.arrived(c)
 		f.in(f.between(0, 300*time.Millisecond)+c.after, func() { f.runCulprit(t) })
@@ -304,7 +305,7 @@
 		return
 	}
 	t.over = true
-	delete(t.replica.running, t)
+	t.replica.running = slices.DeleteFunc(t.replica.running, func(x *try) bool { return x == t })
 	f.told(t, quarantine.Served)
 	if t.w.culprit != nil {
 		f.again(t.w)
@@ -318,9 +319,9 @@
 	}
 	r.up = false
 	l := r.running
-	r.running = map[*try]bool{}
+	r.running = nil
 	f.in(f.between(time.Second, 3*time.Second), func() { f.start(r) })
-	for t := range l {
+	for _, t := range l {
 		t.over = true
 		// The instances notice one after another.
 		life := r.life
@@ -439,6 +440,9 @@
 				bytes += f.bytes
 				for _, n := range f.late {
 					late = max(late, n)
+					if c.mostLate >= 0 && n > c.mostLate {
+						t.Errorf("seed %d: one request reached replicas %d times more than %s after its third end, want %d at most", seed, n, inTouch, c.mostLate)
+					}
 				}
 			}
 			t.Logf("%d of %d innocent requests refused; replicas lost a day %.1f, at most %d; late arrivals of one %d at most; %.2f kB a second and instance", refused, all, float64(sum)/float64(*seeds), most, late, float64(bytes)/float64(*seeds)/20/1000/float64(c.instances))
@@ -448,9 +452,26 @@
 			if c.mostEnds >= 0 && most > c.mostEnds {
 				t.Errorf("%d replicas were lost, want %d at most", most, c.mostEnds)
 			}
-			if c.mostLate >= 0 && late > c.mostLate {
-				t.Errorf("%d arrivals came more than %s after the third end, want %d at most", late, inTouch, c.mostLate)
-			}
 		})
 	}
 }
+
+// Ten requests that bring replicas down come at once, and replicas end under several of
+// them. One reached replicas five and six times after the users' bound of three: its own
+// ends were put down to the others, so that it was counted as innocent for too long.
+// Evidence: seeds 117 and 166 of 200 drawn days, the same in each run.
+func TestOneOfTenIsHeldLate(t *testing.T) {
+	for _, seed := range []uint64{117, 166} {
+		f := newFleet(seed, 7, 18)
+		f.load(140)
+		for i := range 10 {
+			f.bring(newCulprit(fmt.Sprint("c", i)), 1)
+		}
+		f.play(20 * time.Second)
+		for _, n := range f.late {
+			if n > 3 {
+				t.Errorf("seed %d: %d arrivals more than %s after the third end, want 3 at most", seed, n, inTouch)
+			}
+		}
+	}
+}
--- a/quarantine/repeat.go
+++ b/quarantine/repeat.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"fieldvale/peer"
@@ -39,6 +40,7 @@
 		}
 		r[f] = x
 	}
+	slices.SortFunc(l, Fingerprint.compare)
 	return l
 }
 
