--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -27,8 +27,10 @@
 	Level       string
 	// StopWithin is the longest that a planned stop takes.
 	StopWithin time.Duration
-	// MemoryMB is the instance's memory in MB.
+	// MemoryMB is the instance's memory in MB, LinkMbps what its link carries; 0 if
+	// that is not known.
 	MemoryMB int64
+	LinkMbps float64
 	// HonourFor is the longest that a key may be honoured after it was taken
 	// away.
 	HonourFor time.Duration
@@ -109,6 +111,7 @@
 		if m := s.Number("memory_mb"); m > 0 {
 			n.MemoryMB = m
 		}
+		n.LinkMbps = s.Fraction("link_mbps", 0)
 	case "keys":
 		n.HonourFor = s.Span("honour_for", defaultHonourFor)
 		n.KeysLenient = !s.Truth("strict", true)
--- a/cmd/fieldvale-node/announce.go
+++ b/cmd/fieldvale-node/announce.go
@@ -22,21 +22,20 @@
 	// renewEvery is between renewals, and between looks whether the list is
 	// short. Instances look at different moments, since they start so.
 	renewEvery = announceFor / 3
-	// findWithin is how long an instance waits for its first read of the
-	// store, which shows who is listed, and whether an earlier run's
-	// announcement still stands.
-	findWithin = firstStartWait + firstStartSpread + 2*time.Second
-	// joinSpread is over how long instances that are started again at once look
-	// whether others have joined a short list meanwhile.
+	// joinAfter is how long after its first look at the list an instance waits that
+	// may join it, and joinSpread the most that comes on top: by then those that were
+	// started with it follow others, so that each knows how many there are.
+	joinAfter  = 1500 * time.Millisecond
 	joinSpread = 2 * time.Second
 )
 
 // self is this instance as others find it.
 func (n *node) self() peer.Member {
-	return peer.Member{ID: n.s.ID, Addr: n.s.Peers, DataCentre: n.s.DataCentre}
+	return peer.Member{ID: n.s.ID, Addr: n.s.Peers, DataCentre: n.s.DataCentre, LinkMbps: n.s.LinkMbps}
 }
 
-// found keeps the announcement that the first read of the store showed.
+// found keeps the announcement of an earlier run that the list showed first; its zero
+// value if there is none.
 func (n *node) found(a store.Announced) {
 	select {
 	case n.earlier <- a:
@@ -44,52 +43,63 @@
 	}
 }
 
-// earlierAnnouncement returns that of an instance that was started again:
-// to renew it costs a tenth of a call, to make it anew two, and all instances
-// that follow the store would hear of it.
-func (n *node) earlierAnnouncement(ctx context.Context) store.Announced {
-	t := time.NewTimer(findWithin)
-	defer t.Stop()
-	select {
-	case a := <-n.earlier:
-		return a
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	return store.Announced{}
-}
-
-// announce keeps the instance on the fleet's list, if the fleet needs it there.
+// announce keeps the instance on the fleet's list, if the fleet needs it there. One that
+// was started again renews its earlier announcement: that costs a tenth of a call, a new
+// one two, and all that follow the store would hear of it. One that finds nobody joins
+// at once, so that others find it.
 func (n *node) announce(ctx context.Context) error {
 	v, err := platform.EncodeMember(n.self())
 	if err != nil {
 		return errors.Wrap(err, "node.announce")
 	}
-	a := n.earlierAnnouncement(ctx)
-	if a.Lease == 0 && !n.s.FirstStart && roster.IsFew(n.state.Listed()) {
-		pause(ctx, rand.N(joinSpread))
+	var a store.Announced
+	select {
+	case a = <-n.earlier:
+	case <-ctx.Done():
+		return nil
+	}
+	joins := false
+	if a.Lease == 0 {
+		joins = n.joinsAfter(ctx, joinAfter+rand.N(joinSpread), func() bool { return n.joins(roster.Joins) })
 	}
-	joins := roster.Wants(n.state.Listed())
 	for ctx.Err() == nil {
 		if a.Lease != 0 || joins {
 			if a, err = n.renew(ctx, a, v); err != nil {
 				n.event("announce_failed", "error", err)
 			}
 		}
-		pause(ctx, renewEvery)
-		joins = n.joinsLater(joins)
+		joins = n.joinsAfter(ctx, renewEvery, func() bool {
+			return joins && n.joins(roster.Joins) || n.joins(roster.JoinsLater)
+		})
 	}
 	return nil
 }
 
-// joinsLater reports whether an instance that is not listed joins the list, now
-// that it has run for a while; joined says whether it was to before.
-func (n *node) joinsLater(joined bool) bool {
-	l := n.state.Listed()
-	if joined {
-		return roster.Wants(l)
+// joinsAfter reports after d whether the instance joins the list, or at once where it
+// finds nobody of those on it.
+func (n *node) joinsAfter(ctx context.Context, d time.Duration, joins func() bool) bool {
+	select {
+	case <-time.After(d):
+		return joins()
+	case <-n.alone:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// join has the announcing goroutine put this instance on the list.
+func (n *node) join() {
+	select {
+	case n.alone <- struct{}{}:
+	default:
 	}
-	return roster.IsFew(l)
+}
+
+// joins draws whether an instance that is not listed joins the list, with the chance
+// for the instances listed and all that there are.
+func (n *node) joins(chance func(listed, fleet int) float64) bool {
+	return rand.Float64() < chance(n.state.Listed(), n.relay.FleetSize())
 }
 
 // renew renews the announcement, or makes it anew if there is none or it lapsed.
--- a/cmd/fieldvale-node/announce_test.go
+++ b/cmd/fieldvale-node/announce_test.go
@@ -38,16 +38,19 @@
 func TestNodeLeavesALongListAlone(t *testing.T) {
 	s := newSite(t)
 	s.replica("a", "v1")
+	o := &site{t: s.t, store: s.store, logs: s.logs, done: make(chan error, 1)}
+	o.startWith(func(n *settings.Node) { n.ID = "x0" })
 	for i := range roster.Enough {
-		s.store.PutInstance(fmt.Sprint("x", i), fmt.Sprint("127.0.0.1:", i+1))
+		s.store.PutInstance(fmt.Sprint("x", i), o.node.s.Peers)
 	}
+	leases := s.store.Calls(sitetest.PathLease)
 	s.startWith(func(n *settings.Node) { n.FirstStart = true })
 	for i := range roster.Enough / 3 {
 		s.store.RemoveInstance(fmt.Sprint("x", i))
 	}
 	s.eventually("it hears of those that left", func() bool { return s.node.state.Listed() == roster.Enough-roster.Enough/3 })
-	if s.node.joinsLater(false) || s.store.Calls(sitetest.PathLease) > 0 {
-		t.Errorf("it joins a list of %d, after %d calls for leases", s.node.state.Listed(), s.store.Calls(sitetest.PathLease))
+	if s.node.joins(roster.JoinsLater) || s.store.Calls(sitetest.PathLease) > leases {
+		t.Errorf("it joins a list of %d, after %d calls for leases", s.node.state.Listed(), s.store.Calls(sitetest.PathLease)-leases)
 	}
 	for i := range roster.Enough {
 		s.store.RemoveInstance(fmt.Sprint("x", i))
--- a/cmd/fieldvale-node/follow.go
+++ b/cmd/fieldvale-node/follow.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"fieldvale/mirror"
+	"fieldvale/peer"
 	"fieldvale/platform"
 	"fieldvale/relay"
+	"fieldvale/store"
 )
 
 const (
@@ -18,22 +20,54 @@
 	// announcement takes two calls of the store.
 	firstStartWait   = 400 * time.Millisecond
 	firstStartSpread = 1500 * time.Millisecond
+	// firstRead is how much, in Mbit, an instance's link could carry before its turn:
+	// those with wide links are the first, since they read the store for all others.
+	firstRead = 4.0
+	// listTimeout bounds a read of the list.
+	listTimeout = time.Second
 )
 
 // follow keeps up with what the store holds.
 func (n *node) follow(ctx context.Context) error {
 	if n.s.FirstStart {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(firstStartWait + rand.N(firstStartSpread)):
-		}
+		pause(ctx, n.firstStartPause())
 	}
 	return n.mirror().Run(ctx)
 }
 
+// firstStartPause is how long the instance waits as the whole fleet starts.
+func (n *node) firstStartPause() time.Duration {
+	d := firstStartWait + rand.N(firstStartSpread)
+	if n.s.LinkMbps > 0 {
+		d += time.Duration(firstRead / n.s.LinkMbps * float64(time.Second))
+	}
+	return d
+}
+
+// list reads the list of the fleet's instances.
+func (n *node) list(ctx context.Context, stale bool) ([]peer.Member, error) {
+	x, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	l, err := n.store.Members(x, stale)
+	if err != nil {
+		return nil, err
+	}
+	var earlier store.Announced
+	m := make([]peer.Member, len(l))
+	for i, x := range l {
+		m[i] = x.Member
+		if x.Member == n.self() {
+			earlier = x.Announced
+		}
+	}
+	if len(l) > 0 || !stale {
+		n.found(earlier)
+	}
+	return m, nil
+}
+
 // mirror returns the mirror that follows what the store holds.
 func (n *node) mirror() *mirror.Mirror {
-	on := relay.Tee{Log: n.changes, On: platform.NewListener(n.state, n.self(), n.found, n.quarantine, n.clock, n.event)}
+	on := relay.Tee{Log: n.changes, On: platform.NewListener(n.state, n.quarantine, n.clock, n.event)}
 	return mirror.New(n.relay, platform.Prefix, relay.TimesFor(n.s.ApplyWithin).Watch, n.clock, on)
 }
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -14,6 +14,7 @@
 
 	"fieldvale/adapter/datagram"
 	"fieldvale/adapter/exchange"
+	"fieldvale/adapter/handover"
 	"fieldvale/adapter/logging"
 	"fieldvale/adapter/metrics"
 	"fieldvale/adapter/settings"
@@ -74,11 +75,12 @@
 	// seen is what was last logged of each service's release; only the
 	// goroutine of timed duties uses it.
 	seen map[string]entry.Trial
-	// earlier is this instance's announcement as the store's first read
-	// showed it.
+	// earlier is this instance's announcement as the first look at the list showed it.
 	earlier chan store.Announced
-	pool    *exchange.Pool
-	placer  *placement.Node
+	// alone says that none of those on the list answers.
+	alone  chan struct{}
+	pool   *exchange.Pool
+	placer *placement.Node
 	// quarantine is what is believed of requests that bring replicas down; held are
 	// those that are to be written or removed.
 	quarantine *quarantine.Node
@@ -101,14 +103,16 @@
 func newNodeBy(c *clock.Clock, s settings.Node, path string, l log.Interface) *node {
 	n := &node{
 		s: s, path: path, log: l, clock: c.Now, machine: c, metrics: metrics.New(), view: entry.NewCurrent(),
-		records: make(chan state.Record), seen: map[string]entry.Trial{}, earlier: make(chan store.Announced, 1), pool: exchange.New(c.Now), stopping: make(chan struct{}),
+		records: make(chan state.Record), seen: map[string]entry.Trial{}, earlier: make(chan store.Announced, 1), alone: make(chan struct{}, 1), pool: exchange.New(c.Now), stopping: make(chan struct{}),
 	}
 	n.lease = lease.New(time.Duration(honourPart*float64(s.HonourFor)), keyRule(s), n.clock())
 	n.placer = placement.NewNode(s.ID, startID(), tagged{n, tagPlacement}, n.clock, n.event)
 	n.store = platform.NewStore(exchange.New(c.Now), s.Store, c.Now)
 	n.held = make(chan heldChange, mostHeldWaiting)
 	n.changes = relay.NewLog()
-	n.relay = relay.NewNode(s.ID, startID(), n.changes, n.store, tagged{n, tagRelay}, n.clock, n.event, relay.TimesFor(s.ApplyWithin))
+	n.relay = relay.NewNode(n.self(), startID(), relay.Ports{
+		Log: n.changes, Store: n.store, Net: tagged{n, tagRelay}, Transfer: handover.NewClient(n.clock), List: n.list, Join: n.join, Clock: n.clock, Event: n.event,
+	}, relay.TimesFor(s.ApplyWithin))
 	n.quarantine = quarantine.NewNode(startID(), n.quarantinePorts())
 	n.gaugeQuarantine()
 	n.quota = quota.NewNode(startID(), n.quotaPorts())
@@ -173,12 +177,14 @@
 	front   net.Listener
 	ready   net.Listener
 	metrics net.Listener
+	// peers is where other instances fetch the state.
+	peers net.Listener
 }
 
 // close ends the servers at their sockets; those that have ended already
 // say so, which is no news.
 func (d doors) close() {
-	for _, l := range []net.Listener{d.front, d.ready, d.metrics} {
+	for _, l := range []net.Listener{d.front, d.ready, d.metrics, d.peers} {
 		_ = l.Close()
 	}
 }
@@ -196,6 +202,9 @@
 	if d.metrics, err = socket.Open(n.s.Metrics); err != nil {
 		return d, err
 	}
+	if d.peers, err = socket.Open(n.s.Peers); err != nil {
+		return d, err
+	}
 	n.socket, err = datagram.Listen(n.s.Peers)
 	return d, err
 }
@@ -213,6 +222,7 @@
 	g.Go(func() error { return closed(x, n.ingress.Serve(d.front)) })
 	g.Go(func() error { return closed(x, n.serveReady(d.ready)) })
 	g.Go(func() error { return closed(x, n.metrics.Serve(d.metrics, n.ready)) })
+	g.Go(func() error { return closed(x, handover.Serve(d.peers, n.relay)) })
 	g.Go(func() error { return n.follow(x) })
 	g.Go(func() error { return n.socket.Serve(x, n.receive) })
 	g.Go(func() error { return n.announce(x) })
--- a/cmd/fieldvale-node/site_test.go
+++ b/cmd/fieldvale-node/site_test.go
@@ -72,19 +72,22 @@
 	return a
 }
 
-// freeDatagramPort returns an address for datagrams that was free a moment ago;
-// one that is kept for connections may be another's for datagrams.
-func freeDatagramPort(t *testing.T) string {
-	d, err := datagram.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	x, cancel := context.WithCancel(t.Context())
-	cancel()
-	if err := d.Serve(x, nil); err != nil {
-		t.Fatal(err)
+// freePeersPort returns an address that is kept for the node's connections, and was
+// free for datagrams a moment ago.
+func freePeersPort(t *testing.T) string {
+	for {
+		a := freePort(t)
+		d, err := datagram.Listen(a)
+		if err != nil {
+			continue
+		}
+		x, cancel := context.WithCancel(t.Context())
+		cancel()
+		if err := d.Serve(x, nil); err != nil {
+			t.Fatal(err)
+		}
+		return a
 	}
-	return d.Addr()
 }
 
 func newSite(t *testing.T) *site {
@@ -114,7 +117,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	n := settings.Node{ID: "n1", DataCentre: "z", Listen: freePort(s.t), Ready: freePort(s.t), Metrics: freePort(s.t), Peers: freeDatagramPort(s.t),
+	n := settings.Node{ID: "n1", DataCentre: "z", Listen: freePort(s.t), Ready: freePort(s.t), Metrics: freePort(s.t), Peers: freePeersPort(s.t),
 		Store: s.store.Addr(), Level: "info", StopWithin: 4 * time.Second, ApplyWithin: 2 * time.Second, MemoryMB: 200, HonourFor: 5 * time.Second, RepeatPart: 0.9, RepeatBurst: 54, AcceptConfidence: 50}
 	change(&n)
 	s.node = newNodeBy(s.clock(), n, "", l)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// readTimeout bounds a read of one page.
-	readTimeout = time.Second
 	// firstRetry and longestRetry bound the pause after a failed call. Each
 	// call has a price, but a change must be in force within two seconds of
 	// the store's return.
@@ -57,6 +55,9 @@
 	confirmed time.Time
 	failed    int
 	retry     time.Duration
+	// pages is what a whole read has brought so far, begun when it began.
+	pages Update
+	begun time.Time
 }
 
 // New returns a mirror of the keys below prefix. wait is how long one call
@@ -111,32 +112,40 @@
 	}
 }
 
-// readAll reads page after page. The changes are followed from the first
-// page's revision on, so that what changed between two pages comes again.
+// readAll reads page after page; it goes on at a page that failed. The changes are
+// followed from the first page's revision on, so that what changed between two pages
+// comes again.
 func (m *Mirror) readAll(ctx context.Context) error {
-	sent := m.clock()
-	p, err := m.read(ctx, "")
-	if err != nil {
-		return err
-	}
-	u := Update{Items: p.Items, Whole: true, Revision: p.Revision}
-	for p.More && len(p.Items) > 0 {
-		if p, err = m.read(ctx, p.Items[len(p.Items)-1].Key); err != nil {
+	for {
+		p, err := m.read(ctx)
+		if err != nil {
 			return err
 		}
-		u.Items = append(u.Items, p.Items...)
+		m.pages.Items = append(m.pages.Items, p.Items...)
+		if !p.More || len(p.Items) == 0 {
+			break
+		}
 	}
+	u := m.pages
+	u.Whole = true
+	m.pages = Update{}
 	m.revision = u.Revision
 	m.on.Changed(u)
-	m.confirm(sent)
+	m.confirm(m.begun)
 	return nil
 }
 
-// read reads the page of the keys after the given one.
-func (m *Mirror) read(ctx context.Context, after string) (store.Page, error) {
-	x, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	return m.feed.Read(x, m.prefix, after)
+// read reads the next page.
+func (m *Mirror) read(ctx context.Context) (store.Page, error) {
+	if n := len(m.pages.Items); n > 0 {
+		return m.feed.Read(ctx, m.prefix, m.pages.Items[n-1].Key)
+	}
+	sent := m.clock()
+	p, err := m.feed.Read(ctx, m.prefix, "")
+	if err == nil {
+		m.pages.Revision, m.begun = p.Revision, sent.Add(-p.Age)
+	}
+	return p, err
 }
 
 // follow takes in what one call for changes brings.
@@ -148,7 +157,9 @@
 		return err
 	}
 	m.revision = max(m.revision, c.Revision)
-	if len(c.Items) > 0 {
+	if c.Whole {
+		m.on.Changed(Update{Items: c.Items, Whole: true, Revision: c.Revision})
+	} else if len(c.Items) > 0 {
 		m.on.Changed(Update{Items: newest(c.Items), Revision: c.Revision})
 	}
 	m.confirm(m.asOf(sent, wait, c))
--- a/peer/member.go
+++ b/peer/member.go
@@ -14,6 +14,8 @@
 	// Addr is where its control process listens to peers.
 	Addr       string
 	DataCentre string
+	// LinkMbps is what its link carries; 0 if that is not known.
+	LinkMbps float64
 }
 
 // chords is how many partners an instance has beside its successor.
--- a/relay/ask.go
+++ b/relay/ask.go
@@ -12,11 +12,9 @@
 	// answerSlack is how much longer an answer may take before another
 	// instance, or the store, is asked.
 	answerSlack = 150 * time.Millisecond
-	// maxPacked bounds the packed items of an answer, in bytes, unless the
-	// store can't be read: 40 followers get them at once, which takes 0.4 s of
-	// a link of 10 Mbit/s, the slowest known. With 32 kB a link was full for
-	// three seconds, as followers that had missed a piece asked again. Larger
-	// changes are read from the store.
+	// maxPacked bounds the packed items of an answer, in bytes: 40 followers get
+	// them at once, which takes 0.4 s of a link of 10 Mbit/s, the slowest known.
+	// Larger changes are fetched over connections, which lose no piece.
 	maxPacked = 12 << 10
 )
 
@@ -28,7 +26,7 @@
 // ask asks one instance what changed and waits for its answer.
 func (n *Node) ask(ctx context.Context, m peer.Member, after int64) (answer, bool) {
 	return n.waiting.Ask(ctx, n.times.Follow+answerSlack, func(id uint64) error {
-		q := question{ID: id, After: after, Wait: n.times.Follow.Milliseconds(), Large: n.large, Unlisted: n.unlisted()}
+		q := question{ID: id, After: after, Wait: n.times.Follow.Milliseconds(), Unlisted: n.unlisted()}
 		return n.send(m.Addr, id, message{Question: &q}, nil)
 	})
 }
@@ -70,6 +68,10 @@
 		if m.Question.Unlisted {
 			n.followers.saw(from, n.clock())
 		}
+		if m.Question.Whole {
+			n.answerWhole(from, *m.Question)
+			return
+		}
 		go n.answer(from, *m.Question)
 	}
 	if m.Answer != nil {
@@ -135,7 +137,7 @@
 			return
 		}
 	}
-	if len(items) > maxPacked && !q.Large {
+	if len(items) > maxPacked {
 		items, s = nil, tooLarge
 	}
 	waited, ok := n.awaitLink(len(items))
@@ -145,6 +147,9 @@
 	a := newAnswer(q.ID, c, s)
 	a.Age += waited.Milliseconds()
 	a.Hops, a.Followers = n.log.Hops(), n.followers.count(n.clock())
+	if s == tooLarge {
+		a.Instead = n.tree.parent(to, "", n.clock())
+	}
 	if err := n.send(to, q.ID, message{Answer: &a}, items); err != nil {
 		n.event("answer_unsent", "to", to, "error", err)
 	}
--- a/relay/away_test.go
+++ b/relay/away_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"fieldvale/peer"
 )
 
 // The instances that watch are turned away by the store, each on its own way,
@@ -39,7 +37,7 @@
 		f.net.mu.Lock()
 		f.net.rate = 10e6 / 8
 		f.net.mu.Unlock()
-		r := peer.Rank(watchersKey, f.members())
+		r := ranked(f.members())
 		for i, m := range r {
 			f.away[m.ID].silent = true
 			f.away[m.ID].set(i < 3 || i%3 == 0)
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -19,6 +19,10 @@
 
 var _ = seed.Fix()
 
+// The packer makes its channels with its first use, which has to be outside the bubbles
+// of tests.
+var _, _ = pack([]store.Item{{Key: "k"}})
+
 // fakeStore is a feed whose history is kept whole.
 type fakeStore struct {
 	mu    sync.Mutex
@@ -104,15 +108,43 @@
 	// bound. What would wait longer than fullAfter is lost.
 	rate  float64
 	until map[string]time.Time
+	// links are the rates of single instances' links, where they differ.
+	links map[string]float64
+}
+
+// rateOf returns what the instance's link sends in a second, in bytes; n.mu is held.
+func (n *network) rateOf(from string) float64 {
+	if r, ok := n.links[from]; ok {
+		return r
+	}
+	return n.rate
 }
 
 // fullAfter is how long the queue of a link is.
 const fullAfter = 200 * time.Millisecond
 
+// reserve returns how long bytes of a connection take over their sender's link; n.mu is
+// held.
+func (n *network) reserve(from string, bytes int) time.Duration {
+	rate := n.rateOf(from)
+	if rate == 0 {
+		return 0
+	}
+	now := time.Now()
+	at := n.until[from]
+	if at.Before(now) {
+		at = now
+	}
+	at = at.Add(time.Duration(float64(bytes) / rate * float64(time.Second)))
+	n.until[from] = at
+	return at.Sub(now)
+}
+
 // queue returns how long the datagram waits for its sender's link, and whether
 // it is sent at all; n.mu is held.
 func (n *network) queue(from string, bytes int) (time.Duration, bool) {
-	if n.rate == 0 {
+	rate := n.rateOf(from)
+	if rate == 0 {
 		return 0, true
 	}
 	now := time.Now()
@@ -123,7 +155,7 @@
 	if at.Sub(now) > fullAfter {
 		return 0, false
 	}
-	at = at.Add(time.Duration(float64(bytes) / n.rate * float64(time.Second)))
+	at = at.Add(time.Duration(float64(bytes) / rate * float64(time.Second)))
 	n.until[from] = at
 	return at.Sub(now), true
 }
@@ -151,6 +183,33 @@
 	return nil
 }
 
+// Fetch implements Transfer. The bytes pass the link of the one who gives them.
+func (w way) Fetch(ctx context.Context, to string, after int64) ([]byte, error) {
+	w.n.mu.Lock()
+	x := w.n.nodes[to]
+	cut := x == nil || w.n.cut[w.from+">"+to] || w.n.cut[to+">"+w.from]
+	w.n.mu.Unlock()
+	if cut {
+		sleep(ctx, time.Second)
+		return nil, errDown
+	}
+	if !sleep(ctx, 2*w.n.delay) {
+		return nil, ctx.Err()
+	}
+	var got []byte
+	err := x.Serve(ctx, after, func(b []byte) error {
+		got = b
+		w.n.mu.Lock()
+		d := w.n.reserve(to, len(b))
+		w.n.mu.Unlock()
+		if !sleep(ctx, d) {
+			return ctx.Err()
+		}
+		return nil
+	})
+	return got, err
+}
+
 // listener notes what a follower learns.
 type listener struct {
 	mu        sync.Mutex
@@ -251,7 +310,7 @@
 	for _, x := range m {
 		l, on := NewLog(), &listener{}
 		f.away[x.ID] = &flag{}
-		r := NewNode(x.ID, 1, l, gate{shared, f.away[x.ID]}, way{f.net, x.ID}, time.Now, func(string, ...any) {}, times)
+		r := NewNode(x, 1, Ports{Log: l, Store: gate{shared, f.away[x.ID]}, Net: way{f.net, x.ID}, Transfer: way{f.net, x.ID}, Clock: time.Now, Event: func(string, ...any) {}}, times)
 		r.SetMembers(m[:listed])
 		f.net.mu.Lock()
 		f.net.nodes[x.ID] = r
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -17,8 +17,7 @@
 	mostGathers = 3
 )
 
-// follow asks one instance after another. It gives up at one that knows of
-// changes which only the store can tell.
+// follow asks one instance after another.
 func (n *Node) follow(ctx context.Context, sources []peer.Member, after int64) (store.Changes, status) {
 	n.sourceLost = false
 	for _, m := range sources {
@@ -26,7 +25,7 @@
 		if ok {
 			n.heard(m)
 		}
-		if ok && a.Status == known && a.age() <= n.times.MaxAge {
+		if ok && a.Status == known && n.isNews(a) {
 			return n.taken(m, a), known
 		}
 		if ctx.Err() != nil {
@@ -36,9 +35,10 @@
 		case !ok:
 			n.passSilent(m)
 		case a.Status == tooLarge || a.Status == forgotten:
-			// Unless the store answers now, it is asked for all the same.
-			n.large = a.Status == tooLarge
-			return store.Changes{}, a.Status
+			if c, ok := n.fetchChanges(ctx, m, a, after); ok {
+				return c, known
+			}
+			n.pass(m, askAgain)
 		case a.Status == lostTouch || a.Status == known:
 			n.sourceLost = true
 			n.pass(m, askAgain)
@@ -47,6 +47,31 @@
 	return store.Changes{}, lostTouch
 }
 
+// isNews reports whether the answer is fresh enough to go by, or brings changes: these
+// are taken in however old the knowledge is, whose age is told with them.
+func (n *Node) isNews(a answer) bool {
+	return a.age() <= n.times.MaxAge || len(a.Items) > 0
+}
+
+// fetchChanges fetches changes that are too many for datagrams, or the whole where they
+// are forgotten, from the instance m that answered a, or from whom it names.
+func (n *Node) fetchChanges(ctx context.Context, m peer.Member, a answer, after int64) (store.Changes, bool) {
+	for _, addr := range []string{a.Instead, m.Addr} {
+		if addr == "" {
+			continue
+		}
+		f, err := n.fetch(ctx, addr, after)
+		if err == nil && f.age() <= n.times.MaxAge {
+			f.Hops, f.Followers = a.Hops, a.Followers
+			c := n.taken(m, f)
+			c.Waited = 0
+			return c, true
+		}
+		n.event("changes_unfetched", "source", m.ID, "addr", addr, "after", after, "age", f.age(), "error", err)
+	}
+	return store.Changes{}, false
+}
+
 // taken returns the changes of an instance's answer, and notes that it is
 // followed.
 func (n *Node) taken(m peer.Member, a answer) store.Changes {
--- a/relay/log.go
+++ b/relay/log.go
@@ -11,15 +11,17 @@
 	"fieldvale/store"
 )
 
-// maxLog bounds the items kept for followers, and maxLogBytes their values; a
-// follower that is further behind reads the store whole.
+// leastLog and maxLogBytes bound the changes kept for followers; a follower that is
+// further behind fetches the whole. In a store of many keys as many changes are kept
+// as there are keys: a release of half of the replicas changes thousands within
+// seconds.
 const (
-	maxLog      = 512
+	leastLog    = 512
 	maxLogBytes = 3 << 20
 )
 
-// Log is what an instance has seen of the store's recent changes. It is safe
-// for concurrent use.
+// Log is what an instance knows of the store: all that it holds, and its recent
+// changes. It is safe for concurrent use.
 type Log struct {
 	mu    sync.Mutex
 	items []store.Item
@@ -33,15 +35,14 @@
 	confirmed time.Time
 	// hops is how many instances what is known has come through: none if the
 	// store itself told it; lost says that the instance is out of touch.
-	hops int
-	lost bool
-	// keys are all that the store holds.
-	keys map[string]bool
+	hops    int
+	lost    bool
+	content content
 }
 
 // NewLog returns a log that knows nothing.
 func NewLog() *Log {
-	return &Log{floor: -1, hops: unknownHops, changed: make(chan struct{}), keys: map[string]bool{}}
+	return &Log{floor: -1, hops: unknownHops, changed: make(chan struct{}), content: newContent(nil)}
 }
 
 // Reset takes all items that the store holds. What is new among them, and what
@@ -50,25 +51,22 @@
 func (l *Log) Reset(items []store.Item, revision int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	was := l.keys
-	l.keys = make(map[string]bool, len(items))
-	var news []store.Item
-	for _, i := range items {
-		l.keys[i.Key] = true
-		if i.Revision > l.revision {
-			news = append(news, i)
-		}
-	}
+	was := l.content
+	l.content = newContent(items)
 	if l.floor < 0 {
 		l.floor, l.revision = revision, revision
 		l.wake()
 		return
 	}
-	for k := range was {
-		if !l.keys[k] {
-			news = append(news, store.Item{Key: k, Revision: revision, Deleted: true})
+	var news []store.Item
+	for _, i := range items {
+		if i.Revision > l.revision {
+			news = append(news, i)
 		}
 	}
+	for _, k := range l.content.missing(was.items()) {
+		news = append(news, store.Item{Key: k, Revision: revision, Deleted: true})
+	}
 	l.append(news, revision)
 }
 
@@ -77,13 +75,7 @@
 func (l *Log) Add(items []store.Item, revision int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, i := range items {
-		if i.Deleted {
-			delete(l.keys, i.Key)
-		} else {
-			l.keys[i.Key] = true
-		}
-	}
+	l.content.put(items)
 	l.append(items, revision)
 }
 
@@ -108,7 +100,8 @@
 // trim drops the oldest items beyond the bounds.
 func (l *Log) trim() {
 	n, size := len(l.items), 0
-	for n > 0 && len(l.items)-n < maxLog && size+len(l.items[n-1].Value) <= maxLogBytes {
+	most := max(leastLog, l.content.len())
+	for n > 0 && len(l.items)-n < most && size+len(l.items[n-1].Value) <= maxLogBytes {
 		n--
 		size += len(l.items[n].Value)
 	}
@@ -122,6 +115,9 @@
 func (l *Log) Confirm(asOf time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.confirmed.IsZero() {
+		l.wake()
+	}
 	if asOf.After(l.confirmed) {
 		l.confirmed = asOf
 	}
@@ -180,6 +176,45 @@
 	return c, l.changed, known
 }
 
+// whole is all that the store held at a revision, and when that was the newest.
+type whole struct {
+	items    []store.Item
+	revision int64
+	asOf     time.Time
+}
+
+// all returns all that is known; ok is false if that is nothing yet.
+func (l *Log) all() (w whole, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.floor < 0 || l.confirmed.IsZero() {
+		return whole{}, false
+	}
+	return whole{items: l.content.items(), revision: l.revision, asOf: l.confirmed}, true
+}
+
+// newest returns the newest revision known, and when it was last known to be that; ok
+// is false if nothing is known yet.
+func (l *Log) newest() (revision int64, confirmed time.Time, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision, l.confirmed, l.floor >= 0 && !l.confirmed.IsZero()
+}
+
+// next is closed at the next change.
+func (l *Log) next() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+// isLost reports whether the instance is out of touch with what it follows.
+func (l *Log) isLost() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
+
 // status is how an instance answers a follower.
 type status int
 
@@ -189,6 +224,10 @@
 	forgotten
 	// lostTouch: the instance itself can't tell what is newest.
 	lostTouch
-	// tooLarge: the changes are more than maxPacked.
+	// tooLarge: the changes are more than maxPacked, and are to be fetched.
 	tooLarge
+	// starting: the instance is about to know the whole.
+	starting
+	// unheard: no answer came.
+	unheard
 )
--- a/relay/log_test.go
+++ b/relay/log_test.go
@@ -39,7 +39,7 @@
 	for _, i := range l.items {
 		n += len(i.Value)
 	}
-	if n > maxLogBytes || len(l.items) > maxLog {
+	if n > maxLogBytes || len(l.items) > max(leastLog, l.content.len()) {
 		t.Errorf("%d bytes in %d items", n, len(l.items))
 	}
 	l.SetHops(0)
--- a/relay/node.go
+++ b/relay/node.go
@@ -16,23 +16,46 @@
 // could not be reached while others could tell, is passed over.
 const avoidFor = 2 * time.Second
 
+// Ports are what a node works with.
+type Ports struct {
+	// Log is what it tells others.
+	Log      *Log
+	Store    store.Feed
+	Net      Transport
+	Transfer Transfer
+	// List reads the list of the fleet's instances at the store; stale allows an answer
+	// that is some seconds old, which costs less. nil leaves it to SetMembers.
+	List func(ctx context.Context, stale bool) ([]peer.Member, error)
+	// Join has this instance put itself on the list, as nobody is there or all that are
+	// seem to have ended. It may be nil.
+	Join  func()
+	Clock func() time.Time
+	Event func(event string, fields ...any)
+}
+
 // Node follows other instances and is followed.
 type Node struct {
-	self  string
-	log   *Log
-	store store.Feed
-	net   Transport
-	clock func() time.Time
-	event func(event string, fields ...any)
-	times Times
+	self     peer.Member
+	log      *Log
+	store    store.Feed
+	net      Transport
+	transfer Transfer
+	list     func(ctx context.Context, stale bool) ([]peer.Member, error)
+	join     func()
+	clock    func() time.Time
+	event    func(event string, fields ...any)
+	times    Times
 	// waiting are the questions to other instances.
 	waiting *reply.Waiters[answer]
 	pieces  pieces
-	packs   packs
+	packs   *packs
+	tree    tree
+	// transfers holds one for each instance that fetches now.
+	transfers chan struct{}
 	// followers are the unlisted instances that ask this one.
 	followers *followers
 
-	// backoff, lost, sourceLost, leftStore, large and gatherUntil belong to the
+	// backoff, lost, sourceLost, leftStore and gatherUntil belong to the
 	// one caller of Changes. backoff is when the store may be asked again.
 	backoff backoff
 	// lost says that nobody could tell what is newest the last time.
@@ -41,9 +64,6 @@
 	// out of touch itself, leftStore that the store is left to them.
 	sourceLost bool
 	leftStore  bool
-	// large says that the store failed where changes were too large for others
-	// to pass on: they are asked for them all the same.
-	large bool
 	// gatherUntil is when changes that came after the last ones are asked for.
 	gatherUntil time.Time
 
@@ -62,11 +82,12 @@
 
 var _ store.Feed = (*Node)(nil)
 
-// NewNode returns the instance with that id. l is what it tells others.
-func NewNode(self string, start uint64, l *Log, s store.Feed, net Transport, clock func() time.Time, event func(event string, fields ...any), t Times) *Node {
+// NewNode returns the instance self.
+func NewNode(self peer.Member, start uint64, p Ports, t Times) *Node {
 	return &Node{
-		self: self, log: l, store: s, net: net, clock: clock, event: event, times: t,
-		waiting: reply.New[answer](start), avoid: map[string]time.Time{}, silent: map[string]bool{}, followers: newFollowers(followerQuestions * t.Follow),
+		self: self, log: p.Log, store: p.Store, net: p.Net, transfer: p.Transfer, list: p.List, join: p.Join, clock: p.Clock, event: p.Event, times: t,
+		waiting: reply.New[answer](start), packs: newPacks(), transfers: make(chan struct{}, transfersAtOnce),
+		avoid: map[string]time.Time{}, silent: map[string]bool{}, followers: newFollowers(followerQuestions * t.Follow),
 	}
 }
 
@@ -77,11 +98,6 @@
 	n.members = m
 }
 
-// Read implements store.Feed. The store is read whole at the store.
-func (n *Node) Read(ctx context.Context, prefix, after string) (store.Page, error) {
-	return n.store.Read(ctx, prefix, after)
-}
-
 // Changes implements store.Feed. The fleet's instances are ranked; the first
 // ones watch the store, the next ones stand in for them. A listed instance asks
 // those ranked before its own tier, an unlisted one some of all, and, if none of
@@ -114,7 +130,7 @@
 
 // told notes that what is newest is known again.
 func (n *Node) told() {
-	n.lost, n.large = false, false
+	n.lost = false
 	if n.leftStore {
 		n.leftStore, n.backoff = false, backoff{}
 	}
--- a/relay/sources.go
+++ b/relay/sources.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -24,10 +25,18 @@
 // Watchers returns the instances that watch the store, of the given fleet:
 // the same ones at each instance.
 func Watchers(m []peer.Member) []peer.Member {
-	r := peer.Rank(watchersKey, m)
+	r := ranked(m)
 	return r[:min(watchers(len(m)), len(r))]
 }
 
+// ranked orders the instances by their duty to watch: those with the widest links
+// first, since they read the store whole and pass it on.
+func ranked(m []peer.Member) []peer.Member {
+	r := peer.Rank(watchersKey, m)
+	slices.SortStableFunc(r, func(a, b peer.Member) int { return cmp.Compare(b.LinkMbps, a.LinkMbps) })
+	return r
+}
+
 // watchers is how many of so many instances watch.
 func watchers(members int) int {
 	return max(minWatchers, (members+followersEach-1)/followersEach)
@@ -39,7 +48,7 @@
 func (n *Node) sources() (before, rest []peer.Member, tier int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	r := peer.Rank(watchersKey, n.members)
+	r := ranked(n.members)
 	k := watchers(len(r))
 	rank := slices.IndexFunc(r, n.isSelf)
 	// With an empty list there is nobody to follow: the store is watched until
@@ -50,24 +59,29 @@
 	}
 	tier = max(0, rank) / k
 	for t := range min(tier, tiers) {
-		before = append(before, peer.Rank(n.self, n.usable(r[t*k:(t+1)*k]))...)
+		before = append(before, n.usable(peer.Rank(n.self.ID, r[t*k:(t+1)*k]))...)
 	}
 	rest = n.usable(r[min(tier, tiers)*k:])
 	return before, rest[:min(len(rest), otherSources)], tier
 }
 
-func (n *Node) isSelf(m peer.Member) bool { return m.ID == n.self }
+func (n *Node) isSelf(m peer.Member) bool { return m.ID == n.self.ID }
 
-// usable leaves out this instance and those passed over.
+// usable leaves out this instance and those passed over. Those that gave no answer the
+// last time come last: one that has ended must not be asked before one that answers.
 func (n *Node) usable(m []peer.Member) []peer.Member {
 	now := n.clock()
-	var l []peer.Member
+	var l, silent []peer.Member
 	for _, x := range m {
-		if x.ID != n.self && !now.Before(n.avoid[x.ID]) {
+		switch {
+		case x.ID == n.self.ID || now.Before(n.avoid[x.ID]):
+		case n.silent[x.ID]:
+			silent = append(silent, x)
+		default:
 			l = append(l, x)
 		}
 	}
-	return l
+	return append(l, silent...)
 }
 
 // passSilent leaves an instance out that gave no answer: for long only if it
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"pgregory.net/rapid"
-
-	"fieldvale/peer"
 )
 
 func TestChangesReachAllAndAgesAddUp(t *testing.T) {
@@ -136,7 +134,7 @@
 	for i := range 10 {
 		rank, size := []int{0, 1, 2, 3, 6}[i/2], []int{10_000, 300_000}[i%2]
 		withFleet(t, 7, func(t *testing.T, f *fleet, s *fakeStore) {
-			f.away[peer.Rank(watchersKey, f.members())[rank].ID].set(true)
+			f.away[ranked(f.members())[rank].ID].set(true)
 			time.Sleep(3 * time.Second)
 			calls := s.calls
 			rev := s.put("a", random(size))
--- a/relay/unlisted.go
+++ b/relay/unlisted.go
@@ -39,7 +39,7 @@
 // unlistedSources returns those of the listed instances that an unlisted one
 // asks before the store, and those that it asks if the store can't be.
 func (n *Node) unlistedSources(listed []peer.Member) (before, rest []peer.Member) {
-	l := peer.Rank(n.self, listed)
+	l := peer.Rank(n.self.ID, listed)
 	own := min(sourcesEach, len(l))
 	before = n.usable(l[:own])
 	rest = n.usable(l[own:])
--- a/relay/unlisted_test.go
+++ b/relay/unlisted_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"fieldvale/peer"
 )
 
 // Of 150 instances 48 are listed: two watch the store for all of them, changes
@@ -89,7 +87,7 @@
 // all ask it again, and know the change within its bound.
 func TestALostAnswerIsAskedForAgain(t *testing.T) {
 	withListed(t, 60, 48, func(t *testing.T, f *fleet, s *fakeStore) {
-		l := peer.Rank(watchersKey, f.members())
+		l := ranked(f.members())
 		for _, m := range l[1:4] {
 			f.away[m.ID].set(true)
 		}
--- /dev/null
+++ b/relay/whole_test.go
@@ -0,0 +1,269 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fieldvale/mirror"
+	"fieldvale/peer"
+	"fieldvale/store"
+)
+
+// What users saw: of 985 instances before 10,000 replicas one was ready as traffic began,
+// 24 s after their start; 97 of 100 requests were refused.
+//
+// Order of events: all instances start at once; each reads the store whole, in 21 pages;
+// the store's link carries some 200 of these reads in a second in place of 985 times 21; a
+// page that takes longer than a second fails, and its reader begins anew.
+//
+// Cause: what the store gives out at a start grows as instances times replicas. Evidence:
+// 35,000 calls of the store where 2,000 were expected, 149 times "the store is lost" at the
+// 111 instances of one data centre, processors and memory idle.
+
+const (
+	// storeRate is what the store's link carries, in bytes a second, pageItems how many
+	// keys a page has, and storeTakes how long an answer takes at least.
+	storeRate  = 1000e6 / 8
+	pageItems  = 500
+	storeTakes = 4 * time.Millisecond
+	// itemBytes is what a replica's entry takes in an answer of the store.
+	itemBytes = 700
+	// narrowLink and wideLink are what instances' links carry, in bytes a second.
+	narrowLink = 20e6 / 8
+	wideLink   = 200e6 / 8
+	// startSpread is over how long instances come up.
+	startSpread = 300 * time.Millisecond
+)
+
+// wideStore is a store of many keys whose answers pass one link.
+type wideStore struct {
+	fakeStore
+	// keys are all that it holds, sorted.
+	keys []store.Item
+	// list are the fleet's instances that are listed.
+	list map[string]peer.Member
+	// slow times as long as usual takes each answer.
+	slow float64
+	// gone is until when the bytes given out so far are under way.
+	gone time.Time
+	// bytes and listReads are what was given out, listWrites how many joined.
+	bytes, listReads, listWrites int
+}
+
+func newWideStore(replicas int) *wideStore {
+	s := &wideStore{list: map[string]peer.Member{}, slow: 1}
+	for i := range replicas {
+		s.keys = append(s.keys, store.Item{Key: fmt.Sprintf("servers/i-%08x", uint32(i)*2654435761), Value: fmt.Appendf(nil, "%d", i), Revision: int64(i + 1)})
+	}
+	slices.SortFunc(s.keys, byKey)
+	s.items = make([]store.Item, replicas)
+	return s
+}
+
+// give waits until so many bytes have left.
+func (s *wideStore) give(ctx context.Context, bytes int) error {
+	s.mu.Lock()
+	s.calls++
+	s.bytes += bytes
+	if now := time.Now(); s.gone.Before(now) {
+		s.gone = now
+	}
+	s.gone = s.gone.Add(time.Duration(float64(bytes) / storeRate * float64(time.Second)))
+	d := time.Until(s.gone) + time.Duration(s.slow*float64(storeTakes))
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		return errDown
+	}
+	if !sleep(ctx, d) {
+		return ctx.Err()
+	}
+	return nil
+}
+
+// Read implements store.Feed.
+func (s *wideStore) Read(ctx context.Context, _, after string) (store.Page, error) {
+	i, _ := slices.BinarySearchFunc(s.keys, store.Item{Key: after}, byKey)
+	if after != "" {
+		i++
+	}
+	end := min(len(s.keys), i+pageItems)
+	if err := s.give(ctx, (end-i)*itemBytes); err != nil {
+		return store.Page{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after == "" {
+		s.reads++
+	}
+	return store.Page{Items: s.keys[i:end], Revision: int64(len(s.items)), More: end < len(s.keys)}, nil
+}
+
+// members reads the list.
+func (s *wideStore) members(ctx context.Context, _ bool) ([]peer.Member, error) {
+	s.mu.Lock()
+	l := slices.Collect(maps.Values(s.list))
+	s.listReads++
+	s.mu.Unlock()
+	slices.SortFunc(l, func(a, b peer.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return l, s.give(ctx, 100+200*len(l))
+}
+
+// join puts an instance on the list.
+func (s *wideStore) join(ctx context.Context, m peer.Member) {
+	if s.give(ctx, 100) != nil || s.give(ctx, 100) != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list[m.ID] = m
+	s.listWrites++
+}
+
+// startingFleet are instances that start together.
+type startingFleet struct {
+	store *wideStore
+	net   *network
+	on    map[string]*listener
+	// knows is when each knew all for the first time.
+	mu    sync.Mutex
+	knows map[string]time.Time
+	// listed are those that a list of an earlier run names; the others join nothing.
+	listed []peer.Member
+}
+
+// knowing notes when an instance knows all.
+type knowing struct {
+	*listener
+	f  *startingFleet
+	id string
+}
+
+func (k knowing) Changed(u mirror.Update) {
+	k.listener.Changed(u)
+	if !u.Whole || len(u.Items) < len(k.f.store.keys) {
+		return
+	}
+	k.f.mu.Lock()
+	defer k.f.mu.Unlock()
+	if _, ok := k.f.knows[k.id]; !ok {
+		k.f.knows[k.id] = time.Now()
+	}
+}
+
+// node runs one instance.
+func (f *startingFleet) node(ctx context.Context, m peer.Member) {
+	l, on := NewLog(), &listener{}
+	n := NewNode(m, 1, Ports{
+		Log: l, Store: f.store, Net: way{f.net, m.Addr}, Transfer: way{f.net, m.Addr}, List: f.store.members,
+		Join: func() { go f.store.join(ctx, m) }, Clock: time.Now, Event: func(string, ...any) {},
+	}, TimesFor(5*time.Second))
+	f.net.mu.Lock()
+	f.net.nodes[m.Addr] = n
+	f.net.links[m.Addr] = m.LinkMbps * 1e6 / 8
+	f.net.mu.Unlock()
+	f.mu.Lock()
+	f.on[m.ID] = on
+	f.mu.Unlock()
+	_ = mirror.New(n, "", n.times.Watch, time.Now, Tee{Log: l, On: knowing{on, f, m.ID}}).Run(ctx)
+}
+
+// startPlay is a start of a whole fleet.
+type startPlay struct {
+	instances, replicas int
+	// listed is how many a list of an earlier run names.
+	listed int
+	// spread is over how long instances come up.
+	spread time.Duration
+	// disturb happens beside the start.
+	disturb func(f *startingFleet)
+	// within is when all have to know all.
+	within time.Duration
+	// except is how many need not.
+	except int
+}
+
+// member is the ith instance; one in twenty has a wide link.
+func (p startPlay) member(i int) peer.Member {
+	id := fmt.Sprint("n", i)
+	m := peer.Member{ID: id, Addr: id, DataCentre: fmt.Sprint("dc", i%5), LinkMbps: narrowLink * 8 / 1e6}
+	if i%20 == 0 {
+		m.LinkMbps = wideLink * 8 / 1e6
+	}
+	return m
+}
+
+// run plays the start and returns the fleet as it stood at the end.
+func (p startPlay) run(t *testing.T) *startingFleet {
+	t.Helper()
+	f := &startingFleet{store: newWideStore(p.replicas), on: map[string]*listener{}, knows: map[string]time.Time{}}
+	synctest.Test(t, func(t *testing.T) {
+		f.net = &network{nodes: map[string]*Node{}, cut: map[string]bool{}, lose: map[string]int{}, delay: time.Millisecond, until: map[string]time.Time{}, links: map[string]float64{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		began := time.Now()
+		for i := range p.listed {
+			m := p.member(i)
+			f.store.list[m.ID] = m
+		}
+		if p.disturb != nil {
+			g.Go(func() { p.disturb(f) })
+		}
+		for i := range p.instances {
+			g.Go(func() {
+				sleep(ctx, p.spread*time.Duration(i*7919%p.instances)/time.Duration(p.instances))
+				f.node(ctx, p.member(i))
+			})
+		}
+		time.Sleep(p.within)
+		f.mu.Lock()
+		if late := p.instances - len(f.knows); late > p.except {
+			t.Errorf("%d of %d instances do not know all after %s, want at most %d", late, p.instances, p.within, p.except)
+		}
+		var last time.Duration
+		for _, at := range f.knows {
+			last = max(last, at.Sub(began))
+		}
+		f.mu.Unlock()
+		f.store.mu.Lock()
+		t.Logf("%d instances before %d replicas: the last of %d that know all after %s, the store read whole %d times, %d calls, %.1f MB, %d reads of the list, %d joined",
+			p.instances, p.replicas, len(f.knows), last, f.store.reads, f.store.calls, float64(f.store.bytes)/1e6, f.store.listReads, f.store.listWrites)
+		f.store.mu.Unlock()
+		cancel()
+		g.Wait()
+		time.Sleep(3 * time.Second)
+	})
+	return f
+}
+
+// mostBytes is what a start may take from the store, in bytes, for any size of fleet.
+const mostBytes = 100e6
+
+// A whole fleet starts, with nobody known, and after all were ended: all know all 10,000
+// replicas in time, and the store gives out no more for twice the instances.
+func TestWholeFleetStarts(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		play startPlay
+	}{
+		{"1,000 instances for the first time", startPlay{instances: 1000, replicas: 10_000, spread: 1800 * time.Millisecond, within: 10 * time.Second}},
+		{"2,000 instances for the first time", startPlay{instances: 2000, replicas: 10_000, spread: 1800 * time.Millisecond, within: 10 * time.Second}},
+		{"1,000 instances again", startPlay{instances: 1000, replicas: 10_000, listed: 48, spread: startSpread, within: 5 * time.Second}},
+		{"2,000 instances again", startPlay{instances: 2000, replicas: 10_000, listed: 48, spread: startSpread, within: 5 * time.Second}},
+		{"7 instances for the first time", startPlay{instances: 7, replicas: 21, spread: startSpread, within: 2 * time.Second}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := c.play.run(t)
+			if f.store.bytes > mostBytes {
+				t.Errorf("the store gave out %.0f MB, want at most %.0f", float64(f.store.bytes)/1e6, mostBytes/1e6)
+			}
+		})
+	}
+}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -1,15 +1,16 @@
 package relay
 
 import (
-	"bytes"
-	"compress/flate"
 	"encoding/binary"
 	"encoding/json"
 	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/klauspost/compress/zstd"
+	"google.golang.org/protobuf/proto"
 
+	fieldvalev1 "fieldvale/gen/fieldvale/v1"
 	"fieldvale/store"
 )
 
@@ -22,8 +23,9 @@
 )
 
 const (
-	// maxItems bounds the items of a message once they are inflated, in bytes.
-	maxItems = 4 << 20
+	// maxItems bounds the items of a message once they are inflated, in bytes: some
+	// 90,000 replicas, and well below the memory of the smallest instance.
+	maxItems = 32 << 20
 	// headLength is how many bytes tell the length of the JSON before packed
 	// items.
 	headLength = 4
@@ -34,8 +36,10 @@
 	ID    uint64 `json:"id"`
 	After int64  `json:"after"`
 	Wait  int64  `json:"wait"`
-	// Large asks for changes of any size: the store can't be read.
-	Large bool `json:"large,omitempty"`
+	// Whole asks from whom the whole is to be fetched. Lost, if not empty, is where
+	// that failed.
+	Whole bool   `json:"whole,omitempty"`
+	Lost  string `json:"lost,omitempty"`
 	// Unlisted says that the asker is on no list: nobody asks it.
 	Unlisted bool `json:"unlisted,omitempty"`
 }
@@ -58,15 +62,12 @@
 	Hops int `json:"hops,omitempty"`
 	// Followers are the unlisted instances that ask the one who answers.
 	Followers int `json:"followers,omitempty"`
+	// Instead is where the whole is to be fetched, if not from who answers.
+	Instead string `json:"instead,omitempty"`
+	// All says that the items are all that there are, not the changes.
+	All bool `json:"all,omitempty"`
 	// Items are packed behind the rest.
-	Items []wireItem `json:"-"`
-}
-
-type wireItem struct {
-	Key      string `json:"k"`
-	Value    []byte `json:"v,omitempty"`
-	Revision int64  `json:"r"`
-	Deleted  bool   `json:"d,omitempty"`
+	Items []store.Item `json:"-"`
 }
 
 // newAnswer returns the answer without the items. Its age is rounded up.
@@ -77,11 +78,7 @@
 func (a answer) age() time.Duration { return time.Duration(a.Age) * time.Millisecond }
 
 func (a answer) changes() store.Changes {
-	c := store.Changes{Revision: a.Revision, Age: a.age()}
-	for _, i := range a.Items {
-		c.Items = append(c.Items, store.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
-	}
-	return c
+	return store.Changes{Items: a.Items, Whole: a.All, Revision: a.Revision, Age: a.age()}
 }
 
 // message is a question or an answer.
@@ -141,31 +138,57 @@
 	return err
 }
 
+// packer and unpacker are safe for concurrent use. What is packed carries a checksum.
+var (
+	packer   = newPacker()
+	unpacker = newUnpacker()
+)
+
+// newPacker returns a packer for one call at a time: more would each keep buffers of
+// some megabytes.
+func newPacker() *zstd.Encoder {
+	w, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithLowerEncoderMem(true))
+	if err != nil {
+		panic(err) // The options are constants.
+	}
+	return w
+}
+
+func newUnpacker() *zstd.Decoder {
+	r, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxItems), zstd.WithDecoderLowmem(true))
+	if err != nil {
+		panic(err) // The options are constants.
+	}
+	return r
+}
+
 // pack returns the items as they lie behind an answer.
 func pack(items []store.Item) ([]byte, error) {
-	l := make([]wireItem, len(items))
+	l := make([]fieldvalev1.StoreItem, len(items))
+	m := &fieldvalev1.StoreItems{Items: make([]*fieldvalev1.StoreItem, len(items))}
 	for i, x := range items {
-		l[i] = wireItem{Key: x.Key, Value: x.Value, Revision: x.Revision, Deleted: x.Deleted}
+		l[i].Key, l[i].Value, l[i].Revision, l[i].Deleted = x.Key, x.Value, x.Revision, x.Deleted
+		m.Items[i] = &l[i]
 	}
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	b, err := proto.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrap(err, "relay.pack")
 	}
-	if err := json.NewEncoder(w).Encode(l); err != nil {
-		return nil, errors.Wrap(err, "relay.pack")
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "relay.pack")
-	}
-	return b.Bytes(), nil
+	return packer.EncodeAll(b, nil), nil
 }
 
-func unpack(b []byte) ([]wireItem, error) {
-	j, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), maxItems))
+func unpack(b []byte) ([]store.Item, error) {
+	p, err := unpacker.DecodeAll(b, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "unpack")
 	}
-	var l []wireItem
-	return l, errors.Wrap(json.Unmarshal(j, &l), "unpack")
+	var m fieldvalev1.StoreItems
+	if err := proto.Unmarshal(p, &m); err != nil {
+		return nil, errors.Wrap(err, "unpack")
+	}
+	l := make([]store.Item, len(m.Items))
+	for i, x := range m.Items {
+		l[i] = store.Item{Key: x.GetKey(), Value: x.GetValue(), Revision: x.GetRevision(), Deleted: x.GetDeleted()}
+	}
+	return l, nil
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -2,8 +2,7 @@
 // The list names the keepers, the instances that pass changes on and those that
 // judge releases; a large fleet needs only some of its instances for that. Each
 // one on the list costs the store two calls and its renewals, and each change of
-// the list goes to all: with all 295 instances of a fleet on it, some 800 of the
-// 1,598 calls of a quiet day of 48 s were for the list alone.
+// the list goes to all.
 package roster
 
 const (
@@ -16,9 +15,25 @@
 	few = Enough / 2
 )
 
-// IsFew reports whether so many listed instances are too few for a fleet that is
-// larger.
-func IsFew(listed int) bool { return listed < few }
+// Joins is the chance with which an instance that has just started joins so many
+// listed ones of a fleet: instances that are started at once decide at once, and each
+// knows only how many are listed and how many there are.
+func Joins(listed, fleet int) float64 {
+	missing, others := Enough-listed, fleet-listed
+	switch {
+	case missing <= 0:
+		return 0
+	case others <= missing:
+		return 1
+	}
+	return float64(missing) / float64(others)
+}
 
-// Wants reports whether an instance that has just started joins so many others.
-func Wants(listed int) bool { return listed < Enough }
+// JoinsLater is the chance with which one that has run for a while joins: only where
+// few are left.
+func JoinsLater(listed, fleet int) float64 {
+	if listed >= few {
+		return 0
+	}
+	return Joins(listed, fleet)
+}
--- a/store/feed.go
+++ b/store/feed.go
@@ -30,6 +30,8 @@
 	Items    []Item
 	Revision int64
 	More     bool
+	// Age is how old the answer was when it was given; 0 from the store.
+	Age time.Duration
 }
 
 // Changes are what happened to keys after a revision, oldest first. Revision
@@ -37,6 +39,8 @@
 type Changes struct {
 	Items    []Item
 	Revision int64
+	// Whole says that Items are all keys there are.
+	Whole bool
 	// Age is how old the answer was when it was given; 0 from the store.
 	Age time.Duration
 	// Waited is how long the one who answered waits for a change, if that is
