--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"slices"
 	"time"
 
 	"fieldvale/adapter/inifile"
@@ -45,6 +46,13 @@
 	// length a bad one may get: a part of them, and a number on top.
 	ExposedPart  float64
 	ExposedSlack float64
+	// Cloud is the address of the platform's calls that one instance at a time makes;
+	// empty where there are none. UsageWindow is the length of the windows of which usage
+	// is reported, UsageLate how long after its end a report is still in time.
+	Cloud string
+	// ReportsUsage and Scales are which of these calls are to be made.
+	ReportsUsage, Scales   bool
+	UsageWindow, UsageLate time.Duration
 	// Regions are the data centres' regions by their names.
 	Regions map[string]string
 	// ColdOverage times what a replica that has just started says that it bears a
@@ -71,6 +79,8 @@
 	// A cold replica gets no more than it says that it bears.
 	defaultColdOverage = 1
 	defaultColdSlack   = 0
+	defaultUsageWindow = time.Minute
+	defaultUsageLate   = 2 * time.Minute
 	// defaultConfidence: docs/MEASURES.md has the figures of other values.
 	defaultConfidence = 60
 )
@@ -83,7 +93,7 @@
 		return n, []error{err}
 	}
 	found := false
-	f.Each([]string{"node", "limits", "keys", "repeats", "releases", "replicas", "models", "regions"}, func(s *inifile.Section) {
+	f.Each([]string{"node", "limits", "keys", "repeats", "releases", "replicas", "models", "regions", "cloud"}, func(s *inifile.Section) {
 		found = found || s.Kind == "node"
 		n.section(s)
 	})
@@ -123,6 +133,8 @@
 		n.ColdSlack = s.Fraction("cold_slack", defaultColdSlack)
 	case "models":
 		n.readModels(s)
+	case "cloud":
+		n.readCloud(s)
 	case "regions":
 		n.Regions = s.All()
 	case "repeats":
@@ -138,6 +150,27 @@
 	}
 }
 
+// Words for the duties that the platform's calls are for.
+const (
+	dutyUsage   = "usage_report"
+	dutyScaling = "autoscale"
+)
+
+// readCloud reads the platform's calls; an address that is empty says that there are
+// none.
+func (n *Node) readCloud(s *inifile.Section) {
+	if s.Text("address") != "" {
+		n.Cloud = address(s, "address")
+	}
+	l := s.List("duties")
+	n.ReportsUsage, n.Scales = slices.Contains(l, dutyUsage), slices.Contains(l, dutyScaling)
+	n.UsageWindow = time.Duration(s.Fraction("usage_window_s", defaultUsageWindow.Seconds()) * float64(time.Second))
+	n.UsageLate = time.Duration(s.Fraction("usage_late_s", defaultUsageLate.Seconds()) * float64(time.Second))
+	if n.UsageWindow < time.Second || n.UsageLate < time.Second {
+		s.Fail("usage_window_s", "or usage_late_s is below one second")
+	}
+}
+
 func (n *Node) read(s *inifile.Section) {
 	n.ID = s.Need("id")
 	n.DataCentre = s.Need("data_centre")
--- a/cmd/fieldvale-node/datagrams.go
+++ b/cmd/fieldvale-node/datagrams.go
@@ -8,6 +8,7 @@
 	tagVerdict   = 'v'
 	tagSuspects  = 'q'
 	tagQuota     = 'l'
+	tagUsage     = 'u'
 )
 
 // tagged sends datagrams for one purpose over the shared socket.
@@ -37,6 +38,10 @@
 		n.quarantine.Receive(from, b[1:])
 	case tagQuota:
 		n.quota.Receive(from, b[1:])
+	case tagUsage:
+		if n.cloud != nil {
+			n.cloud.receive(from, b[1:])
+		}
 	case tagVerdict:
 		n.receiveVerdict(from, b[1:])
 	}
--- a/cmd/fieldvale-node/duties.go
+++ b/cmd/fieldvale-node/duties.go
@@ -9,40 +9,53 @@
 	"fieldvale/adapter/settings"
 )
 
-// tickEvery is how often timed duties are looked at.
+// tickEvery is how often timed duties are looked at. One timer serves all of them: each
+// wakes the processor.
 const tickEvery = 100 * time.Millisecond
 
 // duties does what is due by time or by a signal.
 func (n *node) duties(ctx context.Context, hup <-chan os.Signal) error {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
-	tell := time.NewTicker(tellEvery)
-	defer tell.Stop()
-	see := time.NewTicker(seeEvery)
-	defer see.Stop()
+	var told, saw time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			n.wake()
-			n.state.Tick()
-			n.quarantine.Tick()
-			n.quota.Tick()
-			n.tell(n.router.UrgentTallies())
-			n.advance()
-		case <-tell.C:
-			n.tell(n.router.Tallies())
-			n.tellBad()
-			n.tellDoubt()
-		case <-see.C:
-			n.see()
 		case <-hup:
 			n.reload()
+			continue
+		}
+		n.tick()
+		if now := n.clock(); now.Sub(told) >= tellEvery {
+			told = now
+			n.tellReleases()
+		}
+		if now := n.clock(); now.Sub(saw) >= seeEvery {
+			saw = now
+			n.see()
 		}
 	}
 }
 
+// tick does what is due each time.
+func (n *node) tick() {
+	n.wake()
+	n.state.Tick()
+	n.quarantine.Tick()
+	n.quota.Tick()
+	n.tell(n.router.UrgentTallies())
+	n.advance()
+}
+
+// tellReleases tells what was seen of releases under way.
+func (n *node) tellReleases() {
+	n.tell(n.router.Tallies())
+	n.tellBad()
+	n.tellDoubt()
+}
+
 // wake sees to what stood still if the machine was suspended: time-outs of requests under
 // way. All beliefs go by a clock that counted on.
 func (n *node) wake() {
--- a/cmd/fieldvale-node/follow.go
+++ b/cmd/fieldvale-node/follow.go
@@ -68,6 +68,10 @@
 
 // mirror returns the mirror that follows what the store holds.
 func (n *node) mirror() *mirror.Mirror {
-	on := relay.Tee{Log: n.changes, On: platform.NewListener(n.state, n.quarantine, n.clock, n.event)}
+	var d platform.Duties
+	if n.cloud != nil {
+		d = n.cloud
+	}
+	on := relay.Tee{Log: n.changes, On: platform.NewListener(n.state, n.quarantine, d, n.clock, n.event)}
 	return mirror.New(n.relay, platform.Prefix, relay.TimesFor(n.s.ApplyWithin).Watch, n.clock, on)
 }
--- a/cmd/fieldvale-node/main.go
+++ b/cmd/fieldvale-node/main.go
@@ -1,5 +1,5 @@
 // Fieldvale-node is fieldvale on the users' platform: one process an
-// instance. See usage for how to run it.
+// instance. See description for how to run it.
 package main
 
 import (
@@ -18,7 +18,7 @@
 	"fieldvale/platform"
 )
 
-const usage = `fieldvale-node answers requests on the users' platform.
+const description = `fieldvale-node answers requests on the users' platform.
 
 It routes by the configuration in the platform's store, keeps to the bounds
 of its settings, and says when it is ready. It keeps nothing.
@@ -72,7 +72,7 @@
 func parse() (options, error) {
 	var o options
 	p := flags.NewNamedParser("fieldvale-node", flags.Default)
-	p.LongDescription = usage
+	p.LongDescription = description
 	if _, err := p.AddGroup("Options", "", &o); err != nil {
 		return o, errors.Mark(err, errParser)
 	}
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -77,6 +77,8 @@
 	seen map[string]entry.Trial
 	// earlier is this instance's announcement as the first look at the list showed it.
 	earlier chan store.Announced
+	// cloud does the duties that one instance at a time has; nil where there are none.
+	cloud *cloud
 	// alone says that none of those on the list answers.
 	alone  chan struct{}
 	pool   *exchange.Pool
@@ -121,6 +123,7 @@
 	n.metrics.Gauge("replicas_cold", "Replicas that have just started, as this instance knows.", func() float64 { return float64(n.state.Cold()) })
 	n.metrics.Gauge("data_centres_evacuated", "Data centres whose replicas get nothing.", func() float64 { return float64(n.state.Evacuated()) })
 	n.releases = platform.NewReleases(n.store)
+	n.cloud = newCloud(n)
 	n.router = entry.NewRouter(n.routerPorts())
 	n.ingress = platform.NewIngress(platform.Ports{Router: n.router, View: n.view, Lease: n.lease, Clock: n.clock, AwaitStart: n.state.AwaitStart, StartRetry: n.state.StartRetry, Answered: n.answered(), Refused: n.refused()})
 	return n
@@ -226,6 +229,9 @@
 	g.Go(func() error { return n.follow(x) })
 	g.Go(func() error { return n.socket.Serve(x, n.receive) })
 	g.Go(func() error { return n.announce(x) })
+	if n.cloud != nil {
+		g.Go(func() error { return n.cloud.run(x) })
+	}
 	g.Go(func() error { return n.duties(x, hup) })
 	g.Go(func() error { return n.write(x) })
 	g.Go(func() error { return n.writeHeld(x) })
--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -13,6 +13,7 @@
 	judged := n.metrics.Counter("release_answers_total", "Attempts by release and what they count as when releases are judged.", "service", "release", "verdict")
 	broken := n.metrics.Counter("attempts_failed_total", "Attempts at backend servers that came to nothing, by service and whether an answer had begun.", "service", "began")
 	return &entry.Events{
+		Began:  n.began(),
 		Judged: func(service, release, verdict string) { judged.WithLabelValues(service, release, verdict).Inc() },
 		Attempt: func(f entry.FailedAttempt) {
 			broken.WithLabelValues(f.Service, strconv.FormatBool(f.Began)).Inc()
@@ -24,6 +25,18 @@
 	}
 }
 
+// began counts requests that began to run, where usage is reported.
+func (n *node) began() func(customer string, at time.Time) {
+	if n.cloud == nil {
+		return nil
+	}
+	return func(customer string, at time.Time) {
+		if customer != "" {
+			n.cloud.tally.Saw(customer, at)
+		}
+	}
+}
+
 // seen are the fields of what is made of a release.
 func seen(r rollout.Release, t rollout.Tally, f rollout.Finding) []any {
 	now, old := t.All()
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,6 +27,7 @@
 	w := a.w
 	w.f.Status = h.Status
 	w.failure = &keptAnswer{head: h, body: b}
+	w.began(a.sent)
 	if w.started {
 		return outcome.New(outcome.Unknown, stepAnswer, a.replica.ID, errors.Newf("status %d for a stream that is resumed", h.Status)).WithStatus(h.Status)
 	}
@@ -63,6 +65,7 @@
 	}
 	w := a.w
 	w.f.FirstAt = w.r.clock()
+	w.began(a.sent)
 	w.f.Status = reply.Head().Status
 	w.started = true
 	a.served = true
@@ -101,12 +104,21 @@
 // heard notes that the prompt is read: the replica's time for it is over.
 func (a *attempt) heard() {
 	a.read, a.readAt = true, a.w.r.clock()
+	a.w.began(a.readAt)
 	if a.w.f.FirstAt.IsZero() {
 		a.w.f.FirstAt = a.readAt
 	}
 	a.w.read(a.placed, a.sent)
 }
 
+// began tells once that the request began to run.
+func (w *forwarding) began(at time.Time) {
+	if f := w.r.events.Began; f != nil && !w.hasBegun {
+		w.hasBegun = true
+		f(w.q.Customer.Name, at)
+	}
+}
+
 // begin hands the head on once.
 func (a *attempt) begin(reply Reply) error {
 	w := a.w
--- a/entry/backends.go
+++ b/entry/backends.go
@@ -11,8 +11,7 @@
 	"fieldvale/pool"
 )
 
-// sessionRule is the rule by which replicas are chosen; docs/MEASURES.md has
-// what it was measured against.
+// sessionRule is the rule by which replicas are chosen (docs/MEASURES.md).
 type sessionRule = pool.Affine[pool.TwoChoices]
 
 // affinityBound is how far above the mean load a session's replica may be.
--- a/entry/distance.go
+++ b/entry/distance.go
@@ -8,14 +8,10 @@
 	awayTrip = 5.0
 	// awayPerKB is what each kB between data centres counts for, in
 	// milliseconds of a replica's time: links between them are short and dear.
-	// With it prompts of 17 kB stay near unless they would wait for some 0.8 s
-	// longer, and short ones hardly care. Bytes between data centres cost 0.041
-	// of a day's worth without it, 0.028 with it; from 20 to 85 are alike
-	// (docs/DECIDING.md).
+	// Long prompts stay near unless they would wait for long (docs/DECIDING.md).
 	awayPerKB = 40.0
 	// awayPart of the route's target is the most that it counts for: nobody
-	// should be late for it. It matters where targets are short: plain requests
-	// of 2 kB are wanted in 100 to 200 ms.
+	// should be late for it.
 	awayPart = 0.2
 	// headKB is what the heads of a request and of its answer have, in kB.
 	headKB = 0.8
@@ -27,8 +23,7 @@
 	// againTimes the shared part's time, and againPerToken in milliseconds, is
 	// what reading it again counts for on top of its time. The first is what it
 	// takes from other prompts; the second is its price, the same for a small
-	// model that reads it in no time. Eight times the time alone was 0.005
-	// worse on the mean of 24 days (docs/DECIDING.md).
+	// model that reads it in no time (docs/DECIDING.md).
 	againTimes    = 2.0
 	againPerToken = 0.1
 )
--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -19,9 +19,7 @@
 	doubtfulPart = 0.45
 	// escalateReserve is the part of the allowed repeats that larger models
 	// leave for requests that failed. An answer that is wrong is worth little
-	// more than none, so it is small: with a quarter, 987 of some 10,000
-	// doubtful answers were kept for it while half of some 100 replicas were
-	// crashed, and 119 with all of them up.
+	// more than none, so it is small.
 	escalateReserve = 0.1
 	// nextAccepts is the confidence from which the next model's answer is passed
 	// on.
--- a/entry/events.go
+++ b/entry/events.go
@@ -3,6 +3,7 @@
 import (
 	"fieldvale/claim"
 	"fieldvale/rollout"
+	"time"
 )
 
 // FailedAttempt is an attempt of a request that came to nothing.
@@ -31,6 +32,8 @@
 	// BadRelease is a release that this instance found to be bad, with what
 	// it and those that report to it saw.
 	BadRelease func(r rollout.Release, seen rollout.Tally, f rollout.Finding)
+	// Began is a request of the customer that began to run.
+	Began func(customer string, at time.Time)
 	// Judged is what an attempt counts as for its service's release.
 	Judged func(service, release, verdict string)
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -44,6 +44,8 @@
 	// after is the last event that the client has.
 	after string
 	watch watch
+	// hasBegun says that it was told that the request began to run.
+	hasBegun bool
 	// unknown says that some attempt may have run without an answer.
 	unknown bool
 	retryAt time.Time
--- a/entry/leads.go
+++ b/entry/leads.go
@@ -18,13 +18,11 @@
 	firstLead  = 15.0
 	leadPrior  = 3.0
 	leadWeight = 0.05
-	// oddsScale is by how much confidence the odds of a right answer grow e-fold.
-	// Of the smallest model's answers some 10 in 100 were right from 35 to 45,
-	// 60 from 45 to 60 and 96 above (docs/DECIDING.md).
+	// oddsScale is by how much confidence the odds of a right answer grow e-fold
+	// (docs/DECIDING.md).
 	oddsScale = 6.0
 	// secondWrong is what is added to the confidence from which the next model
-	// is asked before the largest: if it is wrong too, the largest comes later
-	// still. From 36 to 44 in all are alike, 30 is 0.006 worse.
+	// is asked before the largest: if it is wrong too, the largest comes later still.
 	secondWrong = 9.0
 	// someChance below even odds the next model is right in some 15 of 100, which
 	// is better than an answer that is surely wrong.
@@ -56,10 +54,8 @@
 }
 
 // bounds weighs the next model's chance, by its lead, against its cost as a part
-// of the largest one's: it comes first where the chance is above that part. With
-// fixed bounds of 44 and 25, which follow from firstLead at half the cost, a middle
-// model that can do nearly as much as the largest was hardly asked: 0.734 in place
-// of 0.776 of a day's worth (docs/DECIDING.md).
+// of the largest one's: it comes first where the chance is above that part, so that a
+// middle model that can do nearly as much as the largest is asked (docs/DECIDING.md).
 func bounds(lead, share float64) nextBounds {
 	share = min(1-leastShare, max(leastShare, share))
 	odds := oddsScale * math.Log(share/(1-share))
--- a/entry/releases.go
+++ b/entry/releases.go
@@ -237,10 +237,7 @@
 
 // Standing returns what a release under way shows here, and in doubt also what
 // others told of it. One that is not to judge it has too few answers of its own to be
-// in doubt by; one that is has no others to rely on, also where it hears of few: five
-// instances that had started beside a store that turned them away knew nobody, each
-// took its own 5 to 80 answers for none, and a release that fails half of its answers
-// was done after two.
+// in doubt by; one that is has no others to rely on, also where it hears of few.
 func (r *Router) Standing(rel rollout.Release, judges bool) rollout.Standing {
 	s := r.releases
 	s.mu.Lock()
--- a/entry/wait.go
+++ b/entry/wait.go
@@ -43,9 +43,7 @@
 
 // span is what the wait is measured by: the route's target, or many times what the
 // replica needs to read the prompt, where that is known. A replica that has just
-// started reads again what others keep. Without this, and with the share on two
-// replicas, 30 of 60 good releases of drawn days were taken back; with this and the
-// share on all, 3 of 35. What it is worth alone was not measured.
+// started reads again what others keep: a good release must not be taken back for it.
 func (a *attempt) span() time.Duration {
 	t := a.w.q.Route.Target
 	if a.placed.ready > 0 {
--- a/route/table.go
+++ b/route/table.go
@@ -35,6 +35,14 @@
 	// at once. ColdFor is a span because it is of starts yet to come.
 	ColdFor       time.Duration
 	ColdPerSecond float64
+	// Scaling says that the platform starts and stops replicas as it is told; nil where
+	// it does not.
+	Scaling *Scaling
+}
+
+// Scaling bounds the replicas of a service in each data centre.
+type Scaling struct {
+	Min, Max int
 }
 
 // Cost returns the price of the service's model with that name; 0 if it is not
--- /dev/null
+++ b/usage/usage_test.go
@@ -0,0 +1,49 @@
+package usage_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"fieldvale/usage"
+)
+
+const length = 5 * time.Second
+
+var start = time.Unix(1_700_000_000, 0)
+
+func ExampleDue() {
+	for _, s := range []int{0, 2, 3, 7, 9} {
+		fmt.Println(s, usage.Due(start.Add(time.Duration(s)*time.Second), length, 10*time.Second))
+	}
+	// Output:
+	// 0 [339999998]
+	// 2 [339999998]
+	// 3 [339999998 339999999]
+	// 7 [339999999]
+	// 9 [339999999 340000000]
+}
+
+// Reports that come twice, late or out of order count once; what an instance had counted
+// before it was started again counts as well.
+func TestBookAddsUpLives(t *testing.T) {
+	a, b := usage.NewTally(length), usage.NewBook()
+	for range 3 {
+		a.Saw("acme", start)
+	}
+	old := a.Counts()
+	a.Saw("acme", start.Add(time.Second))
+	a.Saw("zeta", start.Add(length))
+	now := a.Counts()
+	for _, w := range []usage.Windows{now, old, now} {
+		b.Report("n1", 1, w)
+	}
+	b.Report("n1", 2, usage.Windows{usage.Window(start, length): {"acme": 5}})
+	b.Report("n2", 1, usage.Windows{usage.Window(start, length): {"acme": 1, "zeta": 2}})
+	got := []usage.Counts{b.Sum(usage.Window(start, length)), b.Sum(usage.Window(start.Add(length), length))}
+	if d := cmp.Diff([]usage.Counts{{"acme": 10, "zeta": 2}, {"zeta": 1}}, got); d != "" {
+		t.Error(d)
+	}
+}
