relay: large changes by a tree of those that are told of them now; starts beside troubles

Change: one tree for each large change, held 0.3 s at most, then the one that told of it; changes are packed once for each revision that followers are at; the sending of an answer ends after 5 s. TestWholeFleetStartsInTrouble found that an instance whose listed ones have all ended asked on for ever: the list's names that it had never asked counted as others. Torn, turned, older and foreign states are not taken.

--- a/adapter/handover/handover.go
+++ b/adapter/handover/handover.go
@@ -25,8 +25,9 @@
 	stallAfter = 2500 * time.Millisecond
 	// maxBody bounds what is fetched, in bytes.
 	maxBody = 32 << 20
-	// writeWithin bounds the sending of one answer.
-	writeWithin = 20 * time.Second
+	// writeWithin bounds the sending of one answer: one that is cut off must not keep
+	// others from theirs.
+	writeWithin = 5 * time.Second
 )
 
 // Source writes what an instance gets that fetches the changes after a revision.
--- a/relay/ask.go
+++ b/relay/ask.go
@@ -148,7 +148,7 @@
 	a.Age += waited.Milliseconds()
 	a.Hops, a.Followers = n.log.Hops(), n.followers.count(n.clock())
 	if s == tooLarge {
-		a.Instead = n.tree.parent(to, "", n.clock())
+		a.Instead = n.changeTree.parent(to, c.Revision, n.clock())
 	}
 	if err := n.send(to, q.ID, message{Answer: &a}, items); err != nil {
 		n.event("answer_unsent", "to", to, "error", err)
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -108,6 +108,8 @@
 	// bound. What would wait longer than fullAfter is lost.
 	rate  float64
 	until map[string]time.Time
+	// lossPart is the part of all datagrams that are lost.
+	lossPart float64
 	// links are the rates of single instances' links, where they differ.
 	links map[string]float64
 }
@@ -176,6 +178,9 @@
 		w.n.lose[w.from+">"+to]--
 		return nil
 	}
+	if rand.Float64() < w.n.lossPart {
+		return nil
+	}
 	d, ok := w.n.queue(w.from, len(b))
 	if ok {
 		time.AfterFunc(d+w.n.delay, func() { x.Receive(w.from, b) })
--- a/relay/node.go
+++ b/relay/node.go
@@ -50,6 +50,8 @@
 	pieces  pieces
 	packs   *packs
 	tree    tree
+	// changeTree is of those that fetch the newest large change.
+	changeTree changeTree
 	// transfers holds one for each instance that fetches now.
 	transfers chan struct{}
 	// followers are the unlisted instances that ask this one.
--- a/relay/packs.go
+++ b/relay/packs.go
@@ -11,10 +11,11 @@
 // packs keeps what was packed last: all followers ask for the same changes, and all
 // that start for the same whole. It is safe for concurrent use.
 type packs struct {
-	mu     sync.Mutex
-	after  int64
-	until  int64
-	packed []byte
+	mu sync.Mutex
+	// changes are those up to the revision until, packed, by the revision after which
+	// they are.
+	until   int64
+	changes map[int64][]byte
 
 	whole packedWhole
 	// kept is closed when a whole is there for the first time.
@@ -33,20 +34,25 @@
 // asks for those at once, and to pack it takes a small instance some 0.1 s.
 const wholeFor = 2 * time.Second
 
-func newPacks() *packs { return &packs{kept: make(chan struct{})} }
+func newPacks() *packs {
+	return &packs{changes: map[int64][]byte{}, kept: make(chan struct{})}
+}
 
 // of returns the packed items of the changes after a revision.
 func (p *packs) of(after int64, c store.Changes) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.packed != nil && p.after == after && p.until == c.Revision {
-		return p.packed, nil
+	if p.until != c.Revision {
+		p.until, p.changes = c.Revision, map[int64][]byte{}
+	}
+	if b, ok := p.changes[after]; ok {
+		return b, nil
 	}
 	b, err := pack(c.Items)
 	if err != nil {
 		return nil, err
 	}
-	p.after, p.until, p.packed = after, c.Revision, b
+	p.changes[after] = b
 	return b, nil
 }
 
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -11,8 +11,11 @@
 	// transfersAtOnce is how many instances fetch at a time: one after another has the
 	// first ones pass it on sooner.
 	transfersAtOnce = 2
-	// holdFetch is how long one that fetches is held where the whole is not known yet.
-	holdFetch = 2 * time.Second
+	// holdFetch is how long one that fetches is held where the whole is not known yet,
+	// holdChanges where the changes are not: who is to pass them on fetches them in the
+	// same moment, and the one who told of them has them.
+	holdFetch   = 2 * time.Second
+	holdChanges = 300 * time.Millisecond
 )
 
 // ErrNoState says that this instance knows nothing to pass on, and is not about to.
@@ -39,12 +42,13 @@
 
 // awaitNewer waits until there is something newer than the revision to pass on.
 func (n *Node) awaitNewer(ctx context.Context, after int64) error {
-	t := time.NewTimer(holdFetch)
-	defer t.Stop()
+	hold := holdChanges
 	var fetched <-chan struct{}
 	if after < 0 {
-		fetched = n.packs.kept
+		hold, fetched = holdFetch, n.packs.kept
 	}
+	t := time.NewTimer(hold)
+	defer t.Stop()
 	for {
 		changed := n.log.next()
 		if r, _, ok := n.log.newest(); ok && r > after || after < 0 && n.packs.hasWhole() {
--- a/relay/tree.go
+++ b/relay/tree.go
@@ -50,6 +50,26 @@
 	return t.askers[i/fanOut-1]
 }
 
+// changeTree is the tree of those that are told of one large change: they fetch it in the
+// same moment. It is safe for concurrent use.
+type changeTree struct {
+	mu       sync.Mutex
+	revision int64
+	tree     *tree
+}
+
+// parent returns where the asker fetches the changes up to the revision; it is empty for
+// the instance itself.
+func (c *changeTree) parent(asker string, revision int64, now time.Time) string {
+	c.mu.Lock()
+	if c.tree == nil || c.revision != revision {
+		c.revision, c.tree = revision, &tree{}
+	}
+	t := c.tree
+	c.mu.Unlock()
+	return t.parent(asker, "", now)
+}
+
 // swap exchanges two askers' places.
 func (t *tree) swap(i, j int) {
 	t.askers[i], t.askers[j] = t.askers[j], t.askers[i]
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -133,7 +133,7 @@
 }
 
 // findOthers reads the list anew where nobody that it named answers, and reports whether
-// it names others by now.
+// it names one by now that it did not name before.
 func (n *Node) findOthers(ctx context.Context) bool {
 	if n.list == nil {
 		return false
@@ -143,10 +143,11 @@
 		n.event("list_unread", "error", err)
 		return false
 	}
-	n.SetMembers(l)
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	return slices.ContainsFunc(l, func(m peer.Member) bool { return !n.isSelf(m) && !n.silent[m.ID] })
+	was := n.members
+	n.mu.Unlock()
+	n.SetMembers(l)
+	return slices.ContainsFunc(l, func(m peer.Member) bool { return !n.isSelf(m) && !slices.Contains(was, m) })
 }
 
 // fetchWhole fetches the whole from one of the sources. Else it returns starting if one
--- a/relay/whole_test.go
+++ b/relay/whole_test.go
@@ -51,6 +51,8 @@
 	list map[string]peer.Member
 	// slow times as long as usual takes each answer.
 	slow float64
+	// away says which instances the store refuses.
+	away func(id string) bool
 	// gone is until when the bytes given out so far are under way.
 	gone time.Time
 	// bytes and listReads are what was given out, listWrites how many joined.
@@ -67,6 +69,46 @@
 	return s
 }
 
+// turnAway has the store refuse the instances for which who is true; nil serves all.
+func (s *wideStore) turnAway(who func(id string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = who
+}
+
+// wayOf is one instance's way to the store.
+type wayOf struct {
+	*wideStore
+	id string
+}
+
+func (w wayOf) isAway() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.away != nil && w.away(w.id)
+}
+
+func (w wayOf) Read(ctx context.Context, prefix, after string) (store.Page, error) {
+	if w.isAway() {
+		return store.Page{}, errDown
+	}
+	return w.wideStore.Read(ctx, prefix, after)
+}
+
+func (w wayOf) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
+	if w.isAway() {
+		return store.Changes{}, errDown
+	}
+	return w.wideStore.Changes(ctx, prefix, after, wait)
+}
+
+func (w wayOf) list(ctx context.Context, stale bool) ([]peer.Member, error) {
+	if w.isAway() {
+		return nil, errDown
+	}
+	return w.members(ctx, stale)
+}
+
 // give waits until so many bytes have left.
 func (s *wideStore) give(ctx context.Context, bytes int) error {
 	s.mu.Lock()
@@ -118,8 +160,10 @@
 
 // join puts an instance on the list.
 func (s *wideStore) join(ctx context.Context, m peer.Member) {
-	if s.give(ctx, 100) != nil || s.give(ctx, 100) != nil {
-		return
+	for range 2 {
+		if s.give(ctx, 100) != nil {
+			return
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -135,8 +179,6 @@
 	// knows is when each knew all for the first time.
 	mu    sync.Mutex
 	knows map[string]time.Time
-	// listed are those that a list of an earlier run names; the others join nothing.
-	listed []peer.Member
 }
 
 // knowing notes when an instance knows all.
@@ -148,7 +190,7 @@
 
 func (k knowing) Changed(u mirror.Update) {
 	k.listener.Changed(u)
-	if !u.Whole || len(u.Items) < len(k.f.store.keys) {
+	if keys := k.f.store.keys; !u.Whole || len(u.Items) < len(keys) {
 		return
 	}
 	k.f.mu.Lock()
@@ -162,7 +204,7 @@
 func (f *startingFleet) node(ctx context.Context, m peer.Member) {
 	l, on := NewLog(), &listener{}
 	n := NewNode(m, 1, Ports{
-		Log: l, Store: f.store, Net: way{f.net, m.Addr}, Transfer: way{f.net, m.Addr}, List: f.store.members,
+		Log: l, Store: wayOf{f.store, m.ID}, Net: way{f.net, m.Addr}, Transfer: way{f.net, m.Addr}, List: wayOf{f.store, m.ID}.list,
 		Join: func() { go f.store.join(ctx, m) }, Clock: time.Now, Event: func(string, ...any) {},
 	}, TimesFor(5*time.Second))
 	f.net.mu.Lock()
@@ -184,10 +226,14 @@
 	spread time.Duration
 	// disturb happens beside the start.
 	disturb func(f *startingFleet)
+	// absent is how many of the first instances don't run, though they may be listed.
+	absent int
 	// within is when all have to know all.
 	within time.Duration
 	// except is how many need not.
 	except int
+	// check looks at the fleet before it ends.
+	check func(f *startingFleet)
 }
 
 // member is the ith instance; one in twenty has a wide link.
@@ -216,7 +262,7 @@
 		if p.disturb != nil {
 			g.Go(func() { p.disturb(f) })
 		}
-		for i := range p.instances {
+		for i := p.absent; i < p.instances; i++ {
 			g.Go(func() {
 				sleep(ctx, p.spread*time.Duration(i*7919%p.instances)/time.Duration(p.instances))
 				f.node(ctx, p.member(i))
@@ -224,7 +270,7 @@
 		}
 		time.Sleep(p.within)
 		f.mu.Lock()
-		if late := p.instances - len(f.knows); late > p.except {
+		if late := p.instances - p.absent - len(f.knows); late > p.except {
 			t.Errorf("%d of %d instances do not know all after %s, want at most %d", late, p.instances, p.within, p.except)
 		}
 		var last time.Duration
@@ -236,6 +282,9 @@
 		t.Logf("%d instances before %d replicas: the last of %d that know all after %s, the store read whole %d times, %d calls, %.1f MB, %d reads of the list, %d joined",
 			p.instances, p.replicas, len(f.knows), last, f.store.reads, f.store.calls, float64(f.store.bytes)/1e6, f.store.listReads, f.store.listWrites)
 		f.store.mu.Unlock()
+		if p.check != nil {
+			p.check(f)
+		}
 		cancel()
 		g.Wait()
 		time.Sleep(3 * time.Second)
@@ -243,6 +292,51 @@
 	return f
 }
 
+// All replicas come up within seconds: their changes reach all soon after they are made,
+// and few ask the store.
+func TestManyChangesReachTheWholeFleet(t *testing.T) {
+	const rounds, each = 30, 150
+	var made int64
+	startPlay{instances: 600, listed: 48, spread: startSpread, within: 12 * time.Second,
+		disturb: func(f *startingFleet) {
+			time.Sleep(4 * time.Second)
+			for range rounds {
+				for i := range each {
+					made = f.store.put(fmt.Sprintf("servers/i-%08x", uint32(made)*2654435761), random(60)+fmt.Sprint(i))
+				}
+				time.Sleep(100 * time.Millisecond)
+				f.behind(t, made, 15*each)
+			}
+		},
+		check: func(f *startingFleet) {
+			f.behind(t, made, 0)
+			if f.store.calls > 1500 {
+				t.Errorf("%d calls of the store, want at most 1,500", f.store.calls)
+			}
+		},
+	}.run(t)
+}
+
+// behind fails if an instance is more than so many revisions behind, or out of touch.
+func (f *startingFleet) behind(t *testing.T, revision, most int64) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, lost := 0, 0
+	for _, on := range f.on {
+		r, _, l := on.state()
+		if revision-r > most {
+			n++
+		}
+		if l {
+			lost++
+		}
+	}
+	if n > 0 || lost > 0 {
+		t.Errorf("%d instances are more than %d revisions behind, %d are out of touch", n, most, lost)
+	}
+}
+
 // mostBytes is what a start may take from the store, in bytes, for any size of fleet.
 const mostBytes = 100e6
 
@@ -267,3 +361,108 @@
 		})
 	}
 }
+
+// cutOff cuts an instance off from all others; f.net.mu is held.
+func (f *startingFleet) cutOff(id string) {
+	for other := range f.net.nodes {
+		f.net.cut[id+">"+other] = true
+		f.net.cut[other+">"+id] = true
+	}
+}
+
+// The start of a whole fleet beside troubles: nobody reads the store whole but few, and
+// all know all soon after it is over.
+func TestWholeFleetStartsInTrouble(t *testing.T) {
+	const instances, replicas, listed = 500, 3000, 48
+	for _, c := range []struct {
+		name string
+		play startPlay
+		// reads is how often the store may be read whole.
+		reads int
+	}{
+		{"the store is sixty times slower", startPlay{listed: listed, within: 12 * time.Second, disturb: func(f *startingFleet) {
+			f.store.mu.Lock()
+			defer f.store.mu.Unlock()
+			f.store.slow = 60
+		}}, 4},
+		{"the store turns a third away for four seconds", startPlay{listed: listed, within: 9 * time.Second, disturb: func(f *startingFleet) {
+			f.store.turnAway(func(id string) bool { return len(id)%3 == 0 || id[len(id)-1]%3 == 0 })
+			time.Sleep(4 * time.Second)
+			f.store.turnAway(nil)
+		}}, 6},
+		{"the store is away for three seconds", startPlay{listed: listed, within: 8 * time.Second, disturb: func(f *startingFleet) {
+			f.store.setDown(true)
+			time.Sleep(3 * time.Second)
+			f.store.setDown(false)
+		}}, 6},
+		{"three datagrams in ten are lost", startPlay{listed: listed, within: 8 * time.Second, disturb: func(f *startingFleet) {
+			f.net.mu.Lock()
+			defer f.net.mu.Unlock()
+			f.net.lossPart = 0.3
+		}}, 6},
+		{"those that read the store are cut off midway", startPlay{listed: listed, within: 10 * time.Second, except: 2, disturb: func(f *startingFleet) {
+			time.Sleep(400 * time.Millisecond)
+			var l []peer.Member
+			for _, m := range f.store.list {
+				l = append(l, m)
+			}
+			f.net.mu.Lock()
+			defer f.net.mu.Unlock()
+			for _, w := range Watchers(l) {
+				f.cutOff(w.ID)
+			}
+		}}, 8},
+		{"all that are listed have ended", startPlay{listed: listed, absent: listed, within: 15 * time.Second}, 8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := c.play
+			p.instances, p.replicas, p.spread = instances, replicas, startSpread
+			if f := p.run(t); f.store.reads > c.reads {
+				t.Errorf("the store was read whole %d times, want at most %d", f.store.reads, c.reads)
+			}
+		})
+	}
+}
+
+// transferOf gives the same bytes to all that fetch.
+type transferOf []byte
+
+func (b transferOf) Fetch(context.Context, string, int64) ([]byte, error) { return b, nil }
+
+// An instance takes no state that is torn, older than its own, or none at all.
+func TestNoBadStateIsTaken(t *testing.T) {
+	whole := func(revision int64) []byte {
+		items, err := pack([]store.Item{{Key: "a", Value: []byte(random(2000)), Revision: 7}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := encode(message{Answer: &answer{All: true, Revision: revision}}, items)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	flipped := whole(9)
+	flipped[len(flipped)/2] ^= 1
+	for _, c := range []struct {
+		name string
+		b    []byte
+		ok   bool
+	}{
+		{"sound", whole(9), true},
+		{"torn", whole(9)[:1500], false},
+		{"with a bit turned", flipped, false},
+		{"older", whole(7), false},
+		{"empty", nil, false},
+		{"no state", []byte("\x00{}"), false},
+		{"other bytes", []byte(random(100)), false},
+	} {
+		l := NewLog()
+		l.Reset([]store.Item{{Key: "a", Revision: 7}}, 8)
+		l.Confirm(time.Now())
+		n := NewNode(peer.Member{ID: "n"}, 1, Ports{Log: l, Transfer: transferOf(c.b), Clock: time.Now, Event: func(string, ...any) {}}, times)
+		if a, err := n.fetch(t.Context(), "x", -1); (err == nil) != c.ok {
+			t.Errorf("%s: %d items, %v", c.name, len(a.Items), err)
+		}
+	}
+}
