relay: those that come after a listed instance are not waited for at a start

Cause, found by a test of a start whose two readers are turned away by the store: nobody knew anything, since each took others that were starting too for one that is about to know, and they waited for each other. Change: only those ranked before count; where they say that they can't reach the store the next tier reads it after 0.3 s. Bytes and messages between instances by duty are on the metrics address.

--- a/cmd/fieldvale-node/datagrams.go
+++ b/cmd/fieldvale-node/datagrams.go
@@ -19,6 +19,7 @@
 
 // Send implements placement.Transport and relay.Transport.
 func (t tagged) Send(addr string, b []byte) error {
+	t.n.traffic.count(dutyNames[t.tag], sent, len(b))
 	return t.n.socket.Send(addr, append([]byte{t.tag}, b...))
 }
 
@@ -27,6 +28,9 @@
 	if len(b) == 0 {
 		return
 	}
+	if d, ok := dutyNames[b[0]]; ok {
+		n.traffic.count(d, received, len(b))
+	}
 	switch b[0] {
 	case tagPlacement:
 		n.placer.Receive(from, b[1:])
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -89,6 +89,7 @@
 	held       chan heldChange
 	// quota is what replicas ask of the whole fleet.
 	quota    *quota.Node
+	traffic  traffic
 	socket   *datagram.Socket
 	relay    *relay.Node
 	changes  *relay.Log
@@ -110,10 +111,11 @@
 	n.lease = lease.New(time.Duration(honourPart*float64(s.HonourFor)), keyRule(s), n.clock())
 	n.placer = placement.NewNode(s.ID, startID(), tagged{n, tagPlacement}, n.clock, n.event)
 	n.store = platform.NewStore(exchange.New(c.Now), s.Store, c.Now)
+	n.traffic = n.newTraffic()
 	n.held = make(chan heldChange, mostHeldWaiting)
 	n.changes = relay.NewLog()
 	n.relay = relay.NewNode(n.self(), startID(), relay.Ports{
-		Log: n.changes, Store: n.store, Net: tagged{n, tagRelay}, Transfer: handover.NewClient(n.clock), List: n.list, Join: n.join, Clock: n.clock, Event: n.event,
+		Log: n.changes, Store: n.store, Net: tagged{n, tagRelay}, Transfer: countedTransfer{handover.NewClient(n.clock), n.traffic}, List: n.list, Join: n.join, Clock: n.clock, Event: n.event,
 	}, relay.TimesFor(s.ApplyWithin))
 	n.quarantine = quarantine.NewNode(startID(), n.quarantinePorts())
 	n.gaugeQuarantine()
@@ -225,7 +227,7 @@
 	g.Go(func() error { return closed(x, n.ingress.Serve(d.front)) })
 	g.Go(func() error { return closed(x, n.serveReady(d.ready)) })
 	g.Go(func() error { return closed(x, n.metrics.Serve(d.metrics, n.ready)) })
-	g.Go(func() error { return closed(x, handover.Serve(d.peers, n.relay)) })
+	g.Go(func() error { return closed(x, handover.Serve(d.peers, countedState{n.relay, n.traffic})) })
 	g.Go(func() error { return n.follow(x) })
 	g.Go(func() error { return n.socket.Serve(x, n.receive) })
 	g.Go(func() error { return n.announce(x) })
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -30,6 +30,8 @@
 	// turnLength is how much longer the instances of each tier wait than those of the
 	// tier before until they read the store themselves.
 	turnLength = 1500 * time.Millisecond
+	// lostTurn is that where those before have said that they can't reach it.
+	lostTurn = 300 * time.Millisecond
 	// aloneAfter is how long an instance that is not listed asks in vain before it takes
 	// it that all that are have ended, and aloneSpread the most that comes on top: the
 	// first one that joins the list then is found by the others.
@@ -66,7 +68,7 @@
 		if tier == 0 {
 			return n.readPage(ctx, prefix, "")
 		}
-		p, s := n.fetchWhole(ctx, append(before, rest...))
+		p, s := n.fetchWhole(ctx, before, rest)
 		waited := n.clock().Sub(started)
 		switch {
 		case s == known:
@@ -74,10 +76,13 @@
 		case ctx.Err() != nil:
 			return store.Page{}, errors.Wrap(ctx.Err(), "relay.Read")
 		case s == starting:
-		case waited > time.Duration(tier)*turnLength:
+		case waited > time.Duration(tier)*turnLength, s == lostTouch && waited > time.Duration(tier)*lostTurn:
 			return n.readPage(ctx, prefix, "")
 		case s == unheard && waited > alone:
-			if n.findOthers(ctx) {
+			if l := n.findOthers(ctx); len(l) > 0 {
+				if p, s := n.fetchWhole(ctx, l, nil); s == known {
+					return p, nil
+				}
 				alone = waited + rand.N(aloneSpread)
 				break
 			}
@@ -132,33 +137,36 @@
 	return len(n.members) > 0
 }
 
-// findOthers reads the list anew where nobody that it named answers, and reports whether
-// it names one by now that it did not name before.
-func (n *Node) findOthers(ctx context.Context) bool {
+// findOthers reads the list anew where nobody that it named answers, and returns those
+// that it did not name before.
+func (n *Node) findOthers(ctx context.Context) []peer.Member {
 	if n.list == nil {
-		return false
+		return nil
 	}
 	l, err := n.list(ctx, false)
 	if err != nil {
 		n.event("list_unread", "error", err)
-		return false
+		return nil
 	}
 	n.mu.Lock()
 	was := n.members
 	n.mu.Unlock()
 	n.SetMembers(l)
-	return slices.ContainsFunc(l, func(m peer.Member) bool { return !n.isSelf(m) && !slices.Contains(was, m) })
+	return slices.DeleteFunc(slices.Clone(l), func(m peer.Member) bool { return n.isSelf(m) || slices.Contains(was, m) })
 }
 
 // fetchWhole fetches the whole from one of the sources. Else it returns starting if one
-// of them is about to know it, lostTouch if one is out of touch, and unheard.
-func (n *Node) fetchWhole(ctx context.Context, sources []peer.Member) (store.Page, status) {
+// of those before this instance is about to know it, lostTouch if one is out of touch,
+// and unheard. Those that come after a listed instance are not waited for: they wait for
+// it.
+func (n *Node) fetchWhole(ctx context.Context, before, rest []peer.Member) (store.Page, status) {
 	best := unheard
-	for _, m := range sources {
+	waits := n.unlisted()
+	for i, m := range slices.Concat(before, rest) {
 		if ctx.Err() != nil {
 			break
 		}
-		a, s := n.wholeBy(ctx, m)
+		a, s := n.wholeBy(ctx, m, waits || i < len(before))
 		if s == known {
 			return store.Page{Items: a.Items, Revision: a.Revision, Age: a.age()}, known
 		}
@@ -169,8 +177,9 @@
 	return store.Page{}, best
 }
 
-// wholeBy asks an instance for the whole, and fetches it where it says.
-func (n *Node) wholeBy(ctx context.Context, m peer.Member) (answer, status) {
+// wholeBy asks an instance for the whole, and fetches it where it says. waits says whether
+// it may be waited for.
+func (n *Node) wholeBy(ctx context.Context, m peer.Member, waits bool) (answer, status) {
 	lost := ""
 	for range mostDetours {
 		a, ok := n.askWhole(ctx, m, lost)
@@ -179,7 +188,7 @@
 			return a, unheard
 		}
 		n.heard(m)
-		if a.Status == lostTouch {
+		if a.Status == lostTouch || a.Status == starting && !waits {
 			n.pass(m, askAgain)
 			return a, lostTouch
 		}
--- a/relay/whole_test.go
+++ b/relay/whole_test.go
@@ -395,6 +395,14 @@
 			time.Sleep(3 * time.Second)
 			f.store.setDown(false)
 		}}, 6},
+		{"both that read the store first are turned away", startPlay{listed: listed, within: 4 * time.Second, except: 2, disturb: func(f *startingFleet) {
+			var l []peer.Member
+			for _, m := range f.store.list {
+				l = append(l, m)
+			}
+			w := Watchers(l)
+			f.store.turnAway(func(id string) bool { return id == w[0].ID || id == w[1].ID })
+		}}, 6},
 		{"three datagrams in ten are lost", startPlay{listed: listed, within: 8 * time.Second, disturb: func(f *startingFleet) {
 			f.net.mu.Lock()
 			defer f.net.mu.Unlock()
