--- a/relay/packs.go
+++ b/relay/packs.go
@@ -56,15 +56,17 @@
 	return b, nil
 }
 
-// keep keeps a whole that was fetched, so that it is passed on as it came.
-func (p *packs) keep(a answer, message []byte, now time.Time) {
+// keep keeps a whole that was fetched, so that it is passed on as it came. It speaks for
+// the moment at which it was asked for, less its age: the answer may have been long under
+// way, and this process may have stood still.
+func (p *packs) keep(a answer, message []byte, asked, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if a.Revision < p.whole.revision {
 		return
 	}
 	head := int(binary.BigEndian.Uint32(message[1:]))
-	p.set(packedWhole{items: message[1+headLength+head:], revision: a.Revision, asOf: now.Add(-a.age()), packedAt: now})
+	p.set(packedWhole{items: message[1+headLength+head:], revision: a.Revision, asOf: asked.Add(-a.age()), packedAt: now})
 }
 
 // set replaces the whole; p.mu is held.
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -239,6 +239,7 @@
 // fetch fetches what another instance passes on after a revision. What it knows must
 // not be older than what is known here.
 func (n *Node) fetch(ctx context.Context, addr string, after int64) (answer, error) {
+	asked := n.clock()
 	b, err := n.transfer.Fetch(ctx, addr, after)
 	if err != nil {
 		return answer{}, errors.Wrapf(err, "relay.fetch from %s", addr)
@@ -254,7 +255,7 @@
 		return answer{}, errOlder
 	}
 	if m.Answer.All {
-		n.packs.keep(*m.Answer, b, n.clock())
+		n.packs.keep(*m.Answer, b, asked, n.clock())
 	}
 	return *m.Answer, nil
 }
--- a/relay/whole_test.go
+++ b/relay/whole_test.go
@@ -474,3 +474,40 @@
 		}
 	}
 }
+
+// slowTransfer takes its time, as where the process stands still.
+type slowTransfer struct {
+	b    []byte
+	took time.Duration
+	now  *time.Time
+}
+
+func (s slowTransfer) Fetch(context.Context, string, int64) ([]byte, error) {
+	*s.now = s.now.Add(s.took)
+	return s.b, nil
+}
+
+// A whole that was long under way is passed on as old as it is.
+func TestAWholeIsPassedOnAsOldAsItIs(t *testing.T) {
+	items, err := pack([]store.Item{{Key: "a", Revision: 7}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := encode(message{Answer: &answer{All: true, Revision: 9, Age: 500}}, items)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1_700_000_000, 0)
+	n := NewNode(peer.Member{ID: "n"}, 1, Ports{Log: NewLog(), Transfer: slowTransfer{b, 3 * time.Second, &now}, Clock: func() time.Time { return now }, Event: func(string, ...any) {}}, times)
+	if _, err := n.fetch(t.Context(), "x", -1); err != nil {
+		t.Fatal(err)
+	}
+	p, err := n.passedOn(-1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := decode(p)
+	if err != nil || m.Answer.age() < 3500*time.Millisecond {
+		t.Errorf("it is passed on as %s old, want 3.5 s at least, %v", m.Answer.age(), err)
+	}
+}
