test: confirmations stay true beside restarts, compaction and slow transfers

TestConfirmationsAreTrue gets instances that start again, a store that forgets its history and transfers that are long under way.

--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -108,6 +108,8 @@
 	// bound. What would wait longer than fullAfter is lost.
 	rate  float64
 	until map[string]time.Time
+	// transit is how long what was fetched is under way once it was given.
+	transit time.Duration
 	// lossPart is the part of all datagrams that are lost.
 	lossPart float64
 	// links are the rates of single instances' links, where they differ.
@@ -205,7 +207,7 @@
 	err := x.Serve(ctx, after, func(b []byte) error {
 		got = b
 		w.n.mu.Lock()
-		d := w.n.reserve(to, len(b))
+		d := w.n.reserve(to, len(b)) + w.n.transit
 		w.n.mu.Unlock()
 		if !sleep(ctx, d) {
 			return ctx.Err()
@@ -295,7 +297,12 @@
 }
 
 type fleet struct {
-	net *network
+	net   *network
+	store *fakeStore
+	all   []peer.Member
+	// run starts an instance anew; ended ends those that ran before.
+	run   func(m peer.Member)
+	ended map[string]context.CancelFunc
 	// listed is how many instances, from the first on, are on the list.
 	listed int
 	// away says whose way to the store is cut.
@@ -307,14 +314,18 @@
 // own way to the store, so that the store can turn single ones away.
 func start(ctx context.Context, g *sync.WaitGroup, n, listed int, shared *fakeStore) *fleet {
 	f := &fleet{listed: listed, net: &network{nodes: map[string]*Node{}, cut: map[string]bool{}, lose: map[string]int{}, delay: time.Millisecond, until: map[string]time.Time{}}, away: map[string]*flag{}, on: map[string]*listener{}}
+	f.store, f.ended = shared, map[string]context.CancelFunc{}
 	var m []peer.Member
 	for i := range n {
 		id := fmt.Sprint("n", i)
 		m = append(m, peer.Member{ID: id, Addr: id})
+		f.away[id] = &flag{}
 	}
-	for _, x := range m {
+	f.all = m
+	f.run = func(x peer.Member) {
 		l, on := NewLog(), &listener{}
-		f.away[x.ID] = &flag{}
+		ctx, cancel := context.WithCancel(ctx)
+		f.ended[x.ID] = cancel
 		r := NewNode(x, 1, Ports{Log: l, Store: gate{shared, f.away[x.ID]}, Net: way{f.net, x.ID}, Transfer: way{f.net, x.ID}, Clock: time.Now, Event: func(string, ...any) {}}, times)
 		r.SetMembers(m[:listed])
 		f.net.mu.Lock()
@@ -323,9 +334,18 @@
 		f.on[x.ID] = on
 		g.Go(func() { _ = mirror.New(r, "", times.Watch, time.Now, Tee{Log: l, On: on}).Run(ctx) })
 	}
+	for _, x := range m {
+		f.run(x)
+	}
 	return f
 }
 
+// restart ends an instance and starts it again, which knows nothing then.
+func (f *fleet) restart(i int) {
+	f.ended[f.all[i].ID]()
+	f.run(f.all[i])
+}
+
 var times = TimesFor(2 * time.Second)
 
 // withFleet runs n instances over one store for some seconds, lets play go on
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -39,7 +39,7 @@
 // is in force by then.
 func TestConfirmationsAreTrue(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 5, 25).Draw(rt, "steps")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 8), 5, 25).Draw(rt, "steps")
 		waits := rapid.SliceOfN(rapid.IntRange(1, 3000), 25, 25).Draw(rt, "waits")
 		who := rapid.SliceOfN(rapid.IntRange(0, 4), 50, 50).Draw(rt, "who")
 		listed := rapid.IntRange(1, 5).Draw(rt, "listed")
@@ -89,6 +89,14 @@
 		f.net.mu.Lock()
 		f.net.delay = time.Duration(1+100*a) * time.Millisecond
 		f.net.mu.Unlock()
+	case 6:
+		f.net.mu.Lock()
+		f.net.transit = time.Duration(400*a) * time.Millisecond
+		f.net.mu.Unlock()
+	case 7:
+		f.restart(a)
+	case 8:
+		s.compact()
 	}
 }
 
