--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -37,9 +37,19 @@
 // An instance never takes knowledge for newer than it is, whatever is cut or
 // down meanwhile: a change that was made before the moment of a confirmation
 // is in force by then.
-func TestConfirmationsAreTrue(t *testing.T) {
+func TestConfirmationsAreTrue(t *testing.T) { confirmationsAreTrue(t, 5) }
+
+// What a soak saw: a request ran with a key that had been taken away 3.9 s before it was
+// sent, with 3 s allowed. Order of events: an instance starts while others are paused and
+// the store refuses; the whole that it fetches is long under way; it passes that on to one
+// that has fallen behind. Cause: a fetched whole was taken for known as of its receipt.
+// Evidence: this play, with the fail file beside it.
+func TestConfirmationsAreTrueBesideStarts(t *testing.T) { confirmationsAreTrue(t, 8) }
+
+// confirmationsAreTrue plays draws of the steps up to most.
+func confirmationsAreTrue(t *testing.T, most int) {
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := rapid.SliceOfN(rapid.IntRange(0, 8), 5, 25).Draw(rt, "steps")
+		steps := rapid.SliceOfN(rapid.IntRange(0, most), 5, 25).Draw(rt, "steps")
 		waits := rapid.SliceOfN(rapid.IntRange(1, 3000), 25, 25).Draw(rt, "waits")
 		who := rapid.SliceOfN(rapid.IntRange(0, 4), 50, 50).Draw(rt, "who")
 		listed := rapid.IntRange(1, 5).Draw(rt, "listed")
