--- a/relay/log.go
+++ b/relay/log.go
@@ -1,5 +1,5 @@
-// Package relay passes the store's changes on between instances, so that few
-// of them have to watch the store. An instance that follows another one asks
+// Package relay passes what the store holds, and its changes, on between instances, so
+// that few of them have to read and watch the store. An instance that follows another one asks
 // it as it would ask the store, and is told how old that instance's own
 // knowledge is: ages add up, and arrivals prove nothing.
 package relay
