notice: what a replica says of itself is read, logged and counted

Nothing in logs or metrics told the hypotheses apart: the header's name was logged once in a process's life, a refusal's Retry-After nowhere. Now: replica_says_leaving and replica_asks_rest with the request whose answer said so; attempt_failed has retry_in; routed has despite, the replicas that it was sent to although they had said so, and for how long that was known, which parts a choice made before the word (some ms) from a word that nobody believes (seconds).

Where requests go does not change.

--- a/cmd/fieldvale-node/duties.go
+++ b/cmd/fieldvale-node/duties.go
@@ -17,7 +17,7 @@
 func (n *node) duties(ctx context.Context, hup <-chan os.Signal) error {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
-	var told, saw time.Time
+	var told, saw, swept time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -36,6 +36,10 @@
 			saw = now
 			n.see()
 		}
+		if now := n.clock(); now.Sub(swept) >= sweepNoticesEvery {
+			swept = now
+			n.sweepNotices()
+		}
 	}
 }
 
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -23,6 +23,7 @@
 	"fieldvale/clock"
 	"fieldvale/entry"
 	"fieldvale/lease"
+	"fieldvale/notice"
 	"fieldvale/peer"
 	"fieldvale/placement"
 	"fieldvale/platform"
@@ -88,7 +89,9 @@
 	quarantine *quarantine.Node
 	held       chan heldChange
 	// quota is what replicas ask of the whole fleet.
-	quota    *quota.Node
+	quota *quota.Node
+	// notices is what replicas said of themselves to this instance.
+	notices  *notice.Book
 	traffic  traffic
 	socket   *datagram.Socket
 	relay    *relay.Node
@@ -121,6 +124,8 @@
 	n.gaugeQuarantine()
 	n.quota = quota.NewNode(startID(), n.quotaPorts())
 	n.gaugeQuota()
+	n.notices = notice.NewBook(n.clock, n.event)
+	n.gaugeNotices()
 	n.state = state.New(n.view, n.lease, n.clock, n.event, n.setMembers)
 	n.metrics.Gauge("replicas_cold", "Replicas that have just started, as this instance knows.", func() float64 { return float64(n.state.Cold()) })
 	n.metrics.Gauge("data_centres_evacuated", "Data centres whose replicas get nothing.", func() float64 { return float64(n.state.Evacuated()) })
@@ -163,11 +168,11 @@
 }
 
 func (n *node) routerPorts() entry.Ports {
-	u := platform.NewUpstream(n.pool, n.clock, n.quota, n.unknownHeader)
+	u := platform.NewUpstream(n.pool, n.clock, n.quota, n.unknownHeader).WithNotices(n.notices)
 	return entry.Ports{
 		View: n.view, Clock: n.clock, Self: n.s.ID, DataCentre: n.s.DataCentre, Regions: n.s.Regions, Placer: n.placer, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Events: n.events(),
 		Upstream: u, Prober: u, Quarantine: n.quarantine, AcceptConfidence: n.s.AcceptConfidence,
-		Quota: n.quota, ColdBound: quota.ColdBound{Overage: n.s.ColdOverage, Slack: n.s.ColdSlack},
+		Quota: n.quota, Notices: n.notices, ColdBound: quota.ColdBound{Overage: n.s.ColdOverage, Slack: n.s.ColdSlack},
 		FleetSize: n.relay.FleetSize, Repeats: admission.Repeats{Part: repeatPartMargin * n.s.RepeatPart, Burst: repeatBurstMargin * n.s.RepeatBurst},
 	}
 }
--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -4,7 +4,10 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"fieldvale/entry"
+	"fieldvale/outcome"
 	"fieldvale/rollout"
 )
 
@@ -17,7 +20,7 @@
 		Judged: func(service, release, verdict string) { judged.WithLabelValues(service, release, verdict).Inc() },
 		Attempt: func(f entry.FailedAttempt) {
 			broken.WithLabelValues(f.Service, strconv.FormatBool(f.Began)).Inc()
-			n.event("attempt_failed", "request", f.Request, "content", f.Content, "replica", f.Replica, "began", f.Began, "events", f.Events, "error", f.Err)
+			n.event("attempt_failed", "request", f.Request, "content", f.Content, "replica", f.Replica, "began", f.Began, "events", f.Events, "retry_in", retryIn(f.Err, n.clock()), "error", f.Err)
 		},
 		BadRelease: func(r rollout.Release, t rollout.Tally, f rollout.Finding) {
 			n.event("release_bad", append(seen(r, t, f), "cause", f.Cause)...)
@@ -84,12 +87,21 @@
 		n.quarantined(f)
 		age, _ := n.lease.Age(n.clock())
 		n.event("routed", "request", q.ID, "content", f.Content, "route", q.Route.Name, "customer", q.Customer.Name, "session", q.Session, "config", q.Table.Version, "config_age", age,
-			"service", f.Service, "replica", f.Replica, "tried", f.Tried, "release", f.Release, "model", f.Model, "confidence", f.Confidence, "dropped", f.Dropped, "doubt", f.Doubt,
+			"service", f.Service, "replica", f.Replica, "tried", f.Tried, "despite", f.Despite, "release", f.Release, "model", f.Model, "confidence", f.Confidence, "dropped", f.Dropped, "doubt", f.Doubt,
 			"prompt", q.Prompt.In, "most", q.Prompt.MaxOut, "limited", f.Limited, "passed_over", f.PassedOver, "sends", f.Sends, "runs", f.Runs, "events", f.Events, "status", f.Status, "code", code, "run", f.Run, "cause", causeText(f.Cause), "stopped", f.Stopped,
 			"first", since(f.FirstAt, q.Arrived), "took", f.EndedAt.Sub(q.Arrived), "allowed", q.Deadline.Sub(q.Arrived))
 	}
 }
 
+// retryIn is for how long the replica asked not to be asked again; 0 if it did not.
+func retryIn(err error, now time.Time) time.Duration {
+	var o *outcome.Error
+	if !errors.As(err, &o) {
+		return 0
+	}
+	return since(o.RetryAt, now)
+}
+
 func causeText(err error) string {
 	if err == nil {
 		return ""
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -195,6 +195,9 @@
 	}
 	w.f.Sends++
 	w.f.Tried = append(w.f.Tried, b.ID)
+	if s := w.r.notices.Of(b.ID).Says(w.r.clock()); s != "" {
+		w.f.Despite = append(w.f.Despite, b.ID+" "+s)
+	}
 	w.f.Replica, w.f.Release, w.f.Model = b.ID, b.Release, d.Model
 	w.tried = append(w.tried, b.ID)
 	a := &attempt{w: w, placed: p, replica: b, sent: w.r.clock(), kind: w.holdKey()}
--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -117,14 +117,17 @@
 	Content string
 	Verdict quarantine.Verdict
 	// Tried are the replicas that it was sent to, in order.
-	Tried  []string
-	Sends  int
-	Runs   int
-	Events int
-	Status int
-	Run    outcome.Kind
-	Code   Code
-	Cause  error
+	Tried []string
+	// Despite are the replicas among them that had said by then that they leave or rest, and
+	// for how long that was known.
+	Despite []string
+	Sends   int
+	Runs    int
+	Events  int
+	Status  int
+	Run     outcome.Kind
+	Code    Code
+	Cause   error
 	// Stopped says why no further attempt was made after a failed one.
 	Stopped string
 	FirstAt time.Time
--- a/entry/router.go
+++ b/entry/router.go
@@ -15,6 +15,7 @@
 	"fieldvale/biller"
 	"fieldvale/cascade"
 	"fieldvale/config"
+	"fieldvale/notice"
 	"fieldvale/outcome"
 	"fieldvale/policy"
 	"fieldvale/pool"
@@ -70,6 +71,7 @@
 	fleetSize func() int
 	repeats   admission.Repeats
 	quota     Quota
+	notices   *notice.Book
 	// coldBound is how many requests a cold replica may get.
 	coldBound quota.ColdBound
 	// acceptConfidence is a smaller model's opinion of its own answer, out of
@@ -101,6 +103,8 @@
 	FleetSize func() int
 	// Quota may be nil; then no replica is bounded.
 	Quota Quota
+	// Notices may be nil; then replicas say nothing of themselves.
+	Notices *notice.Book
 	// ColdBound is how many requests a cold replica may get from all instances.
 	ColdBound quota.ColdBound
 	// AcceptConfidence is a smaller model's opinion of its own answer, out of
@@ -128,6 +132,9 @@
 	if p.Quota == nil {
 		p.Quota = unbounded{}
 	}
+	if p.Notices == nil {
+		p.Notices = notice.NewBook(p.Clock, func(string, ...any) {})
+	}
 	return &Router{
 		view: p.View, engines: p.Engines, services: p.Services, claims: p.Claims, rater: p.Rater,
 		biller: p.Biller, clock: p.Clock, self: p.Self, dataCentre: p.DataCentre, regions: p.Regions,
@@ -136,7 +143,7 @@
 		learner: cascade.NewLearner(), events: e,
 		upstream: p.Upstream, underway: newUnderway(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), leads: newLeads(), answers: newAnswerSizes(), delays: newDelays(), paces: newPaces(),
 		releases: newReleases(p.Clock()), windows: map[string]*admission.Window{}, repeats: p.Repeats, fleetSize: p.FleetSize,
-		acceptConfidence: p.AcceptConfidence, coldBound: p.ColdBound, quota: p.Quota,
+		acceptConfidence: p.AcceptConfidence, coldBound: p.ColdBound, quota: p.Quota, notices: p.Notices,
 	}
 }
 
