A replica whose answers say that it leaves gets nothing more

What callers saw: requests went to a replica 2.6 to 11.9 s after an answer had told the instance that it leaves; what is sent to one that ends is cut or lost.

Cause: the platform's list was the only source of who leaves. While the store was away the list stood still, and the header by which each answer says the same was read by nobody.

First tries as much as repeats.

Why this works: all roads choose through one function (backends.gather), which asks the book; and each send asks it once more in that moment (Book.Begin), as a word may come while a keeper, a place or a trial is asked for. Nothing takes the word back but the life's end; it is kept while the life is listed. For half of the drain a leaving replica is the last resort where no other is left; then requests are refused at once. The end of a replica that had said so is not put down to the request that it had. A request of a new release whose replicas leave may stay on the old one, as where they take no more.

--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -59,6 +59,8 @@
 	// second, and ColdSlack on top, is the most that it may get from all instances.
 	ColdOverage float64
 	ColdSlack   float64
+	// DrainFor is how long replicas that leave serve on after they said so.
+	DrainFor time.Duration
 	// AcceptConfidence is the smallest model's opinion of its own answer, out
 	// of 100, from which the answer is passed on.
 	AcceptConfidence float64
@@ -79,6 +81,7 @@
 	// A cold replica gets no more than it says that it bears.
 	defaultColdOverage = 1
 	defaultColdSlack   = 0
+	defaultDrainFor    = 2 * time.Second
 	defaultUsageWindow = time.Minute
 	defaultUsageLate   = 2 * time.Minute
 	// defaultConfidence: docs/MEASURES.md has the figures of other values.
@@ -108,7 +111,7 @@
 	return Node{
 		Level: defaultLevel, MemoryMB: defaultMemoryMB, HonourFor: defaultHonourFor,
 		RepeatPart: defaultRepeatPart, RepeatBurst: defaultRepeatBurst,
-		ExposedPart: defaultExposedPart, ExposedSlack: defaultExposedSlack, ColdOverage: defaultColdOverage, ColdSlack: defaultColdSlack, AcceptConfidence: defaultConfidence,
+		ExposedPart: defaultExposedPart, ExposedSlack: defaultExposedSlack, ColdOverage: defaultColdOverage, ColdSlack: defaultColdSlack, DrainFor: defaultDrainFor, AcceptConfidence: defaultConfidence,
 	}
 }
 
@@ -131,6 +134,7 @@
 	case "replicas":
 		n.ColdOverage = s.Fraction("cold_overage", defaultColdOverage)
 		n.ColdSlack = s.Fraction("cold_slack", defaultColdSlack)
+		n.DrainFor = s.Span("drain_for", defaultDrainFor)
 	case "models":
 		n.readModels(s)
 	case "cloud":
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -124,7 +124,7 @@
 	n.gaugeQuarantine()
 	n.quota = quota.NewNode(startID(), n.quotaPorts())
 	n.gaugeQuota()
-	n.notices = notice.NewBook(n.clock, n.event)
+	n.notices = notice.NewBook(n.clock, n.s.DrainFor, n.event)
 	n.gaugeNotices()
 	n.state = state.New(n.view, n.lease, n.clock, n.event, n.setMembers)
 	n.metrics.Gauge("replicas_cold", "Replicas that have just started, as this instance knows.", func() float64 { return float64(n.state.Cold()) })
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -86,8 +86,8 @@
 	if a.ran {
 		a.w.f.Runs++
 	}
-	if o, ok := asOutcome(err); ok && !o.RetryAt.IsZero() {
-		a.w.retryAt = o.RetryAt
+	if o, ok := asOutcome(err); ok {
+		a.w.retryBy(o.RetryAt)
 	}
 }
 
--- a/entry/backends.go
+++ b/entry/backends.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fieldvale/admission"
+	"fieldvale/notice"
 	"fieldvale/outcome"
 	"fieldvale/pool"
 )
@@ -24,6 +25,8 @@
 	chooser *pool.Chooser[sessionRule]
 	homes   *pool.Chooser[pool.Homes]
 	scratch []pool.Candidate
+	// notices is what replicas said of themselves: no choice goes against it.
+	notices *notice.Book
 }
 
 type backend struct {
@@ -51,9 +54,10 @@
 	return l[len(l)/2]
 }
 
-func newBackends(s rand.Source) *backends {
+func newBackends(s rand.Source, n *notice.Book) *backends {
 	return &backends{
 		state:   map[string]*backend{},
+		notices: n,
 		chooser: pool.NewChooser(sessionRule{Bound: affinityBound}, s),
 		homes:   pool.NewChooser(pool.Homes{Slack: homeSlack}, s),
 	}
@@ -72,11 +76,10 @@
 func (b *backends) take(r []*pool.Replica, a pool.Ask, tried []string, now time.Time) *pool.Replica {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.scratch = b.scratch[:0]
-	for _, x := range r {
-		s := b.of(x.ID)
-		if s.breaker.Allows(now) && !contains(tried, x.ID) {
-			b.scratch = append(b.scratch, pool.Candidate{Replica: x, Local: s.running})
+	for _, v := range []notice.Verdict{notice.Free, notice.LastResort} {
+		b.gather(r, tried, now, func(x *backend, y notice.Verdict) bool { return y == v && x.breaker.Allows(now) })
+		if len(b.scratch) > 0 {
+			break
 		}
 	}
 	i := b.chooser.Choose(a, b.scratch)
@@ -90,15 +93,6 @@
 	return c
 }
 
-func contains(l []string, s string) bool {
-	for _, x := range l {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // done gives the replica back and learns from the result. A refusal is the
 // replica's sound answer and does not count against it.
 func (b *backends) done(id string, err error, now time.Time) {
--- a/entry/backends_test.go
+++ b/entry/backends_test.go
@@ -12,7 +12,7 @@
 // A request that no keeper places stays in its data centre until this
 // instance's own work there counts for more than the way.
 func TestRequestsStayInTheirDataCentre(t *testing.T) {
-	b := newBackends(rand.NewPCG(1, 1))
+	b := newBackends(rand.NewPCG(1, 1), nil)
 	l := []*pool.Replica{{ID: "far", DataCentre: "b", Slots: 4}, {ID: "near", DataCentre: "a", Slots: 4}}
 	now := time.Unix(1_700_000_000, 0)
 	q := local{cost: 1, away: 30, dataCentre: "a"}
@@ -31,7 +31,7 @@
 // Before thousands of replicas an instance keeps what it knows of those that it
 // uses, and nothing of the others.
 func TestBackendsKeepWhatIsUsed(t *testing.T) {
-	b := newBackends(rand.NewPCG(1, 1))
+	b := newBackends(rand.NewPCG(1, 1), nil)
 	var l []*pool.Replica
 	for i := range 3 * forgetAbove {
 		l = append(l, &pool.Replica{ID: fmt.Sprint(i), Service: "s", Slots: 4})
--- a/entry/bounded.go
+++ b/entry/bounded.go
@@ -177,9 +177,7 @@
 
 // retryBy has the client come back at that moment, or earlier.
 func (w *forwarding) retryBy(t time.Time) {
-	if !t.IsZero() && (w.retryAt.IsZero() || t.Before(w.retryAt)) {
-		w.retryAt = t
-	}
+	w.retryAt = earlier(w.retryAt, t)
 }
 
 // takeFor chooses a replica for a request of the product's own interfaces and counts it
@@ -188,21 +186,31 @@
 	var retryAt time.Time
 	for {
 		b := r.backends.take(l, a, tried, r.clock())
-		if b == nil || r.quota.IsQuiet() || !r.quota.Bound(b.ID, 0, false).IsBounded() {
-			return b, retryAt
+		if b == nil {
+			return nil, earlier(retryAt, r.restedAt(l))
 		}
-		v := r.quota.Take(ctx, r.askFor(service, []*pool.Replica{b}, 0, rank, false))
-		if v.Index == 0 {
+		v := quota.Verdict{}
+		if !r.quota.IsQuiet() && r.quota.Bound(b.ID, 0, false).IsBounded() {
+			v = r.quota.Take(ctx, r.askFor(service, []*pool.Replica{b}, 0, rank, false))
+		}
+		if v.Index == 0 && r.notices.Begin(b.ID, r.clock()) {
 			return b, retryAt
 		}
+		r.quota.Return(v.Ticket)
 		r.backends.release(b.ID)
 		tried = append(slices.Clip(tried), b.ID)
-		if !v.RetryAt.IsZero() && (retryAt.IsZero() || v.RetryAt.Before(retryAt)) {
-			retryAt = v.RetryAt
-		}
+		retryAt = earlier(retryAt, v.RetryAt)
 	}
 }
 
+// earlier returns the earlier moment of those that are known.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // noReplica is the refusal of a request for which there is none; retryAt is when there
 // will be one, zero if that is not known.
 func (r *Router) noReplica(retryAt time.Time) error {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -176,10 +176,7 @@
 		}
 		return err
 	}
-	if p == nil {
-		p = w.take(ctx)
-	}
-	if p == nil {
+	if p = w.begun(ctx, p); p == nil {
 		w.watch.untried()
 		return errors.CombineErrors(errGiveUp, w.cause)
 	}
@@ -195,9 +192,6 @@
 	}
 	w.f.Sends++
 	w.f.Tried = append(w.f.Tried, b.ID)
-	if s := w.r.notices.Of(b.ID).Says(w.r.clock()); s != "" {
-		w.f.Despite = append(w.f.Despite, b.ID+" "+s)
-	}
 	w.f.Replica, w.f.Release, w.f.Model = b.ID, b.Release, d.Model
 	w.tried = append(w.tried, b.ID)
 	a := &attempt{w: w, placed: p, replica: b, sent: w.r.clock(), kind: w.holdKey()}
@@ -212,13 +206,14 @@
 func (w *forwarding) take(ctx context.Context) *placed {
 	v := w.r.view.Get()
 	l := w.inRegions(v.byService[w.f.Service])
+	w.f.LeftOut = w.r.notices.LeftOut(idsOf(l), w.r.clock())
 	rel, ok := v.Releases[w.f.Service]
 	if !ok {
 		return w.place(ctx, l)
 	}
 	passed := len(w.f.PassedOver)
 	p := w.place(ctx, w.ofRelease(l, rel))
-	if p == nil && len(w.f.PassedOver) > passed && w.mayStay(rel) {
+	if p == nil && (len(w.f.PassedOver) > passed || w.f.LeftOut != "") && w.mayStay(rel) {
 		return w.place(ctx, ofOld(l, rel))
 	}
 	return p
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
+	"fieldvale/notice"
 	"fieldvale/pool"
 )
 
@@ -73,19 +75,21 @@
 }
 
 // gatherSound makes the candidates anew of those whose breakers allow it, or
-// of all if they leave none.
+// of all if they leave none; of those that leave if there is no other.
 func (b *backends) gatherSound(r []*pool.Replica, tried []string, now time.Time) {
-	b.gather(r, tried, func(x *backend) bool { return x.breaker.Allows(now) })
-	if len(b.scratch) == 0 {
-		b.gather(r, tried, func(*backend) bool { return true })
+	b.gather(r, tried, now, func(x *backend, v notice.Verdict) bool { return v == notice.Free && x.breaker.Allows(now) })
+	for _, v := range []notice.Verdict{notice.Free, notice.LastResort} {
+		if len(b.scratch) == 0 {
+			b.gather(r, tried, now, func(_ *backend, y notice.Verdict) bool { return y == v })
+		}
 	}
 }
 
 // unused is the state of a replica that was not used yet.
 var unused backend
 
-// gather makes the candidates anew.
-func (b *backends) gather(r []*pool.Replica, tried []string, allowed func(*backend) bool) {
+// gather makes the candidates anew. Every road to a replica comes by here.
+func (b *backends) gather(r []*pool.Replica, tried []string, now time.Time, allowed func(*backend, notice.Verdict) bool) {
 	b.scratch = b.scratch[:0]
 	for _, x := range r {
 		// Nothing is kept of replicas that were never used: there may be
@@ -94,7 +98,7 @@
 		if s == nil {
 			s = &unused
 		}
-		if allowed(s) && !contains(tried, x.ID) {
+		if allowed(s, b.notices.Verdict(x.ID, now)) && !slices.Contains(tried, x.ID) {
 			b.scratch = append(b.scratch, pool.Candidate{Replica: x, Local: s.running, Pending: s.pending})
 		}
 	}
--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -118,9 +118,8 @@
 	Verdict quarantine.Verdict
 	// Tried are the replicas that it was sent to, in order.
 	Tried []string
-	// Despite are the replicas among them that had said by then that they leave or rest, and
-	// for how long that was known.
-	Despite []string
+	// LeftOut counts the replicas that had said that they leave or rest at the last choice.
+	LeftOut string
 	Sends   int
 	Runs    int
 	Events  int
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -132,7 +132,7 @@
 
 // hasEnded reports whether the replica, which closed a connection, takes none any more.
 func (r *Router) hasEnded(b *pool.Replica) bool {
-	if r.prober == nil {
+	if r.prober == nil || r.leftInOrder(b.ID) {
 		return false
 	}
 	x, cancel := context.WithTimeout(context.Background(), probeWithin)
--- a/entry/router.go
+++ b/entry/router.go
@@ -132,13 +132,10 @@
 	if p.Quota == nil {
 		p.Quota = unbounded{}
 	}
-	if p.Notices == nil {
-		p.Notices = notice.NewBook(p.Clock, func(string, ...any) {})
-	}
 	return &Router{
 		view: p.View, engines: p.Engines, services: p.Services, claims: p.Claims, rater: p.Rater,
 		biller: p.Biller, clock: p.Clock, self: p.Self, dataCentre: p.DataCentre, regions: p.Regions,
-		backends: newBackends(p.Rand), evidence: newEvidence(p.Rater),
+		backends: newBackends(p.Rand, p.Notices), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
 		upstream: p.Upstream, underway: newUnderway(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), leads: newLeads(), answers: newAnswerSizes(), delays: newDelays(), paces: newPaces(),
--- a/notice/belief.go
+++ b/notice/belief.go
@@ -12,10 +12,53 @@
 	// RestUntil is until when it wants no request; zero once it answered one that was
 	// sent later.
 	RestUntil time.Time
+	// TrialUntil is until when a request that was sent after the rest has it alone.
+	TrialUntil time.Time
 	// HeardAt is when it was last heard of.
 	HeardAt time.Time
 }
 
+// Verdict is whether a replica may get a request.
+type Verdict int
+
+const (
+	// Free: it said nothing that speaks against it.
+	Free Verdict = iota
+	// LastResort: it leaves, and serves on for a while where there is no other.
+	LastResort
+	// Leaving: it ends soon.
+	Leaving
+	// Resting: it wants no request now, or whether it takes any again is being tried.
+	Resting
+)
+
+// May reports whether the verdict allows a request.
+func (v Verdict) May() bool { return v == Free || v == LastResort }
+
+// Verdict returns whether the replica may get a request now. servesFor is how long after its
+// word a leaving one still serves what it gets.
+func (b Belief) Verdict(now time.Time, servesFor time.Duration) Verdict {
+	switch {
+	case !b.IsLeaving():
+		return Free
+	case now.Before(b.LeavesFrom.Add(servesFor)):
+		return LastResort
+	}
+	return Leaving
+}
+
+// trialFor is how long one request after a rest has the replica alone, if no answer comes.
+const trialFor = 250 * time.Millisecond
+
+// WithTrial returns the belief with a request sent now. After a rest it is a trial: what asked for rest
+// may well want more, and only its next answer shows.
+func (b Belief) WithTrial(now time.Time) Belief {
+	if !b.RestUntil.IsZero() {
+		b.TrialUntil = now.Add(trialFor)
+	}
+	return b
+}
+
 // With returns the belief with a notice counted. Of two rests the one that ends later counts:
 // the replica may have asked for both.
 func (b Belief) With(n Notice) Belief {
@@ -27,7 +70,7 @@
 	case n.RestUntil.After(b.RestUntil):
 		b.RestUntil = n.RestUntil
 	case !n.Refused && !n.SentAt.Before(b.RestUntil):
-		b.RestUntil = time.Time{}
+		b.RestUntil, b.TrialUntil = time.Time{}, time.Time{}
 	}
 	return b
 }
@@ -38,17 +81,5 @@
 // IsResting reports whether it wants no request now.
 func (b Belief) IsResting(now time.Time) bool { return now.Before(b.RestUntil) }
 
-// Says tells what holds now: since when the replica leaves, or for how long it rests; empty for
-// nothing.
-func (b Belief) Says(now time.Time) string {
-	switch {
-	case b.IsLeaving():
-		return "leaves since " + now.Sub(b.LeavesFrom).String()
-	case b.IsResting(now):
-		return "rests for " + b.RestUntil.Sub(now).String()
-	}
-	return ""
-}
-
 // isEmpty reports whether nothing is believed.
 func (b Belief) isEmpty() bool { return b.LeavesFrom.IsZero() && b.RestUntil.IsZero() }
--- a/notice/book.go
+++ b/notice/book.go
@@ -1,27 +1,128 @@
 package notice
 
 import (
+	"fmt"
+	"iter"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Log takes one event with its fields, in pairs of name and value.
 type Log func(event string, fields ...any)
 
-// Book keeps the beliefs of all replicas by their ids, each of which is one life's. It is
-// safe for concurrent use.
+// Beliefs are those of replicas by their ids, each of which is one life's.
+type Beliefs map[string]Belief
+
+// Book keeps the beliefs of all replicas. It is safe for concurrent use. A nil Book believes
+// nothing.
 type Book struct {
-	mu    sync.Mutex
-	m     map[string]Belief
-	clock func() time.Time
-	log   Log
+	mu sync.Mutex
+	// m is replaced as a whole: each choice among thousands of replicas reads it.
+	m         atomic.Pointer[Beliefs]
+	clock     func() time.Time
+	servesFor time.Duration
+	log       Log
 	// complainAt is when the next line on what can't be read may be logged.
 	complainAt time.Time
 }
 
-// NewBook returns a book in which nothing is believed.
-func NewBook(clock func() time.Time, l Log) *Book {
-	return &Book{m: map[string]Belief{}, clock: clock, log: l}
+// servesPart of the time for which leaving replicas drain is how long they may get requests as
+// the last resort; the rest is for what these take.
+const servesPart = 0.5
+
+// NewBook returns a book in which nothing is believed. drainFor is how long after its word a
+// replica that leaves serves on.
+func NewBook(clock func() time.Time, drainFor time.Duration, l Log) *Book {
+	b := &Book{clock: clock, servesFor: time.Duration(servesPart * float64(drainFor)), log: l}
+	b.m.Store(&Beliefs{})
+	return b
+}
+
+// Beliefs returns what is believed now. It must not be changed.
+func (b *Book) Beliefs() Beliefs {
+	if b == nil {
+		return nil
+	}
+	return *b.m.Load()
+}
+
+// Verdict returns whether the replica may get a request now.
+func (b *Book) Verdict(replica string, now time.Time) Verdict {
+	x, ok := b.Beliefs()[replica]
+	if !ok {
+		return Free
+	}
+	return x.Verdict(now, b.servesFor)
+}
+
+// Begin reports whether the replica may get a request in this moment, and counts that as sent.
+// Each send asks it last: what the replica says meanwhile counts.
+func (b *Book) Begin(replica string, now time.Time) bool {
+	if len(b.Beliefs()) == 0 {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	was := b.Beliefs()[replica]
+	may := was.Verdict(now, b.servesFor).May()
+	if is := was.WithTrial(now); may && is != was {
+		b.put(replica, is)
+	}
+	return may
+}
+
+// put replaces the belief of the replica. The caller holds the lock.
+func (b *Book) put(replica string, x Belief) {
+	m := maps.Clone(b.Beliefs())
+	m[replica] = x
+	if x.isEmpty() {
+		delete(m, replica)
+	}
+	b.m.Store(&m)
+}
+
+// RestedAt returns when the first of the replicas takes requests again; zero if one does now, or
+// none that rests is among them.
+func (b *Book) RestedAt(replicas iter.Seq[string], now time.Time) time.Time {
+	var first time.Time
+	m := b.Beliefs()
+	if len(m) == 0 {
+		return first
+	}
+	for r := range replicas {
+		x := m[r]
+		switch {
+		case x.IsLeaving():
+		case !x.IsResting(now):
+			return time.Time{}
+		case first.IsZero() || x.RestUntil.Before(first):
+			first = x.RestUntil
+		}
+	}
+	return first
+}
+
+// LeftOut counts the replicas that leave and that rest, for logs; empty if none does.
+func (b *Book) LeftOut(replicas iter.Seq[string], now time.Time) string {
+	m := b.Beliefs()
+	if len(m) == 0 {
+		return ""
+	}
+	leaving, resting := 0, 0
+	for r := range replicas {
+		switch x := m[r]; {
+		case x.IsLeaving():
+			leaving++
+		case x.Verdict(now, b.servesFor) == Resting:
+			resting++
+		}
+	}
+	if leaving+resting == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d leave, %d rest", leaving, resting)
 }
 
 // Hear counts a notice. Of a replica that says nothing of itself nothing is kept.
@@ -39,31 +140,21 @@
 }
 
 func (b *Book) change(n Notice) (was, is Belief) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	was = b.m[n.Replica]
-	is = was.With(n)
-	if is.isEmpty() {
-		delete(b.m, n.Replica)
+	if b.Beliefs()[n.Replica].isEmpty() && (Belief{}).With(n).isEmpty() {
 		return was, is
 	}
-	b.m[n.Replica] = is
-	return was, is
-}
-
-// Of returns what is believed of the replica.
-func (b *Book) Of(replica string) Belief {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.m[replica]
+	was = b.Beliefs()[n.Replica]
+	is = was.With(n)
+	b.put(n.Replica, is)
+	return was, is
 }
 
 // Counts returns how many replicas said that they leave, and how many want no request now.
 func (b *Book) Counts() (leaving, resting int) {
 	now := b.clock()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, x := range b.m {
+	for _, x := range b.Beliefs() {
 		if x.IsLeaving() {
 			leaving++
 		}
@@ -83,11 +174,9 @@
 	now := b.clock()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for r, x := range b.m {
-		if now.Sub(x.HeardAt) >= keptFor && !isListed(r) {
-			delete(b.m, r)
-		}
-	}
+	m := maps.Clone(b.Beliefs())
+	maps.DeleteFunc(m, func(r string, x Belief) bool { return now.Sub(x.HeardAt) >= keptFor && !isListed(r) })
+	b.m.Store(&m)
 }
 
 // complainEvery is between lines on what can't be read.
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -119,19 +119,19 @@
 // A leaving replica is remembered for as long as it is listed, and for some time after.
 func TestLeavingReplicaIsForgottenOnlyOnceItIsGone(t *testing.T) {
 	now := noon
-	b := notice.NewBook(func() time.Time { return now }, func(string, ...any) {})
+	b := notice.NewBook(func() time.Time { return now }, 2*time.Second, func(string, ...any) {})
 	b.Hear(notice.Notice{Replica: "r", Leaves: true, HeardAt: now})
 	isListed := true
 	for range 100 {
 		now = now.Add(time.Hour)
 		b.Sweep(func(string) bool { return isListed })
 	}
-	if !b.Of("r").IsLeaving() {
+	if !b.Beliefs()["r"].IsLeaving() {
 		t.Error("forgotten while it is listed")
 	}
 	isListed = false
 	b.Sweep(func(string) bool { return isListed })
-	if b.Of("r").IsLeaving() {
+	if b.Beliefs()["r"].IsLeaving() {
 		t.Error("kept though it is gone for long")
 	}
 }
