A replica that asks for rest gets none of this instance's requests meanwhile

What callers saw: a replica that had turned an instance away and asked for 3 s of rest got 8 requests from it in that time. Each was turned away and repeated elsewhere: a round trip more, a piece of the budget that all repeats share, and a replica in need that has to answer all of them.

Cause: Retry-After went into the one request's own failure; to the breaker a refusal is a sound answer. A home keeps drawing the same requests to the replica.

Evidence: 91 requests turned away in 9 s at one replica, as many as before it asked; 30 failed attempts at the instance whose home it is, 2 at another. The failing test: 96 in one rest of 2 s.

Why this works: the same place that keeps off leaving replicas keeps off those that rest, at the choice and at the send.

--- a/notice/belief.go
+++ b/notice/belief.go
@@ -39,6 +39,8 @@
 // word a leaving one still serves what it gets.
 func (b Belief) Verdict(now time.Time, servesFor time.Duration) Verdict {
 	switch {
+	case b.IsResting(now) || now.Before(b.TrialUntil):
+		return Resting
 	case !b.IsLeaving():
 		return Free
 	case now.Before(b.LeavesFrom.Add(servesFor)):
