The own interfaces believe backend servers that leave or ask for rest; refusals are heeded whatever they are

The same cause elsewhere: model engines and plain services of the own interfaces were asked again in their rest (Retry-After was read as whole seconds only, for one caller), and could say that they leave in a report alone. X-Leaving and Retry-After of 503 go into the same book by the same reader.

On the platform a refusal without an id (a request that could not be read) and 421 count as well: they come from the replica's address, and one that is another's says that the meant one is gone. 429 asks for no rest: it may be meant for one customer.

--- a/adapter/backend/backend_test.go
+++ b/adapter/backend/backend_test.go
@@ -12,6 +12,7 @@
 	"fieldvale/adapter/backend"
 	"fieldvale/adapter/httpconn"
 	"fieldvale/entry"
+	"fieldvale/notice"
 	"fieldvale/outcome"
 	"fieldvale/pool"
 	"fieldvale/quota"
@@ -201,3 +202,64 @@
 		}
 	}
 }
+
+// heeded is what was heard of backend servers themselves.
+type heeded []string
+
+func (h *heeded) Hear(n notice.Notice) {
+	rest := time.Duration(0)
+	if !n.RestUntil.IsZero() {
+		rest = n.RestUntil.Sub(n.HeardAt)
+	}
+	*h = append(*h, fmt.Sprint(n.Replica, " ", n.Leaves, " ", rest, " ", n.Refused))
+}
+func (h *heeded) Unreadable(replica, header string, _ error) {
+	*h = append(*h, replica+" "+header+" unreadable")
+}
+
+func TestAnswersSayWhetherBackendServersLeaveOrRest(t *testing.T) {
+	for _, c := range []struct {
+		name, id, leaving, retryAfter, want string
+		status                              int
+		notRun                              bool
+	}{
+		{"whole", "id-1", "", "", "s false 0s false", 200, false},
+		{"leaves", "id-1", "true", "", "s true 0s false", 200, false},
+		{"an error, leaves", "id-1", "1", "", "s true 0s false", 500, false},
+		{"a refusal, leaves and rests", "id-1", "true", "0.5", "s true 500ms true", 503, true},
+		{"429 asks for no rest", "id-1", "", "3", "s false 0s true", 429, true},
+		{"unreadable", "id-1", "soon", "later", "s X-Leaving unreadable,s Retry-After unreadable,s false 0s true", 503, true},
+		{"another request's", "id-9", "true", "", "", 200, false},
+	} {
+		l, err := serve.On("127.0.0.1:0", func(x *fasthttp.RequestCtx) {
+			x.Response.Header.Set("X-Request-Id", c.id)
+			if c.leaving != "" {
+				x.Response.Header.Set(backend.HeaderLeaving, c.leaving)
+			}
+			if c.retryAfter != "" {
+				x.Response.Header.Set("Retry-After", c.retryAfter)
+			}
+			if c.notRun {
+				x.Response.Header.Set(backend.HeaderNotRun, "true")
+			}
+			x.SetStatusCode(c.status)
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(l.Close)
+		r := &pool.Replica{ID: "s", Addr: l.Addr}
+		var chat, stream, call heeded
+		_, _ = backend.NewEngines(httpconn.New()).WithNotices(&chat).Chat(t.Context(), r, attempt(0))
+		_, _ = backend.NewEngines(httpconn.New()).WithNotices(&stream).Stream(t.Context(), r, attempt(0), func([]byte) error { return nil })
+		_, _ = backend.NewServices(httpconn.New()).WithNotices(&call).Call(t.Context(), r, entry.ServiceCall{Call: "x", Deadline: time.Now().Add(time.Second)})
+		for road, h := range map[string]heeded{"chat": chat, "stream": stream} {
+			if g := strings.Join(h, ","); g != c.want {
+				t.Errorf("%s, %s: %q, want %q", c.name, road, g, c.want)
+			}
+		}
+		if c.id == "id-1" && strings.Join(call, ",") != c.want {
+			t.Errorf("%s, call: %q, want %q", c.name, call, c.want)
+		}
+	}
+}
--- a/adapter/backend/engine.go
+++ b/adapter/backend/engine.go
@@ -17,6 +17,7 @@
 
 	"fieldvale/adapter/httpconn"
 	"fieldvale/entry"
+	"fieldvale/notice"
 	"fieldvale/outcome"
 	"fieldvale/pool"
 )
@@ -40,8 +41,8 @@
 
 // Engines implements entry.Engines.
 type Engines struct {
-	http   *httpconn.Client
-	limits Limits
+	http *httpconn.Client
+	hearing
 }
 
 var _ entry.Engines = (*Engines)(nil)
@@ -57,10 +58,16 @@
 	return &e
 }
 
-// hear hands on what an answer says, if it is surely this attempt's.
-func (e *Engines) hear(r *pool.Replica, a entry.Attempt, p *fasthttp.Response, sentAt time.Time) {
+// WithNotices returns the client with n told what answers say of their engines.
+func (e Engines) WithNotices(n Notices) *Engines {
+	e.notices = n
+	return &e
+}
+
+// hearAnswer hands on what an answer says, if it is surely this attempt's.
+func (e *Engines) hearAnswer(r *pool.Replica, a entry.Attempt, p *fasthttp.Response, sentAt time.Time) {
 	if string(p.Header.Peek(HeaderAttempt)) == a.ID {
-		hear(e.limits, r, p, sentAt)
+		e.hear(r, a.ID, p, sentAt)
 	}
 }
 
@@ -96,7 +103,7 @@
 	if err := e.http.Do(ctx, r.Addr, q, p); err != nil {
 		return entry.Answer{}, withContext(ctx, err)
 	}
-	e.hear(r, a, p, sentAt)
+	e.hearAnswer(r, a, p, sentAt)
 	if err := checkHead(r, a, p); err != nil {
 		return entry.Answer{}, err
 	}
@@ -136,7 +143,7 @@
 		return entry.Answer{}, withContext(ctx, err)
 	}
 	defer l.Close()
-	e.hear(r, a, p, sentAt)
+	e.hearAnswer(r, a, p, sentAt)
 	if err := checkHead(r, a, p); err != nil {
 		return entry.Answer{}, err
 	}
@@ -285,8 +292,8 @@
 	if string(p.Header.Peek(HeaderNotRun)) == "true" {
 		e = outcome.New(outcome.NotRun, "refusal", r.ID, errors.Newf("status %d", s))
 	}
-	if n, err := strconv.Atoi(string(p.Header.Peek("Retry-After"))); err == nil {
-		e = e.WithRetryAt(time.Now().Add(time.Duration(n) * time.Second))
+	if t, err := notice.RestUntil(values(p, headerRetryAfter), time.Now()); err == nil {
+		e = e.WithRetryAt(t)
 	}
 	return e.WithStatus(s)
 }
--- a/adapter/backend/service.go
+++ b/adapter/backend/service.go
@@ -14,8 +14,8 @@
 
 // Services implements entry.Services.
 type Services struct {
-	http   *httpconn.Client
-	limits Limits
+	http *httpconn.Client
+	hearing
 }
 
 var _ entry.Services = (*Services)(nil)
@@ -31,6 +31,12 @@
 	return &s
 }
 
+// WithNotices returns the client with n told what answers say of their backend servers.
+func (s Services) WithNotices(n Notices) *Services {
+	s.notices = n
+	return &s
+}
+
 // Call implements entry.Services. Any answer below status 500 is the
 // service's own and is passed on.
 func (s *Services) Call(ctx context.Context, r *pool.Replica, c entry.ServiceCall) (entry.ServiceAnswer, error) {
@@ -53,7 +59,7 @@
 	if err := do(ctx, r.Addr, q, p); err != nil {
 		return entry.ServiceAnswer{}, withContext(ctx, err)
 	}
-	hear(s.limits, r, p, sentAt)
+	s.hear(r, c.Key, p, sentAt)
 	if p.StatusCode() >= fasthttp.StatusInternalServerError || refusal(p) {
 		return entry.ServiceAnswer{}, checkStatus(r, p, 0, 0)
 	}
--- a/cmd/fieldvale-node/duties.go
+++ b/cmd/fieldvale-node/duties.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fieldvale/adapter/settings"
+	"fieldvale/pool"
 )
 
 // tickEvery is how often timed duties are looked at. One timer serves all of them: each
@@ -17,7 +18,7 @@
 func (n *node) duties(ctx context.Context, hup <-chan os.Signal) error {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
-	var told, saw, swept time.Time
+	var told, saw time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -36,10 +37,6 @@
 			saw = now
 			n.see()
 		}
-		if now := n.clock(); now.Sub(swept) >= sweepNoticesEvery {
-			swept = now
-			n.sweepNotices()
-		}
 	}
 }
 
@@ -49,6 +46,7 @@
 	n.state.Tick()
 	n.quarantine.Tick()
 	n.quota.Tick()
+	n.notices.Sweep(pool.IDs(n.view.Get().Replicas))
 	n.tell(n.router.UrgentTallies())
 	n.advance()
 }
--- a/cmd/fieldvale-node/notices.go
+++ b/cmd/fieldvale-node/notices.go
@@ -1,10 +1,5 @@
 package main
 
-import "time"
-
-// sweepNoticesEvery is between looks for replicas that are gone.
-const sweepNoticesEvery = 10 * time.Second
-
 func (n *node) gaugeNotices() {
 	n.metrics.Gauge("replicas_say_leaving", "Replicas whose answers said that they leave, listed as ready or not.", func() float64 {
 		l, _ := n.notices.Counts()
@@ -15,12 +10,3 @@
 		return float64(r)
 	})
 }
-
-// sweepNotices forgets what replicas said that are gone.
-func (n *node) sweepNotices() {
-	listed := map[string]bool{}
-	for _, r := range n.view.Get().Replicas {
-		listed[r.ID] = true
-	}
-	n.notices.Sweep(func(r string) bool { return listed[r] })
-}
--- a/notice/book.go
+++ b/notice/book.go
@@ -24,6 +24,7 @@
 	clock     func() time.Time
 	servesFor time.Duration
 	log       Log
+	sweepAt   time.Time
 	// complainAt is when the next line on what can't be read may be logged.
 	complainAt time.Time
 }
@@ -165,17 +166,30 @@
 	return leaving, resting
 }
 
-// keptFor is how long something is believed of a replica that is not listed: its entry may
-// have lapsed while the platform's store was away.
-const keptFor = 10 * time.Minute
+const (
+	// sweepEvery is between looks for replicas that are gone.
+	sweepEvery = 10 * time.Second
+	// keptFor is how long something is believed of a replica that is not listed: its entry may
+	// have lapsed while the platform's store was away.
+	keptFor = 10 * time.Minute
+)
 
-// Sweep forgets the replicas that are neither listed nor were heard of for long.
-func (b *Book) Sweep(isListed func(replica string) bool) {
+// Sweep forgets, from time to time, the replicas that are neither listed nor were heard of for long.
+func (b *Book) Sweep(listed iter.Seq[string]) {
 	now := b.clock()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if now.Before(b.sweepAt) || len(b.Beliefs()) == 0 {
+		return
+	}
+	b.sweepAt = now.Add(sweepEvery)
 	m := maps.Clone(b.Beliefs())
-	maps.DeleteFunc(m, func(r string, x Belief) bool { return now.Sub(x.HeardAt) >= keptFor && !isListed(r) })
+	maps.DeleteFunc(m, func(_ string, x Belief) bool { return now.Sub(x.HeardAt) >= keptFor })
+	for r := range listed {
+		if x, ok := b.Beliefs()[r]; ok {
+			m[r] = x
+		}
+	}
 	b.m.Store(&m)
 }
 
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -121,16 +122,15 @@
 	now := noon
 	b := notice.NewBook(func() time.Time { return now }, 2*time.Second, func(string, ...any) {})
 	b.Hear(notice.Notice{Replica: "r", Leaves: true, HeardAt: now})
-	isListed := true
 	for range 100 {
 		now = now.Add(time.Hour)
-		b.Sweep(func(string) bool { return isListed })
+		b.Sweep(slices.Values([]string{"q", "r"}))
 	}
 	if !b.Beliefs()["r"].IsLeaving() {
 		t.Error("forgotten while it is listed")
 	}
-	isListed = false
-	b.Sweep(func(string) bool { return isListed })
+	now = now.Add(time.Hour)
+	b.Sweep(slices.Values([]string{"q"}))
 	if b.Beliefs()["r"].IsLeaving() {
 		t.Error("kept though it is gone for long")
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -3,6 +3,7 @@
 package pool
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -91,6 +92,17 @@
 	return r
 }
 
+// IDs goes through the replicas' ids.
+func IDs(l []Replica) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for i := range l {
+			if !yield(l[i].ID) {
+				return
+			}
+		}
+	}
+}
+
 // Candidate is a replica as one decision sees it.
 type Candidate struct {
 	Replica *Replica
--- a/process/entry.go
+++ b/process/entry.go
@@ -24,6 +24,8 @@
 	"fieldvale/biller"
 	"fieldvale/claim"
 	"fieldvale/entry"
+	"fieldvale/notice"
+	"fieldvale/pool"
 	"fieldvale/quarantine"
 	"fieldvale/quota"
 )
@@ -43,8 +45,13 @@
 	quarantine *quarantine.Node
 	// quota knows what backend servers ask of all entries; each takes its share.
 	quota *quota.Node
+	// notices is what backend servers said of themselves to this entry.
+	notices *notice.Book
 }
 
+// backendsDrain is how long backend servers that leave serve on after they said so.
+const backendsDrain = 2 * time.Second
+
 // NewEntry puts an entry together.
 func NewEntry(s settings.Entry, l log.Interface) *Entry {
 	e := &Entry{settings: s, log: l, incarnation: uuid.NewString(), view: entry.NewCurrent(), metrics: metrics.New()}
@@ -59,11 +66,14 @@
 		Self: s.ID, Clock: time.Now, FleetSize: func() int { return max(1, len(e.view.Get().Members)) }, IsCurrent: func() bool { return true }, Rand: rand.Float64,
 		Log: func(event string, f ...any) { l.WithFields(logging.Fields(f...)).Info(event) },
 	})
+	e.notices = notice.NewBook(time.Now, backendsDrain, func(event string, f ...any) {
+		l.WithFields(logging.Fields(f...)).Info(event)
+	})
 	e.router = entry.NewRouter(entry.Ports{
-		View: e.view, Engines: backend.NewEngines(h).WithLimits(e.quota), Services: backend.NewServices(h).WithLimits(e.quota), Claims: k,
+		View: e.view, Engines: backend.NewEngines(h).WithLimits(e.quota).WithNotices(e.notices), Services: backend.NewServices(h).WithLimits(e.quota).WithNotices(e.notices), Claims: k,
 		Rater: platform.New(h, "", s.Rating), Biller: e.biller, Clock: time.Now, Self: s.ID,
 		Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Events: e.events(),
-		Quarantine: e.quarantine, Prober: backend.Prober{}, Quota: e.quota,
+		Quarantine: e.quarantine, Prober: backend.Prober{}, Quota: e.quota, Notices: e.notices,
 	})
 	e.link = NewLink(k, e.view, e.router, e.biller, e.incarnation, func(event string, f ...any) {
 		l.WithFields(logging.Fields(f...)).Info(event)
@@ -165,6 +175,7 @@
 		case <-t.C:
 			e.quarantine.Tick()
 			e.quota.Tick()
+			e.notices.Sweep(pool.IDs(e.view.Get().Replicas))
 		}
 	}
 }
