--- a/cmd/fieldvale-soak/main.go
+++ b/cmd/fieldvale-soak/main.go
@@ -35,6 +35,7 @@
 	Clients  int           `long:"clients" default:"12" description:"clients"`
 	Crashing bool          `long:"crashing" description:"send a request all the while under which replicas end"`
 	Limited  bool          `long:"limited" description:"have replicas name limits all the while"`
+	Noticing bool          `long:"noticing" description:"have replicas say that they leave, or ask for rest, all the while"`
 }
 
 func main() { os.Exit(run()) }
@@ -83,7 +84,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
-	r, err := soak.Run(ctx, soak.Settings{Seed: seed, Binary: b, For: o.For, Nodes: o.Nodes, Replicas: o.Replicas, Clients: o.Clients, Crashing: o.Crashing, Limited: o.Limited, Dir: d})
+	r, err := soak.Run(ctx, soak.Settings{Seed: seed, Binary: b, For: o.For, Nodes: o.Nodes, Replicas: o.Replicas, Clients: o.Clients, Crashing: o.Crashing, Limited: o.Limited, Noticing: o.Noticing, Dir: d})
 	ok := err == nil && len(r.Broken) == 0
 	fmt.Printf("seed=%d ok=%t answered=%d failed=%d after: answered=%d failed=%d faults=%d crashed=%d release=%s\n", seed, ok, r.Answered, r.Failed, r.LateAnswered, r.LateFailed, len(r.Faults), r.Crashed, r.Release)
 	for _, c := range slices.Sorted(maps.Keys(r.Causes)) {
