--- a/entry/hopeless.go
+++ b/entry/hopeless.go
@@ -25,7 +25,7 @@
 		return false
 	}
 	now := w.r.clock()
-	over := w.r.delays.expect(w.f.Service, p.ready) - w.q.until().Sub(now)
+	over := w.r.delays.Expect(w.f.Service, p.ready) - w.q.until().Sub(now)
 	if over <= 0 {
 		return false
 	}
--- a/entry/patience.go
+++ b/entry/patience.go
@@ -44,6 +44,6 @@
 	if a.placed == nil || a.placed.ready == 0 {
 		return most
 	}
-	e := a.w.r.delays.expect(a.w.f.Service, a.placed.ready)
+	e := a.w.r.delays.Expect(a.w.f.Service, a.placed.ready)
 	return min(most, max(minPatience, patienceFactor*e))
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -85,7 +85,7 @@
 func (w *forwarding) ask(e estimate, c []*pool.Replica) placement.Ask {
 	return placement.Ask{
 		Replicas: ids(c), Far: w.r.far(c), Away: w.away(),
-		Read: max(1, e.own), Shared: e.shared, Hold: w.r.holds.of(w.holdKey()),
+		Read: max(1, e.own), Shared: e.shared, Hold: w.r.holds.Of(w.holdKey()),
 		Within: w.within(),
 	}
 }
@@ -113,9 +113,9 @@
 // read notes that the replica has read the prompt.
 func (w *forwarding) read(p *placed, sent time.Time) {
 	if p.idle && p.tokens > 0 {
-		w.r.speeds.saw(w.speedKey(), w.r.clock().Sub(sent), p.tokens)
+		w.r.speeds.Saw(w.speedKey(), w.r.clock().Sub(sent), p.tokens)
 	}
-	w.r.delays.saw(w.f.Service, p.ready, w.r.clock().Sub(sent))
+	w.r.delays.Saw(w.f.Service, p.ready, w.r.clock().Sub(sent))
 	if w.closes(p) {
 		w.r.placer.Read(p.ticket)
 	}
--- a/entry/router.go
+++ b/entry/router.go
@@ -22,6 +22,7 @@
 	"fieldvale/quota"
 	"fieldvale/rollout"
 	"fieldvale/session"
+	"fieldvale/timing"
 	"fieldvale/version"
 )
 
@@ -59,11 +60,11 @@
 	prober     Prober
 	quarantine Quarantine
 	placer     Placer
-	speeds     *speeds
-	holds      *holds
+	speeds     *timing.Speeds
+	holds      *timing.Holds
 	leads      *leads
 	answers    *answerSizes
-	delays     *delays
+	delays     *timing.Delays
 	paces      *paces
 	releases   *releases
 	// windows bound the repeats of opaque requests by service.
@@ -138,7 +139,7 @@
 		backends: newBackends(p.Rand, p.Notices), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, budget: admission.NewRetryBudget(),
 		learner: cascade.NewLearner(), events: e,
-		upstream: p.Upstream, underway: newUnderway(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, speeds: newSpeeds(), holds: newHolds(), leads: newLeads(), answers: newAnswerSizes(), delays: newDelays(), paces: newPaces(),
+		upstream: p.Upstream, underway: newUnderway(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, speeds: timing.NewSpeeds(), holds: timing.NewHolds(), leads: newLeads(), answers: newAnswerSizes(), delays: timing.NewDelays(), paces: newPaces(),
 		releases: newReleases(p.Clock()), windows: map[string]*admission.Window{}, repeats: p.Repeats, fleetSize: p.FleetSize,
 		acceptConfidence: p.AcceptConfidence, coldBound: p.ColdBound, quota: p.Quota, notices: p.Notices,
 	}
--- a/entry/delays.go
+++ b/timing/delays.go
@@ -1,4 +1,4 @@
-package entry
+package timing
 
 import (
 	"time"
@@ -19,20 +19,21 @@
 	minReady = 100
 )
 
-// delays learns by how much first events come later than the work before
+// Delays learns by how much first events come later than the work before
 // them says: replicas make tokens of other streams in between.
-type delays struct{ m *means.Means }
+type Delays struct{ m *means.Means }
 
-func newDelays() *delays { return &delays{m: means.New(delayWeight)} }
+// NewDelays returns what is known before the first request.
+func NewDelays() *Delays { return &Delays{m: means.New(delayWeight)} }
 
-// expect returns the time to the first event for an estimate in milliseconds.
-func (d *delays) expect(service string, ready float64) time.Duration {
+// Expect returns the time to the first event for an estimate in milliseconds.
+func (d *Delays) Expect(service string, ready float64) time.Duration {
 	r := d.m.Of(service, firstDelayRatio)
 	return time.Duration(r * ready * float64(time.Millisecond))
 }
 
-// saw learns from a prompt whose first event came.
-func (d *delays) saw(service string, ready float64, took time.Duration) {
+// Saw learns from a prompt whose first event came.
+func (d *Delays) Saw(service string, ready float64, took time.Duration) {
 	if ready < minReady {
 		return
 	}
--- a/entry/speeds.go
+++ b/timing/speeds.go
@@ -1,4 +1,4 @@
-package entry
+package timing
 
 import (
 	"time"
@@ -19,13 +19,14 @@
 	minSpeedTokens = 1000
 )
 
-// speeds learns how long models take to read a token, in milliseconds.
-type speeds struct{ m *means.Means }
+// Speeds learns how long models take to read a token, in milliseconds.
+type Speeds struct{ m *means.Means }
 
-func newSpeeds() *speeds { return &speeds{m: means.New(speedWeight)} }
+// NewSpeeds returns what is known before the first request.
+func NewSpeeds() *Speeds { return &Speeds{m: means.New(speedWeight)} }
 
-// of returns the milliseconds for a token; size is the model's rank.
-func (s *speeds) of(key string, size int) float64 {
+// Of returns the milliseconds for a token; size is the model's rank.
+func (s *Speeds) Of(key string, size int) float64 {
 	first := firstSpeed
 	for range size {
 		first *= firstSlowdown
@@ -33,9 +34,9 @@
 	return s.m.Of(key, first)
 }
 
-// saw learns from a prompt that was read with nothing before it. Its key's
+// Saw learns from a prompt that was read with nothing before it. Its key's
 // speed was asked for before.
-func (s *speeds) saw(key string, took time.Duration, tokens float64) {
+func (s *Speeds) Saw(key string, took time.Duration, tokens float64) {
 	if tokens < minSpeedTokens {
 		return
 	}
