quarantine: a content whose trial ended a replica keeps its ends when another is held for them

Cause: when one of several was held, the ends that they shared were taken off all others, but for those under their own trials; one that had ended a replica on trial was nearly free again.

--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -87,9 +87,8 @@
 }
 
 // isExplained reports whether the end of the replica's life is put down to a content that
-// is held. That excuses contents that were at no other end: of ten that bring replicas down at
-// once one reached replicas seven times after the users' bound of three where it excused all, six
-// times where it excused those that were at one other end, and four times so (200 days).
+// is held. That excuses contents that were at no other end: several at once may bring replicas
+// down.
 func (b *Book) isExplained(life string, now time.Time) bool {
 	until, ok := b.explained[life]
 	return ok && now.Before(until)
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -133,8 +133,12 @@
 }
 
 // WithExplained takes off the ends that another content is held for, but for those under
-// a trial of this one: two at once may bring replicas down.
+// a trial of this one, and none where its last trials ended replicas: several at once may
+// bring replicas down.
 func (r Record) WithExplained(replicas []string) Record {
+	if r.TrialsEnded > 0 {
+		return r
+	}
 	var left []string
 	for _, x := range r.Replicas {
 		if !slices.Contains(replicas, x) || slices.Contains(r.TrialReplicas, x) {
