--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -18,7 +18,8 @@
 // Set is the replicas known, by the platform's name. It is not safe for concurrent
 // use.
 type Set struct {
-	replicas map[string]pool.Replica
+	// replicas are shared with the views made of them, and replaced, never changed.
+	replicas map[string]*pool.Replica
 	// names are those of replicas in their order; nil if they have to be sorted
 	// again.
 	names []string
@@ -34,7 +35,7 @@
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{replicas: map[string]pool.Replica{}, assumed: map[string]bool{}, missing: map[string]bool{}}
+	return &Set{replicas: map[string]*pool.Replica{}, assumed: map[string]bool{}, missing: map[string]bool{}}
 }
 
 // Put adds a replica or takes its newer entry, and returns the entry before it, if
@@ -42,8 +43,10 @@
 // that it was: an entry that says warm may be older than what made it cold.
 func (s *Set) Put(r pool.Replica) (was pool.Replica, known bool) {
 	name := r.PlatformName()
-	was, known = s.replicas[name]
-	if !known {
+	p, known := s.replicas[name]
+	if known {
+		was = *p
+	} else {
 		s.names = nil
 	}
 	switch {
@@ -52,7 +55,7 @@
 	case s.assumed[name]:
 		r.ColdUntil = was.ColdUntil
 	}
-	s.replicas[name] = r
+	s.replicas[name] = &r
 	delete(s.missing, name)
 	return was, known
 }
@@ -62,11 +65,12 @@
 func (s *Set) AssumeCold(dataCentre string, now time.Time, cold func(pool.Replica) time.Duration) int {
 	n := 0
 	for name, r := range s.replicas {
-		until := now.Add(cold(r))
+		until := now.Add(cold(*r))
 		if r.DataCentre != dataCentre || !until.After(now) || !until.After(r.ColdUntil) {
 			continue
 		}
-		s.replicas[name] = r.WithColdUntil(until)
+		c := r.WithColdUntil(until)
+		s.replicas[name] = &c
 		s.assumed[name] = true
 		n++
 	}
@@ -134,12 +138,12 @@
 // Len returns how many replicas there are.
 func (s *Set) Len() int { return len(s.replicas) }
 
-// Replicas returns the replicas in the order of their names.
-func (s *Set) Replicas() []pool.Replica {
+// Replicas returns the replicas in the order of their names. They must not be changed.
+func (s *Set) Replicas() []*pool.Replica {
 	if s.names == nil {
 		s.names = slices.Sorted(maps.Keys(s.replicas))
 	}
-	l := make([]pool.Replica, len(s.names))
+	l := make([]*pool.Replica, len(s.names))
 	for i, name := range s.names {
 		l[i] = s.replicas[name]
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"fieldvale/outcome"
+	"fieldvale/pool"
 	"fieldvale/prompt"
 )
 
@@ -206,7 +207,7 @@
 func (w *forwarding) take(ctx context.Context) *placed {
 	v := w.r.view.Get()
 	l := w.inRegions(v.byService[w.f.Service])
-	w.f.LeftOut = w.r.notices.LeftOut(idsOf(l), w.r.clock())
+	w.f.LeftOut = w.r.notices.LeftOut(pool.IDs(l), w.r.clock())
 	rel, ok := v.Releases[w.f.Service]
 	if !ok {
 		return w.place(ctx, l)
--- a/entry/group.go
+++ b/entry/group.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"iter"
 	"slices"
 	"strconv"
 
@@ -18,7 +17,7 @@
 	if key == "" {
 		key = w.q.ID
 	}
-	g := placement.NewGroups(len(allowed), idsOf(allowed))
+	g := placement.NewGroups(len(allowed), pool.IDs(allowed))
 	k := g.OfKey(key)
 	if in := inGroup(c, g, k); len(in) > 0 {
 		c = in
@@ -49,19 +48,8 @@
 	return l
 }
 
-// idsOf goes through the replicas' ids.
-func idsOf(c []*pool.Replica) iter.Seq[string] {
-	return func(yield func(string) bool) {
-		for _, r := range c {
-			if !yield(r.ID) {
-				return
-			}
-		}
-	}
-}
-
 func ids(c []*pool.Replica) []string {
-	return slices.AppendSeq(make([]string, 0, len(c)), idsOf(c))
+	return slices.AppendSeq(make([]string, 0, len(c)), pool.IDs(c))
 }
 
 // far returns the bits of the replicas in other data centres.
--- a/entry/view.go
+++ b/entry/view.go
@@ -18,7 +18,7 @@
 // View is what an entry knows at one moment. It is immutable.
 type View struct {
 	Active   *config.Active
-	Replicas []pool.Replica
+	Replicas []*pool.Replica
 	Members  []peer.Member
 	Tripped  map[version.ID]bool
 	// Table and Releases are the routing table and the roll-outs of backend
@@ -33,6 +33,15 @@
 // NewView returns a view with its indexes made. a may be nil: then nothing
 // can be served yet.
 func NewView(a *config.Active, r []pool.Replica, m []peer.Member, tripped []version.ID) *View {
+	l := make([]*pool.Replica, len(r))
+	for i := range r {
+		l[i] = &r[i]
+	}
+	return NewViewOf(a, l, m, tripped)
+}
+
+// NewViewOf returns a view of replicas that it shares with others.
+func NewViewOf(a *config.Active, r []*pool.Replica, m []peer.Member, tripped []version.ID) *View {
 	v := &View{
 		Active:    a,
 		Replicas:  r,
@@ -44,8 +53,8 @@
 	for _, x := range tripped {
 		v.Tripped[x] = true
 	}
-	for i := range r {
-		v.index(&r[i])
+	for _, x := range r {
+		v.index(x)
 	}
 	return v
 }
--- a/faults/versions_test.go
+++ b/faults/versions_test.go
@@ -173,7 +173,7 @@
 			}
 			tries++
 			v := i.View.Get()
-			i.View.Put(entry.NewView(v.Active, v.Replicas, v.Members, []version.ID{cheap1, cheap2}))
+			i.View.Put(entry.NewViewOf(v.Active, v.Replicas, v.Members, []version.ID{cheap1, cheap2}))
 		}
 		_, err := d.one(ctx, "a1", "chat", 3)
 		if err == nil || tries != 1 {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -93,10 +93,10 @@
 }
 
 // IDs goes through the replicas' ids.
-func IDs(l []Replica) iter.Seq[string] {
+func IDs(l []*Replica) iter.Seq[string] {
 	return func(yield func(string) bool) {
-		for i := range l {
-			if !yield(l[i].ID) {
+		for _, r := range l {
+			if !yield(r.ID) {
 				return
 			}
 		}
--- a/state/replicas.go
+++ b/state/replicas.go
@@ -66,12 +66,12 @@
 }
 
 // serving are the replicas that may get requests by where they are.
-func (s *State) serving() []pool.Replica {
+func (s *State) serving() []*pool.Replica {
 	l := s.replicas.Replicas()
 	if len(s.evacuated) == 0 {
 		return l
 	}
-	return slices.DeleteFunc(l, func(r pool.Replica) bool { return s.evacuated[r.DataCentre] })
+	return slices.DeleteFunc(l, func(r *pool.Replica) bool { return s.evacuated[r.DataCentre] })
 }
 
 // logReplica logs what a replica's entry changes of what is believed of it.
--- a/state/state.go
+++ b/state/state.go
@@ -174,7 +174,7 @@
 			m[k] = r.current()
 		}
 	}
-	s.view.Put(entry.NewView(nil, s.serving(), s.memberList(), nil).WithRoutes(s.table, m))
+	s.view.Put(entry.NewViewOf(nil, s.serving(), s.memberList(), nil).WithRoutes(s.table, m))
 }
 
 // Tick does what is due by the time alone.
