--- a/relay/log_test.go
+++ b/relay/log_test.go
@@ -95,7 +95,9 @@
 				t.Fatal(err)
 			}
 			left := slices.DeleteFunc(slices.Clone(want), func(x store.Item) bool { return x.Deleted })
-			if !slices.EqualFunc(left, got, func(a, b store.Item) bool { return a.Key == b.Key && string(a.Value) == string(b.Value) && a.Revision == b.Revision }) {
+			if !slices.EqualFunc(left, got, func(a, b store.Item) bool {
+				return a.Key == b.Key && string(a.Value) == string(b.Value) && a.Revision == b.Revision
+			}) {
 				t.Fatalf("after %d changes %d items are told, want %d", i+1, len(got), len(left))
 			}
 		}
