entry: a caller is not sent away for the rest of one replica while another is fit

What callers saw: three of five replicas turned a request away and asked for rest, and the caller was told to come back in 3 s, the last one's figure, though two were fit.

Now a notice is not taken for the request's word: where one is fit the caller is told the usual 0.25 s, where all rest when the first has rested.

TestCallerIsNotSentAwayForTheRestOfOneReplica failed before (3 s, want 0.25 s).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -80,13 +80,13 @@
 	return a.whole(reply)
 }
 
-// count keeps when a refusing replica wants to be asked again, and counts a
-// run of which no word came.
+// count keeps when a refusing replica wants to be asked again, unless that is one of its
+// notices, and counts a run of which no word came.
 func (a *attempt) count(err error) {
 	if a.ran {
 		a.w.f.Runs++
 	}
-	if o, ok := asOutcome(err); ok {
+	if o, ok := asOutcome(err); ok && !a.w.r.notices.Rests(a.replica.ID, a.w.r.clock()) {
 		a.w.retryBy(o.RetryAt)
 	}
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -246,6 +246,9 @@
 	if !w.r.clock().Before(w.q.until()) && ctx.Err() == nil {
 		f.Code, f.Message = TooLate, "the deadline passed"
 	}
+	if f.RetryAt.IsZero() {
+		f.RetryAt = w.r.restedAt(w.r.view.Get().byService[w.f.Service])
+	}
 	if f.RetryAt.IsZero() {
 		f.RetryAt = w.r.clock().Add(refusedRetry)
 	}
--- a/entry/notices_test.go
+++ b/entry/notices_test.go
@@ -330,3 +330,47 @@
 	b.Hear(notice.Notice{Replica: "c", SentAt: now, HeardAt: now})
 	want("c has answered", "c")
 }
+
+// needsRest turns all away and asks for the rest that is drawn for each.
+type needsRest struct {
+	book *notice.Book
+	now  time.Time
+	rest map[string]time.Duration
+}
+
+func (u needsRest) Send(_ context.Context, r *pool.Replica, _ Dispatch) (Reply, error) {
+	until := u.now.Add(u.rest[r.ID])
+	u.book.Hear(notice.Notice{Replica: r.ID, Refused: true, RestUntil: until, SentAt: u.now, HeardAt: u.now})
+	return nil, outcome.New(outcome.NotRun, "refused", r.ID, errors.New("status 503")).WithStatus(http.StatusServiceUnavailable).WithRetryAt(until)
+}
+
+// A caller whom some replicas have turned away comes back soon where another one is fit, and when the first
+// has rested where none is.
+func TestCallerIsNotSentAwayForTheRestOfOneReplica(t *testing.T) {
+	for _, c := range []struct {
+		replicas int
+		min, max time.Duration
+	}{
+		{5, refusedRetry, refusedRetry},
+		{3, time.Second, time.Second + restedSpread},
+	} {
+		now := time.Unix(1_700_000_000, 0)
+		clock := func() time.Time { return now }
+		u := needsRest{book: notice.NewBook(clock, talkersDrain, func(string, ...any) {}), now: now, rest: map[string]time.Duration{}}
+		var l []pool.Replica
+		for i := range c.replicas {
+			id := fmt.Sprint("r", i)
+			u.rest[id] = time.Duration(1+i) * time.Second
+			l = append(l, pool.Replica{ID: id, Kind: pool.Service, Service: "s"})
+		}
+		v := NewCurrent()
+		v.Put(NewView(nil, l, nil, nil))
+		r := NewRouter(Ports{View: v, Clock: clock, Rand: rand.NewPCG(1, 1), Upstream: u, Repeats: admission.Repeats{Burst: 9}, FleetSize: func() int { return 1 }, Notices: u.book})
+		q := &Opaque{ID: "q", Table: route.New(1, nil, nil, nil, route.Limits{}), Route: &route.Route{Split: []route.Part{{Service: "s"}}, MaxAttempts: 3}, Arrived: now, Deadline: now.Add(time.Hour), TimeoutAt: now.Add(time.Hour)}
+		_, err := r.Forward(t.Context(), q, &clientSink{})
+		var f *Failure
+		if !errors.As(err, &f) || f.Run != outcome.NotRun || f.RetryAt.Sub(now) < c.min || f.RetryAt.Sub(now) > c.max {
+			t.Errorf("%d replicas: %s, come back in %s, want %s to %s", c.replicas, f.Run, f.RetryAt.Sub(now), c.min, c.max)
+		}
+	}
+}
