relay: what is known is packed before it is in force, not between a configuration and its confirmation

A change is put in force, then kept for followers, then confirmed; packing the whole takes tens of milliseconds of a busy machine, in which the configuration is in force and nothing has confirmed it.

Why this works: the log comes first; between the change in force and its confirmation nothing else is done. TestWholeIsPackedBeforeItsConfigurationIsInForce failed before (0, want 7).

--- a/relay/tee.go
+++ b/relay/tee.go
@@ -17,9 +17,9 @@
 
 var _ mirror.Listener = Tee{}
 
-// Changed implements mirror.Listener.
+// Changed implements mirror.Listener. The log, which takes its time to pack a whole, is first: between
+// a configuration and its confirmation no key is honoured by it.
 func (t Tee) Changed(u mirror.Update) {
-	t.On.Changed(u)
 	keep := t.Log.Add
 	if u.Whole {
 		keep = t.Log.Reset
@@ -27,6 +27,7 @@
 	if err := keep(u.Items, u.Revision); err != nil {
 		t.Event("changes_unkept", "revision", u.Revision, "items", len(u.Items), "error", err)
 	}
+	t.On.Changed(u)
 }
 
 // Confirmed implements mirror.Listener.
--- /dev/null
+++ b/relay/tee_test.go
@@ -0,0 +1,31 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"fieldvale/mirror"
+	"fieldvale/store"
+)
+
+// orderly is a listener that looks what the log has when it is told of a change.
+type orderly struct {
+	log  *Log
+	seen int64
+}
+
+func (o *orderly) Changed(mirror.Update) { o.seen, _, _ = o.log.newest() }
+func (o *orderly) Confirmed(time.Time)   {}
+func (o *orderly) Lost(error)            {}
+func (o *orderly) Regained()             {}
+
+// Packing stands between no configuration and its confirmation: keys were refused meanwhile.
+func TestWholeIsPackedBeforeItsConfigurationIsInForce(t *testing.T) {
+	l := NewLog()
+	o := &orderly{log: l}
+	k := Tee{Log: l, On: o, Event: func(string, ...any) {}}
+	k.Changed(mirror.Update{Items: []store.Item{{Key: "a", Revision: 7}}, Whole: true, Revision: 7})
+	if o.seen != 7 {
+		t.Errorf("the log is at %d as the change is in force, want 7", o.seen)
+	}
+}
