node, relay, platform: how old knowledge is, how the store's calls ended, and that history is gone can be told

New: history_gone and whole_read, store_back with confirmed_ago, config_version, config_age_seconds, and store_calls_total by call and result. No decision changes.

--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -113,7 +113,7 @@
 	}
 	n.lease = lease.New(time.Duration(honourPart*float64(s.HonourFor)), keyRule(s), n.clock())
 	n.placer = placement.NewNode(s.ID, startID(), tagged{n, tagPlacement}, n.clock, n.event)
-	n.store = platform.NewStore(exchange.New(c.Now), s.Store, c.Now)
+	n.store = platform.NewStore(exchange.New(c.Now), s.Store, c.Now).WithEnded(n.storeCalls())
 	n.traffic = n.newTraffic()
 	n.held = make(chan heldChange, mostHeldWaiting)
 	n.changes = relay.NewLog()
@@ -127,6 +127,7 @@
 	n.notices = notice.NewBook(n.clock, n.s.DrainFor, n.event)
 	n.gaugeNotices()
 	n.state = state.New(n.view, n.lease, n.clock, n.event, n.setMembers)
+	n.gaugeKnowledge()
 	n.metrics.Gauge("replicas_cold", "Replicas that have just started, as this instance knows.", func() float64 { return float64(n.state.Cold()) })
 	n.metrics.Gauge("data_centres_evacuated", "Data centres whose replicas get nothing.", func() float64 { return float64(n.state.Evacuated()) })
 	n.releases = platform.NewReleases(n.store)
--- a/cmd/fieldvale-node/store_test.go
+++ b/cmd/fieldvale-node/store_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -90,3 +92,47 @@
 	s.store.Unlock()
 	s.eventually("the key that was taken away is refused", func() bool { return s.send("POST", "/once/", "", key).status == 401 })
 }
+
+// What an instance knows, how old that is, how the store's calls ended, and that the store has
+// forgotten its history can be told from metrics and logs.
+func TestKnowledgeAndCallsAreObserved(t *testing.T) {
+	s := newSite(t)
+	s.replica("a", "v1")
+	s.start()
+	s.store.Lock()
+	s.store.Refuse = http.StatusServiceUnavailable
+	s.store.Unlock()
+	s.eventually("the store is lost", func() bool { return strings.Contains(s.logs.String(), "event=store_lost") })
+	s.store.PutConfig(2, "k1")
+	s.store.Forget()
+	s.store.Lock()
+	s.store.Refuse = 0
+	s.store.Unlock()
+	s.eventually("the store is back", func() bool { return strings.Contains(s.logs.String(), "event=store_back") })
+	for _, want := range []string{"event=history_gone after=", "event=whole_read", "event=store_back confirmed_ago="} {
+		if !strings.Contains(s.logs.String(), want) {
+			t.Errorf("no line with %q in\n%s", want, s.logs)
+		}
+	}
+	m := s.metrics()
+	for _, want := range []string{"fieldvale_config_version 2\n", "fieldvale_config_age_seconds 0.", `fieldvale_store_calls_total{call="changes",result="410"} 1`, `fieldvale_store_calls_total{call="changes",result="503"}`, `fieldvale_store_calls_total{call="read",result="200"}`} {
+		if !strings.Contains(m, want) {
+			t.Errorf("metrics lack %q:\n%s", want, m)
+		}
+	}
+}
+
+// metrics returns what the node tells at its metrics address.
+func (s *site) metrics() string {
+	s.t.Helper()
+	r, err := http.Get("http://" + s.node.s.Metrics + "/metrics")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return string(b)
+}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -46,6 +46,10 @@
 	x, cancel := context.WithTimeout(ctx, wait+storeSlack)
 	defer cancel()
 	c, err := n.store.Changes(x, prefix, after, wait)
+	if errors.Is(err, store.ErrCompacted) {
+		_, confirmed, _ := n.log.newest()
+		n.event("history_gone", "after", after, "confirmed_ago", n.clock().Sub(confirmed))
+	}
 	if err == nil || errors.Is(err, store.ErrCompacted) {
 		n.log.SetHops(0)
 	} else {
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -97,7 +97,11 @@
 func (n *Node) readPage(ctx context.Context, prefix, after string) (store.Page, error) {
 	x, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
-	return n.store.Read(x, prefix, after)
+	p, err := n.store.Read(x, prefix, after)
+	if err == nil && !p.More {
+		n.event("whole_read", "revision", p.Revision, "last_page", len(p.Items))
+	}
+	return p, err
 }
 
 // findMembers reads the list at the store if nobody is known. An answer that may be
--- a/state/state.go
+++ b/state/state.go
@@ -233,8 +233,10 @@
 		s.start.lost = make(chan struct{})
 	}
 	s.lost = false
-	s.replicas.Back(s.clock())
-	s.log("store_back")
+	now := s.clock()
+	s.replicas.Back(now)
+	a, _ := s.lease.Age(now)
+	s.log("store_back", "confirmed_ago", a)
 }
 
 // freshPart of the lease may be used up at an instance that is ready. New
