relay: history dropped while the watching instances are turned away, red

Users: a client on the fonts' site got 404 by an older version 2.8 s after a change, all six instances unready. Hypothesis 1 in docs/incidents/older-configuration-for-six-seconds.md, in a test over fleets of 3 to 82 on a virtual clock: four seconds after history is dropped no instance that reaches the store knows the change; all five cases fail.

The test's way to the store cut only the calls for changes, not the read of the whole: with that read open, a cut watcher could do what none can on the platform. It cuts both now; all other tests of the package pass.

--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -281,6 +281,16 @@
 	away *flag
 }
 
+func (g gate) Read(ctx context.Context, prefix, after string) (store.Page, error) {
+	if g.away.get() {
+		if g.away.silent {
+			<-ctx.Done()
+		}
+		return store.Page{}, errDown
+	}
+	return g.fakeStore.Read(ctx, prefix, after)
+}
+
 func (g gate) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
 	if g.away.get() {
 		if g.away.silent {
