relay: after history is gone only something newer counts, from another instance or the store

Callers saw: 404 for a route whose change was acknowledged 2.8 s before, from instances that reached the store; all six unready for 3 s.

Cause: an instance that follows others asks the store once they can't tell. After history was dropped the store answers that it is to be read whole; the instance then fetched the whole from another one, whatever its age, also the very revision that it had.

Ruled out: hung calls (hundreds of answers a second), the store's limits (410 and nothing else).

Change: an instance that knows a revision asks others for a whole newer than it, who say at once if they have none, and reads the store when its turn by rank comes, 0.3 s for each tier. It can't come back to the same question: either its revision has grown, or the store itself has told it.

TestForgottenHistoryIsReadByFew (two reads of 30) holds.

--- a/relay/whole.go
+++ b/relay/whole.go
@@ -43,14 +43,17 @@
 	joinSlack = 50 * time.Millisecond
 )
 
+// nothing is the revision of one that knows nothing yet.
+const nothing = -1
+
 // Transfer fetches what another instance passes on over a connection: the changes after
 // a revision or, where it has forgotten them, the whole; below 0 asks for the whole.
 type Transfer interface {
 	Fetch(ctx context.Context, addr string, after int64) ([]byte, error)
 }
 
-// errOlder says that another instance knows less than this one.
-var errOlder = errors.New("relay: what was fetched is older than what is known")
+// errOlder says that another instance knows no more than this one.
+var errOlder = errors.New("relay: what was fetched is no newer than what is known")
 
 // Read implements store.Feed. The first page has all keys if another instance could
 // tell them.
@@ -58,6 +61,9 @@
 	if after != "" {
 		return n.readPage(ctx, prefix, after)
 	}
+	if r, _, knows := n.log.newest(); knows {
+		return n.readNewer(ctx, prefix, r)
+	}
 	if err := n.findMembers(ctx); err != nil {
 		return store.Page{}, err
 	}
@@ -170,7 +176,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		a, s := n.wholeBy(ctx, m, waits || i < len(before))
+		a, s := n.wholeBy(ctx, m, nothing, waits || i < len(before))
 		if s == known {
 			return store.Page{Items: a.Items, Revision: a.Revision, Age: a.age()}, known
 		}
@@ -181,12 +187,12 @@
 	return store.Page{}, best
 }
 
-// wholeBy asks an instance for the whole, and fetches it where it says. waits says whether
-// it may be waited for.
-func (n *Node) wholeBy(ctx context.Context, m peer.Member, waits bool) (answer, status) {
+// wholeBy asks an instance for a whole newer than the revision after, and fetches it where it
+// says. waits says whether it may be waited for.
+func (n *Node) wholeBy(ctx context.Context, m peer.Member, after int64, waits bool) (answer, status) {
 	lost := ""
 	for range mostDetours {
-		a, ok := n.askWhole(ctx, m, lost)
+		a, ok := n.askWhole(ctx, m, after, lost)
 		if !ok {
 			n.passSilent(m)
 			return a, unheard
@@ -200,9 +206,9 @@
 		if a.Instead != "" {
 			from = a.Instead
 		}
-		w, err := n.fetch(ctx, from, -1)
+		w, err := n.fetch(ctx, from, nothing)
 		if err == nil {
-			n.event("whole_fetched", "source", m.ID, "addr", from, "revision", w.Revision, "items", len(w.Items), "age", w.age())
+			n.event("whole_fetched", "source", m.ID, "addr", from, "after", after, "revision", w.Revision, "items", len(w.Items), "age", w.age())
 			return w, known
 		}
 		n.event("whole_unfetched", "source", m.ID, "addr", from, "error", err)
@@ -215,24 +221,17 @@
 }
 
 // askWhole asks one instance from whom the whole is to be fetched.
-func (n *Node) askWhole(ctx context.Context, m peer.Member, lost string) (answer, bool) {
+func (n *Node) askWhole(ctx context.Context, m peer.Member, after int64, lost string) (answer, bool) {
 	return n.waiting.Ask(ctx, wholeAnswer, func(id uint64) error {
-		q := question{ID: id, After: -1, Whole: true, Lost: lost, Unlisted: n.unlisted()}
+		q := question{ID: id, After: after, Whole: true, Lost: lost, Unlisted: n.unlisted()}
 		return n.send(m.Addr, id, message{Question: &q}, nil)
 	})
 }
 
 // answerWhole says from whom the whole is to be fetched.
 func (n *Node) answerWhole(to string, q question) {
-	a := answer{ID: q.ID, Status: forgotten}
-	switch _, _, knows := n.log.newest(); {
-	case knows || n.packs.hasWhole():
-	case n.log.isLost():
-		a.Status = lostTouch
-	default:
-		a.Status = starting
-	}
-	if a.Status != lostTouch {
+	a := answer{ID: q.ID, Status: n.wholeStatus(q.After)}
+	if q.After == nothing && a.Status != lostTouch {
 		a.Instead = n.tree.parent(to, q.Lost, n.clock())
 	}
 	if err := n.send(to, q.ID, message{Answer: &a}, nil); err != nil {
@@ -240,6 +239,18 @@
 	}
 }
 
+// wholeStatus says whether there is a whole newer than the revision after to pass on.
+func (n *Node) wholeStatus(after int64) status {
+	r, _, knows := n.log.newest()
+	switch {
+	case knows && r > after, after == nothing && n.packs.hasWhole():
+		return forgotten
+	case after != nothing, n.log.isLost():
+		return lostTouch
+	}
+	return starting
+}
+
 // fetch fetches what another instance passes on after a revision. What it knows must
 // not be older than what is known here.
 func (n *Node) fetch(ctx context.Context, addr string, after int64) (answer, error) {
@@ -255,7 +266,7 @@
 	if m.Answer == nil || m.Answer.Status != known {
 		return answer{}, errors.Newf("relay.fetch from %s: no state", addr)
 	}
-	if r, _, ok := n.log.newest(); ok && m.Answer.Revision < r {
+	if r, _, ok := n.log.newest(); ok && (m.Answer.Revision < r || after == nothing && m.Answer.Revision == r) {
 		return answer{}, errOlder
 	}
 	if m.Answer.All {
