relay: sources that can't tell are asked together, not in turn

Callers would see: a route refused with 404 by an older version, 2 to 3.3 s after the change, at an instance that reaches the store and others that know.

A silent source takes 0.45 s; with two watching instances and those after them silent, the store was asked 1.8 s later, on top of the 1.3 s for which knowledge counts as fresh.

Change: the first source is asked as before; then all others at once, what they know without the items, and one that knows more for these.

--- a/relay/ask.go
+++ b/relay/ask.go
@@ -23,12 +23,29 @@
 	Send(addr string, b []byte) error
 }
 
-// ask asks one instance what changed and waits for its answer.
-func (n *Node) ask(ctx context.Context, m peer.Member, after int64) (answer, bool) {
-	return n.waiting.Ask(ctx, n.times.Follow+answerSlack, func(id uint64) error {
-		q := question{ID: id, After: after, Wait: n.times.Follow.Milliseconds(), Unlisted: n.unlisted()}
+// ask asks one instance a question about changes and waits for its answer.
+func (n *Node) ask(ctx context.Context, q question, m peer.Member) heard {
+	a, ok := n.waiting.Ask(ctx, n.times.Follow+answerSlack, func(id uint64) error {
+		q.ID, q.Unlisted = id, n.unlisted()
 		return n.send(m.Addr, id, message{Question: &q}, nil)
 	})
+	return heard{m, a, ok}
+}
+
+// heard is what came of a question; ok is false without an answer.
+type heard struct {
+	from   peer.Member
+	answer answer
+	ok     bool
+}
+
+// askTogether asks instances at once what they know; the answers come in their own order.
+func (n *Node) askTogether(ctx context.Context, m []peer.Member, after int64) <-chan heard {
+	c := make(chan heard, len(m))
+	for _, x := range m {
+		go func() { c <- n.ask(ctx, question{After: after, Peek: true}, x) }()
+	}
+	return c
 }
 
 // send sends a message, in pieces if it is large. id tells the pieces of
@@ -130,7 +147,7 @@
 // reply sends what there is to say.
 func (n *Node) reply(to string, q question, c store.Changes, s status) {
 	var items []byte
-	if len(c.Items) > 0 {
+	if len(c.Items) > 0 && !q.Peek {
 		var err error
 		if items, err = n.packs.of(q.After, c); err != nil {
 			n.event("answer_unsent", "to", to, "error", err)
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -33,6 +33,15 @@
 	reads int
 	// forgotten is the revision before which the history is gone.
 	forgotten int64
+	// deaf says that calls for changes hear of none.
+	deaf bool
+}
+
+// setDeaf has calls for changes hear of none, or of all again.
+func (f *fakeStore) setDeaf(deaf bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deaf = deaf
 }
 
 // compact forgets the history and ends the calls that wait.
@@ -81,13 +90,15 @@
 		f.mu.Lock()
 		n := int64(len(f.items))
 		l := append([]store.Item(nil), f.items[min(after, n):]...)
-		d, gone := f.down, after < f.forgotten
+		d, gone, deaf := f.down, after < f.forgotten, f.deaf
 		f.mu.Unlock()
 		switch {
 		case gone:
 			return store.Changes{}, store.ErrCompacted
 		case d:
 			return store.Changes{}, errDown
+		case deaf && ctx.Err() == nil:
+			continue
 		case ctx.Err() != nil:
 			return store.Changes{}, ctx.Err()
 		case len(l) > 0 || !time.Now().Before(end):
@@ -318,13 +329,15 @@
 	// away says whose way to the store is cut.
 	away map[string]*flag
 	on   map[string]*listener
+	// trace gets each event of each instance.
+	trace func(instance, event string, fields []any)
 }
 
 // start runs n instances, of which the first ones are listed; each has its
 // own way to the store, so that the store can turn single ones away.
 func start(ctx context.Context, g *sync.WaitGroup, n, listed int, shared *fakeStore) *fleet {
 	f := &fleet{listed: listed, net: &network{nodes: map[string]*Node{}, cut: map[string]bool{}, lose: map[string]int{}, delay: time.Millisecond, until: map[string]time.Time{}}, away: map[string]*flag{}, on: map[string]*listener{}}
-	f.store, f.ended = shared, map[string]context.CancelFunc{}
+	f.store, f.ended, f.trace = shared, map[string]context.CancelFunc{}, func(string, string, []any) {}
 	var m []peer.Member
 	for i := range n {
 		id := fmt.Sprint("n", i)
@@ -336,7 +349,7 @@
 		l, on := NewLog(), &listener{}
 		ctx, cancel := context.WithCancel(ctx)
 		f.ended[x.ID] = cancel
-		r := NewNode(x, 1, Ports{Log: l, Store: gate{shared, f.away[x.ID]}, Net: way{f.net, x.ID}, Transfer: way{f.net, x.ID}, Clock: time.Now, Event: func(string, ...any) {}}, times)
+		r := NewNode(x, 1, Ports{Log: l, Store: gate{shared, f.away[x.ID]}, Net: way{f.net, x.ID}, Transfer: way{f.net, x.ID}, Clock: time.Now, Event: func(e string, l ...any) { f.trace(x.ID, e, l) }}, times)
 		r.SetMembers(m[:listed])
 		f.net.mu.Lock()
 		f.net.nodes[x.ID] = r
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"fieldvale/peer"
@@ -15,36 +16,69 @@
 	// mostGathers bounds, in Times.Gather, how long an instance of the later
 	// tiers waits for the second tier when the watching ones can't tell.
 	mostGathers = 3
+	// askedTogether is how many instances are asked at once where the first can't tell.
+	askedTogether = 8
 )
 
-// follow asks one instance after another.
+// follow asks the first source, where it waits for a change. If that one can't tell, the others
+// are asked at once: in turn, silent ones would take as long as a change has time.
 func (n *Node) follow(ctx context.Context, sources []peer.Member, after int64) (store.Changes, status) {
 	n.sourceLost = false
-	for _, m := range sources {
-		a, ok := n.ask(ctx, m, after)
-		if ok {
-			n.heard(m)
+	if len(sources) == 0 {
+		return store.Changes{}, lostTouch
+	}
+	if c, ok := n.take(ctx, n.ask(ctx, question{After: after, Wait: n.times.Follow.Milliseconds()}, sources[0]), after); ok {
+		return c, known
+	}
+	for l := range slices.Chunk(sources[1:], askedTogether) {
+		if c, ok := n.followAny(ctx, l, after); ok {
+			return c, known
 		}
-		if ok && a.Status == known && n.isNews(a) {
-			return n.taken(m, a), known
+	}
+	return store.Changes{}, lostTouch
+}
+
+// followAny asks the sources at once what they know, and one that knows more for it: the news
+// of all would fill the links.
+func (n *Node) followAny(ctx context.Context, sources []peer.Member, after int64) (store.Changes, bool) {
+	x, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := n.askTogether(x, sources, after)
+	for range sources {
+		h := <-answers
+		if h.ok && h.answer.Status == known && h.answer.Revision > after && len(h.answer.Items) == 0 {
+			h = n.ask(x, question{After: after}, h.from)
 		}
-		if ctx.Err() != nil {
-			return store.Changes{}, lostTouch
+		if c, ok := n.take(ctx, h, after); ok {
+			return c, true
 		}
-		switch {
-		case !ok:
-			n.passSilent(m)
-		case a.Status == tooLarge || a.Status == forgotten:
-			if c, ok := n.fetchChanges(ctx, m, a, after); ok {
-				return c, known
-			}
-			n.pass(m, askAgain)
-		case a.Status == lostTouch || a.Status == known:
-			n.sourceLost = true
-			n.pass(m, askAgain)
+	}
+	return store.Changes{}, false
+}
+
+// take returns what came of a question, if that is fresh enough to go by or brings changes.
+func (n *Node) take(ctx context.Context, h heard, after int64) (store.Changes, bool) {
+	m, a := h.from, h.answer
+	if ctx.Err() != nil {
+		return store.Changes{}, false
+	}
+	if !h.ok {
+		n.passSilent(m)
+		return store.Changes{}, false
+	}
+	n.heard(m)
+	switch {
+	case a.Status == known && n.isNews(a):
+		return n.taken(m, a), true
+	case a.Status == tooLarge || a.Status == forgotten:
+		if c, ok := n.fetchChanges(ctx, m, a, after); ok {
+			return c, true
 		}
+	default:
+		n.sourceLost = true
 	}
-	return store.Changes{}, lostTouch
+	n.pass(m, askAgain)
+	return store.Changes{}, false
 }
 
 // isNews reports whether the answer is fresh enough to go by, or brings changes: these
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -40,6 +40,8 @@
 	// that failed.
 	Whole bool   `json:"whole,omitempty"`
 	Lost  string `json:"lost,omitempty"`
+	// Peek asks for what is known to be told without the items.
+	Peek bool `json:"peek,omitempty"`
 	// Unlisted says that the asker is on no list: nobody asks it.
 	Unlisted bool `json:"unlisted,omitempty"`
 }
