relay: waiting for those before is bounded in time; a full link is not a lost store

Cause, the same class: an instance of the later tiers waits up to three times 0.2 s for those before it, and each time asked the silent ones again, 0.45 to 0.9 s each. Each round is one question to all now, 0.15 s long.

It says busy now and is asked again.

--- a/relay/ask.go
+++ b/relay/ask.go
@@ -23,9 +23,9 @@
 	Send(addr string, b []byte) error
 }
 
-// ask asks one instance a question about changes and waits for its answer.
-func (n *Node) ask(ctx context.Context, q question, m peer.Member) heard {
-	a, ok := n.waiting.Ask(ctx, n.times.Follow+answerSlack, func(id uint64) error {
+// ask asks one instance a question about changes and waits so long for its answer.
+func (n *Node) ask(ctx context.Context, q question, m peer.Member, patience time.Duration) heard {
+	a, ok := n.waiting.Ask(ctx, patience, func(id uint64) error {
 		q.ID, q.Unlisted = id, n.unlisted()
 		return n.send(m.Addr, id, message{Question: &q}, nil)
 	})
@@ -40,10 +40,10 @@
 }
 
 // askTogether asks instances at once what they know; the answers come in their own order.
-func (n *Node) askTogether(ctx context.Context, m []peer.Member, after int64) <-chan heard {
+func (n *Node) askTogether(ctx context.Context, m []peer.Member, after int64, patience time.Duration) <-chan heard {
 	c := make(chan heard, len(m))
 	for _, x := range m {
-		go func() { c <- n.ask(ctx, question{After: after, Peek: true}, x) }()
+		go func() { c <- n.ask(ctx, question{After: after, Peek: true}, x, patience) }()
 	}
 	return c
 }
@@ -159,7 +159,7 @@
 	}
 	waited, ok := n.awaitLink(len(items))
 	if !ok {
-		items, s = nil, lostTouch
+		items, s = nil, busy
 	}
 	a := newAnswer(q.ID, c, s)
 	a.Age += waited.Milliseconds()
--- a/relay/days_test.go
+++ b/relay/days_test.go
@@ -30,8 +30,8 @@
 	daysDrawn = 100
 )
 
-// lateDays were late: silent sources were asked in turn.
-var lateDays = []int{489, 2117, 2917}
+// lateDays were late: silent sources were asked in turn, or waited for again and again.
+var lateDays = []int{489, 2117, 2917, 1007}
 
 // Whatever befalls instances and the store, those in touch know a change in time.
 func TestChangesAreInForceOnDrawnDays(t *testing.T) {
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -23,15 +24,31 @@
 // follow asks the first source, where it waits for a change. If that one can't tell, the others
 // are asked at once: in turn, silent ones would take as long as a change has time.
 func (n *Node) follow(ctx context.Context, sources []peer.Member, after int64) (store.Changes, status) {
-	n.sourceLost = false
+	n.sourceLost, n.busy = false, nil
 	if len(sources) == 0 {
 		return store.Changes{}, lostTouch
 	}
-	if c, ok := n.take(ctx, n.ask(ctx, question{After: after, Wait: n.times.Follow.Milliseconds()}, sources[0]), after); ok {
+	if c, ok := n.take(ctx, n.ask(ctx, question{After: after, Wait: n.times.Follow.Milliseconds()}, sources[0], n.times.Follow+answerSlack), after); ok {
 		return c, known
 	}
 	for l := range slices.Chunk(sources[1:], askedTogether) {
-		if c, ok := n.followAny(ctx, l, after); ok {
+		if c, ok := n.followAny(ctx, l, after, n.times.Follow); ok {
+			return c, known
+		}
+	}
+	return n.followBusy(ctx, after)
+}
+
+// followBusy asks those again that know more and had no room on their link: the store would not
+// tell sooner.
+func (n *Node) followBusy(ctx context.Context, after int64) (store.Changes, status) {
+	for range mostGathers {
+		if len(n.busy) == 0 || !sleep(ctx, n.times.Gather/2+rand.N(n.times.Gather)) {
+			break
+		}
+		l := n.busy
+		n.busy = nil
+		if c, ok := n.followAny(ctx, l, after, n.times.Follow); ok {
 			return c, known
 		}
 	}
@@ -40,14 +57,14 @@
 
 // followAny asks the sources at once what they know, and one that knows more for it: the news
 // of all would fill the links.
-func (n *Node) followAny(ctx context.Context, sources []peer.Member, after int64) (store.Changes, bool) {
+func (n *Node) followAny(ctx context.Context, sources []peer.Member, after int64, patience time.Duration) (store.Changes, bool) {
 	x, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := n.askTogether(x, sources, after)
+	answers := n.askTogether(x, sources, after, patience)
 	for range sources {
 		h := <-answers
 		if h.ok && h.answer.Status == known && h.answer.Revision > after && len(h.answer.Items) == 0 {
-			h = n.ask(x, question{After: after}, h.from)
+			h = n.ask(x, question{After: after}, h.from, n.times.Follow+answerSlack)
 		}
 		if c, ok := n.take(ctx, h, after); ok {
 			return c, true
@@ -74,6 +91,8 @@
 		if c, ok := n.fetchChanges(ctx, m, a, after); ok {
 			return c, true
 		}
+	case a.Status == busy:
+		n.busy = append(n.busy, m)
 	default:
 		n.sourceLost = true
 	}
@@ -130,11 +149,11 @@
 			break
 		}
 		before, _, _ := n.sources()
-		if c, s := n.follow(ctx, before, after); s != lostTouch {
-			return c, s
+		if c, ok := n.followAny(ctx, before, after, answerSlack); ok {
+			return c, known
 		}
 	}
-	return store.Changes{}, lostTouch
+	return n.followBusy(ctx, after)
 }
 
 // from logs whom the instance follows when that changes.
--- a/relay/log.go
+++ b/relay/log.go
@@ -277,4 +277,6 @@
 	starting
 	// unheard: no answer came.
 	unheard
+	// busy: the link has no room for what is known.
+	busy
 )
--- a/relay/node.go
+++ b/relay/node.go
@@ -65,7 +65,9 @@
 	// sourceLost says that one of those asked the last time answered that it is
 	// out of touch itself, leftStore that the store is left to them.
 	sourceLost bool
-	leftStore  bool
+	// busy are those of them whose link had no room for the answer.
+	busy      []peer.Member
+	leftStore bool
 	// gatherUntil is when changes that came after the last ones are asked for.
 	gatherUntil time.Time
 
