relay: an instance to whom nobody answered asks those again that it had left alone

Cause: sources that gave no answer twice are left alone for 2 s each. An instance that was itself cut off leaves all of them alone, and the store by its back-off, when its cut ends: trouble that is over costs the next change.

Change: where nobody else is left to ask, some of those who were silent are asked.

--- a/relay/days_test.go
+++ b/relay/days_test.go
@@ -30,8 +30,9 @@
 	daysDrawn = 100
 )
 
-// lateDays were late: silent sources were asked in turn, or waited for again and again.
-var lateDays = []int{489, 2117, 2917, 1007}
+// lateDays were late: silent sources were asked in turn, or waited for again and again, or left
+// alone by an instance that had been cut off itself.
+var lateDays = []int{489, 2117, 2917, 1007, 2346}
 
 // Whatever befalls instances and the store, those in touch know a change in time.
 func TestChangesAreInForceOnDrawnDays(t *testing.T) {
--- a/relay/sources.go
+++ b/relay/sources.go
@@ -55,16 +55,27 @@
 	// it names somebody.
 	if rank < 0 && len(r) > 0 {
 		before, rest = n.unlistedSources(r)
-		return before, rest, len(r)/k + 1
+		tier = len(r)/k + 1
+	} else {
+		tier = max(0, rank) / k
+		for t := range min(tier, tiers) {
+			before = append(before, n.usable(peer.Rank(n.self.ID, r[t*k:(t+1)*k]))...)
+		}
+		rest = n.usable(r[min(tier, tiers)*k:])
 	}
-	tier = max(0, rank) / k
-	for t := range min(tier, tiers) {
-		before = append(before, n.usable(peer.Rank(n.self.ID, r[t*k:(t+1)*k]))...)
+	if len(before)+len(rest) == 0 {
+		rest = n.silentOnes(r)
 	}
-	rest = n.usable(r[min(tier, tiers)*k:])
 	return before, rest[:min(len(rest), otherSources)], tier
 }
 
+// silentOnes returns those that gave no answer the last time. Where there is nobody else to ask,
+// this instance may have been the one that was cut off.
+func (n *Node) silentOnes(m []peer.Member) []peer.Member {
+	l := slices.DeleteFunc(slices.Clone(m), func(x peer.Member) bool { return n.isSelf(x) || !n.silent[x.ID] })
+	return peer.Rank(n.self.ID, l)
+}
+
 func (n *Node) isSelf(m peer.Member) bool { return m.ID == n.self.ID }
 
 // usable leaves out this instance and those passed over. Those that gave no answer the
--- a/relay/unlisted.go
+++ b/relay/unlisted.go
@@ -43,7 +43,7 @@
 	own := min(sourcesEach, len(l))
 	before = n.usable(l[:own])
 	rest = n.usable(l[own:])
-	return before[:min(askedAtOnce, len(before))], rest[:min(otherSources, len(rest))]
+	return before[:min(askedAtOnce, len(before))], rest
 }
 
 // leaveStore has the store left alone for the longest pause there is before it
