platform, lease: nothing is denied by a configuration older than a change may take

Callers saw: 404 by an older version, 2.8 s after a change that had to be in force within 2 s.

The operator allows keys beyond their lease; nothing allows denials.

Weighed: to ask the store after the request came; not built or measured: an age below the bound proves as much, and above it the mirror is asking already.

TestLenientNodeWithoutTheStore asked for 401 for an unknown key after the lease; a newer configuration may name it: it asks for 503 with Retry-After now, and for no denial in stale_answers_total, new, beside config in refused lines.

--- a/cmd/fieldvale-node/knowledge.go
+++ b/cmd/fieldvale-node/knowledge.go
@@ -1,13 +1,9 @@
 package main
 
-// gaugeKnowledge tells how old what the instance knows is.
+// gaugeKnowledge tells how old what the instance knows is, and what it does by old knowledge.
 func (n *node) gaugeKnowledge() {
-	n.metrics.Gauge("config_version", "Version of the configuration in force; 0 for none.", func() float64 {
-		if t := n.view.Get().Table; t != nil {
-			return float64(t.Version)
-		}
-		return 0
-	})
+	n.stale = n.metrics.Counter("stale_answers_total", "Answers by a configuration that was not confirmed for as long as a change may take to be in force: routed, or denied (0 by design).", "act")
+	n.metrics.Gauge("config_version", "Version of the configuration in force; 0 for none.", func() float64 { return float64(n.configVersion()) })
 	n.metrics.Gauge("config_age_seconds", "Time since the last moment for which nothing newer than what is known is known to have existed; -1 before the first.", func() float64 {
 		a, ok := n.lease.Age(n.clock())
 		if !ok {
@@ -17,6 +13,14 @@
 	})
 }
 
+// configVersion returns the version of the configuration in force; 0 for none.
+func (n *node) configVersion() uint64 {
+	if t := n.view.Get().Table; t != nil {
+		return t.Version
+	}
+	return 0
+}
+
 // storeCalls counts the store's calls.
 func (n *node) storeCalls() func(call, result string) {
 	c := n.metrics.Counter("store_calls_total", "Calls of the store that have ended, by call and result: a status, unreached, or unanswered.", "call", "result")
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"fieldvale/adapter/datagram"
@@ -91,8 +92,10 @@
 	// quota is what replicas ask of the whole fleet.
 	quota *quota.Node
 	// notices is what replicas said of themselves to this instance.
-	notices  *notice.Book
-	traffic  traffic
+	notices *notice.Book
+	traffic traffic
+	// stale counts answers by old knowledge.
+	stale    *prometheus.CounterVec
 	socket   *datagram.Socket
 	relay    *relay.Node
 	changes  *relay.Log
@@ -111,7 +114,7 @@
 		s: s, path: path, log: l, clock: c.Now, machine: c, metrics: metrics.New(), view: entry.NewCurrent(),
 		records: make(chan state.Record), seen: map[string]entry.Trial{}, earlier: make(chan store.Announced, 1), alone: make(chan struct{}, 1), pool: exchange.New(c.Now), stopping: make(chan struct{}),
 	}
-	n.lease = lease.New(time.Duration(honourPart*float64(s.HonourFor)), keyRule(s), n.clock())
+	n.lease = lease.New(time.Duration(honourPart*float64(s.HonourFor)), s.ApplyWithin, keyRule(s), n.clock())
 	n.placer = placement.NewNode(s.ID, startID(), tagged{n, tagPlacement}, n.clock, n.event)
 	n.store = platform.NewStore(exchange.New(c.Now), s.Store, c.Now).WithEnded(n.storeCalls())
 	n.traffic = n.newTraffic()
--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 
@@ -86,6 +87,9 @@
 		}
 		n.quarantined(f)
 		age, _ := n.lease.Age(n.clock())
+		if age >= n.s.ApplyWithin {
+			n.stale.WithLabelValues("routed").Inc()
+		}
 		n.event("routed", "request", q.ID, "content", f.Content, "route", q.Route.Name, "customer", q.Customer.Name, "session", q.Session, "config", q.Table.Version, "config_age", age,
 			"service", f.Service, "replica", f.Replica, "tried", f.Tried, "left_out", f.LeftOut, "release", f.Release, "model", f.Model, "confidence", f.Confidence, "dropped", f.Dropped, "doubt", f.Doubt,
 			"prompt", q.Prompt.In, "most", q.Prompt.MaxOut, "limited", f.Limited, "passed_over", f.PassedOver, "sends", f.Sends, "runs", f.Runs, "events", f.Events, "status", f.Status, "code", code, "run", f.Run, "cause", causeText(f.Cause), "stopped", f.Stopped,
@@ -122,6 +126,9 @@
 	return func(id, host, path string, status int, reason string) {
 		c.WithLabelValues(reason).Inc()
 		age, _ := n.lease.Age(n.clock())
-		n.event("refused", "request", id, "host", host, "path", path, "status", status, "reason", reason, "config_age", age)
+		if age >= n.s.ApplyWithin && status < http.StatusInternalServerError {
+			n.stale.WithLabelValues("denied").Inc()
+		}
+		n.event("refused", "request", id, "host", host, "path", path, "status", status, "reason", reason, "config", n.configVersion(), "config_age", age)
 	}
 }
--- a/cmd/fieldvale-node/store_test.go
+++ b/cmd/fieldvale-node/store_test.go
@@ -84,8 +84,16 @@
 			t.Errorf("a key after the lease: %d", r.status)
 		}
 	}
-	if r := s.send("POST", "/once/", "", sitetest.HeaderKey+": unknown"); r.status != 401 {
-		t.Errorf("an unknown key: %d", r.status)
+	if r := s.send("POST", "/once/", "", sitetest.HeaderKey+": unknown"); r.status != 503 || r.header.Get("Retry-After") == "" {
+		t.Errorf("a key that a newer configuration may name: %d", r.status)
+	}
+	s.eventually("a request is routed by old knowledge", func() bool {
+		s.send("POST", "/once/", "", key)
+		return strings.Contains(s.metrics(), `fieldvale_stale_answers_total{act="routed"}`)
+	})
+	s.send("POST", "/once/", "", sitetest.HeaderKey+": unknown")
+	if m := s.metrics(); strings.Contains(m, `fieldvale_stale_answers_total{act="denied"}`) {
+		t.Errorf("a request was denied by old knowledge:\n%s", m)
 	}
 	s.store.Lock()
 	s.store.Refuse = 0
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -31,6 +31,8 @@
 // Lease is the right to honour keys. It is safe for concurrent use.
 type Lease struct {
 	length time.Duration
+	// denies is how old a confirmation may be for a denial.
+	denies time.Duration
 	rule   Rule
 	start  time.Time
 	// confirmed is nanoseconds from start to the latest confirmed moment;
@@ -42,10 +44,11 @@
 const never = -1 << 62
 
 // New returns a lease that no confirmation has begun. length is how long a
-// confirmation holds. now must carry Go's monotonic reading: a time of day
+// confirmation holds for keys, denies how long one holds for denials: the time within
+// which a change must be in force. now must carry Go's monotonic reading: a time of day
 // that jumps has no say.
-func New(length time.Duration, r Rule, now time.Time) *Lease {
-	l := &Lease{length: length, rule: r, start: now}
+func New(length, denies time.Duration, r Rule, now time.Time) *Lease {
+	l := &Lease{length: length, denies: denies, rule: r, start: now}
 	l.confirmed.Store(never)
 	return l
 }
@@ -79,6 +82,13 @@
 	return ok && (l.rule == Lenient || l.Fresh(now, 1))
 }
 
+// Denies reports whether a request may be denied now because the configuration does not allow it:
+// not where a newer one that must be in force may allow it, under either rule.
+func (l *Lease) Denies(now time.Time) bool {
+	a, ok := l.Age(now)
+	return ok && a < min(l.denies, l.length)
+}
+
 // Fresh reports whether less than the given part of the lease is used up.
 func (l *Lease) Fresh(now time.Time, part float64) bool {
 	a, ok := l.Age(now)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -9,7 +9,7 @@
 
 func TestLease(t *testing.T) {
 	at := func(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
-	l := lease.New(4*time.Second, lease.Strict, at(0))
+	l := lease.New(4*time.Second, 2*time.Second, lease.Strict, at(0))
 	if l.Holds(at(0)) {
 		t.Error("holds before any confirmation")
 	}
@@ -32,7 +32,7 @@
 // goes on telling how old the knowledge is.
 func TestLenientLease(t *testing.T) {
 	start := time.Unix(1000, 0)
-	l := lease.New(4*time.Second, lease.Lenient, start)
+	l := lease.New(4*time.Second, 2*time.Second, lease.Lenient, start)
 	if l.Holds(start) {
 		t.Error("holds before any confirmation")
 	}
@@ -48,3 +48,23 @@
 		t.Errorf("age %s, %t, want 1h", a, ok)
 	}
 }
+
+// Denials hold for as long as a change may take to be in force, whatever the operator says of keys.
+func TestDenials(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, r := range []lease.Rule{lease.Strict, lease.Lenient} {
+		l := lease.New(4*time.Second, 2*time.Second, r, start)
+		if l.Denies(start) {
+			t.Errorf("%s: denied before the first confirmation", r)
+		}
+		l.Confirm(start)
+		for _, c := range []struct {
+			after time.Duration
+			want  bool
+		}{{0, true}, {1999 * time.Millisecond, true}, {2 * time.Second, false}, {time.Hour, false}} {
+			if g := l.Denies(start.Add(c.after)); g != c.want {
+				t.Errorf("%s, %s after the confirmation: %t, want %t", r, c.after, g, c.want)
+			}
+		}
+	}
+}
