mirror: old news is no touch with the store

Change: store_back only by knowledge not older than 2.5 waits, about what an instance takes from another as fresh.

TestOldNewsIsNoTouch failed before (regained at the first change, 9 s old).

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -81,7 +81,7 @@
 			m.lose(ctx, err)
 			continue
 		}
-		if m.failed > 0 {
+		if m.failed > 0 && m.inTouch() {
 			m.failed = 0
 			m.on.Regained()
 		}
@@ -89,6 +89,14 @@
 	return nil
 }
 
+// touchWaits is how many waits old knowledge may be that counts as touch: news that reaches one
+// who is cut off says nothing of what came after it.
+const touchWaits = 2.5
+
+func (m *Mirror) inTouch() bool {
+	return m.clock().Sub(m.confirmed) <= time.Duration(touchWaits*float64(m.wait))
+}
+
 // step makes the next call, or the calls of a whole read.
 func (m *Mirror) step(ctx context.Context) error {
 	if m.revision < 0 {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -115,3 +115,57 @@
 		t.Error(d)
 	}
 }
+
+// agingFeed fails once, then brings changes that are as old as its ages say, one after the other.
+type agingFeed struct {
+	failed bool
+	ages   []time.Duration
+}
+
+func (f *agingFeed) Read(context.Context, string, string) (store.Page, error) {
+	return store.Page{Revision: 1}, nil
+}
+
+func (f *agingFeed) Changes(ctx context.Context, _ string, after int64, _ time.Duration) (store.Changes, error) {
+	if !f.failed {
+		f.failed = true
+		return store.Changes{}, store.ErrUnavailable
+	}
+	if len(f.ages) == 0 {
+		<-ctx.Done()
+		return store.Changes{}, ctx.Err()
+	}
+	a := f.ages[0]
+	f.ages = f.ages[1:]
+	return store.Changes{Items: []store.Item{{Key: "a", Revision: after + 1}}, Revision: after + 1, Age: a}, nil
+}
+
+// touch notes after how many changes the store was regained.
+type touch struct {
+	changes, lost int
+	regained      []int
+}
+
+func (t *touch) Changed(u mirror.Update) {
+	if !u.Whole {
+		t.changes++
+	}
+}
+func (t *touch) Confirmed(time.Time) {}
+func (t *touch) Lost(error)          { t.lost++ }
+func (t *touch) Regained()           { t.regained = append(t.regained, t.changes) }
+
+// Old news is no touch with the store.
+func TestOldNewsIsNoTouch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, on := &agingFeed{ages: []time.Duration{9 * time.Second, 3 * time.Second, 100 * time.Millisecond}}, &touch{}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		if err := mirror.New(f, "", time.Second, time.Now, on).Run(ctx); err != nil {
+			t.Error(err)
+		}
+		if d := cmp.Diff([]int{3}, on.regained); d != "" || on.lost != 1 {
+			t.Errorf("lost %d times, regained after so many changes: %s", on.lost, d)
+		}
+	})
+}
