relay: an instance that is to read the store and is turned away asks others

Callers would see: an instance that starts, or has to read the store whole, refuses with 'no configuration is known yet' for as long as the store turns it away, though others know all.

The two that watch read the store and asked nobody (rank 0 and 1 of the list), at a start for ever.

--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -365,10 +365,12 @@
 	return f
 }
 
-// restart ends an instance and starts it again, which knows nothing then.
-func (f *fleet) restart(i int) {
-	f.ended[f.all[i].ID]()
-	f.run(f.all[i])
+// restart ends instances and starts them again, which know nothing then.
+func (f *fleet) restart(m ...peer.Member) {
+	for _, x := range m {
+		f.ended[x.ID]()
+		f.run(x)
+	}
 }
 
 var times = TimesFor(2 * time.Second)
--- a/relay/forgotten_test.go
+++ b/relay/forgotten_test.go
@@ -28,6 +28,28 @@
 	}
 }
 
+// Watching instances ask others where the store turns them away, as they start and as history is gone.
+func TestWatchersThatTheStoreTurnsAwayAreTold(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		befall func(f *fleet, s *fakeStore)
+	}{
+		{"as they start", func(f *fleet, _ *fakeStore) { f.restart(Watchers(f.members())...) }},
+		{"after history", func(_ *fleet, s *fakeStore) { s.compact() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 6, func(t *testing.T, f *fleet, s *fakeStore) {
+				f.turnAway(Watchers(f.members()), false)
+				c.befall(f, s)
+				time.Sleep(5 * time.Second)
+				r := s.put("a", "2")
+				time.Sleep(2 * time.Second)
+				f.know(t, r, nil)
+			})
+		})
+	}
+}
+
 // turnAway has the store turn the instances away.
 func (f *fleet) turnAway(m []peer.Member, silent bool) {
 	for _, x := range m {
--- a/relay/newer.go
+++ b/relay/newer.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fieldvale/peer"
 	"fieldvale/store"
 )
 
@@ -24,7 +25,7 @@
 				break
 			}
 			if a, s := n.wholeBy(ctx, m, after, false); s == known {
-				return store.Page{Items: a.Items, Revision: a.Revision, Age: a.age()}, nil
+				return a.page(), nil
 			}
 		}
 		if !sleep(ctx, askPause/2+rand.N(askPause)) {
@@ -32,5 +33,20 @@
 		}
 		before, rest, _ = n.sources()
 	}
-	return n.readPage(ctx, prefix, "")
+	return n.readOrAsk(ctx, prefix, rest, after)
+}
+
+// readOrAsk reads the first page at the store. Where the store turns this instance away, others
+// may have a whole newer than the revision after.
+func (n *Node) readOrAsk(ctx context.Context, prefix string, others []peer.Member, after int64) (store.Page, error) {
+	p, err := n.readPage(ctx, prefix, "")
+	if err == nil {
+		return p, nil
+	}
+	for _, m := range others {
+		if a, s := n.wholeBy(ctx, m, after, false); s == known {
+			return a.page(), nil
+		}
+	}
+	return store.Page{}, err
 }
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -104,7 +104,7 @@
 		f.net.transit = time.Duration(400*a) * time.Millisecond
 		f.net.mu.Unlock()
 	case 7:
-		f.restart(a)
+		f.restart(f.all[a])
 	case 8:
 		s.compact()
 	}
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -72,7 +72,7 @@
 	for {
 		before, rest, tier := n.sources()
 		if tier == 0 {
-			return n.readPage(ctx, prefix, "")
+			return n.readOrAsk(ctx, prefix, rest, nothing)
 		}
 		p, s := n.fetchWhole(ctx, before, rest)
 		waited := n.clock().Sub(started)
@@ -178,7 +178,7 @@
 		}
 		a, s := n.wholeBy(ctx, m, nothing, waits || i < len(before))
 		if s == known {
-			return store.Page{Items: a.Items, Revision: a.Revision, Age: a.age()}, known
+			return a.page(), known
 		}
 		if s == starting || best == unheard {
 			best = s
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -79,6 +79,11 @@
 
 func (a answer) age() time.Duration { return time.Duration(a.Age) * time.Millisecond }
 
+// page returns a whole as a read of the store gives it.
+func (a answer) page() store.Page {
+	return store.Page{Items: a.Items, Revision: a.Revision, Age: a.age()}
+}
+
 func (a answer) changes() store.Changes {
 	return store.Changes{Items: a.Items, Whole: a.All, Revision: a.Revision, Age: a.age()}
 }
