relay: those asked last are asked together, and the later tiers wait for two rounds

Cause, the same class: an unlisted instance whose sources know nothing new waited three rounds, 1.05 s, and then asked the last ones by a question that waits 0.45 s for the first of them, who was silent: 1.3 + 1.05 + 0.45 s. Evidence: answers with one revision at 4.76 to 5.37, a silent one at 5.82, news elsewhere from 5.1 on.

--- a/relay/days_test.go
+++ b/relay/days_test.go
@@ -26,26 +26,52 @@
 	contact = 3 * time.Second
 	applied = 2 * time.Second
 	outer   = 5 * time.Second
-	// daysDrawn are played by default; FIELDVALE_DAYS names another number.
-	daysDrawn = 100
+	// daysDrawn are played by default, and largeDrawn of each large fleet; FIELDVALE_DAYS names
+	// another number.
+	daysDrawn  = 100
+	largeDrawn = 4
 )
 
+func daysOr(most int) int {
+	if n, err := strconv.Atoi(os.Getenv("FIELDVALE_DAYS")); err == nil {
+		return n
+	}
+	return most
+}
+
 // lateDays were late: silent sources were asked in turn, or waited for again and again, or left
 // alone by an instance that had been cut off itself.
 var lateDays = []int{489, 2117, 2917, 1007, 2346}
 
 // Whatever befalls instances and the store, those in touch know a change in time.
 func TestChangesAreInForceOnDrawnDays(t *testing.T) {
-	days := daysDrawn
-	if n, err := strconv.Atoi(os.Getenv("FIELDVALE_DAYS")); err == nil {
-		days = n
-	}
 	for _, seed := range lateDays {
-		t.Run(fmt.Sprint("late ", seed), func(t *testing.T) { t.Parallel(); drawnDay(t, uint64(seed)) })
+		t.Run(fmt.Sprint("late ", seed), func(t *testing.T) { t.Parallel(); drawnDay(t, uint64(seed), smallFleet) })
+	}
+	for seed := range daysOr(daysDrawn) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { t.Parallel(); drawnDay(t, uint64(seed), smallFleet) })
+	}
+}
+
+// The same holds in large fleets, of which some 50 instances are listed.
+func TestChangesAreInForceInLargeFleetsOnDrawnDays(t *testing.T) {
+	for _, n := range []int{58, 150, 300} {
+		for seed := range daysOr(largeDrawn) {
+			t.Run(fmt.Sprint(n, " ", seed), func(t *testing.T) {
+				t.Parallel()
+				drawnDay(t, uint64(seed), func(*rand.Rand) (int, int) { return n, min(n, 50) })
+			})
+		}
 	}
-	for seed := range days {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { t.Parallel(); drawnDay(t, uint64(seed)) })
+}
+
+// smallFleet draws how many instances there are, and how many of them are listed.
+func smallFleet(r *rand.Rand) (n, listed int) {
+	n = 2 + r.IntN(12)
+	if r.IntN(10) == 0 {
+		n = 45
 	}
+	return n, n
 }
 
 // day is a drawn day on one fleet.
@@ -100,18 +126,15 @@
 	at       time.Time
 }
 
-func drawnDay(t *testing.T, seed uint64) {
+func drawnDay(t *testing.T, seed uint64, size func(*rand.Rand) (n, listed int)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var g sync.WaitGroup
 		r := rand.New(rand.NewPCG(seed, 1))
 		s := &fakeStore{}
 		s.put("a", "1")
-		n := 2 + r.IntN(12)
-		if r.IntN(10) == 0 {
-			n = 45
-		}
-		d := &day{f: start(ctx, &g, n, n, s), s: s, r: r, until: map[string]time.Time{}, lines: map[string][]string{}}
+		n, listed := size(r)
+		d := &day{f: start(ctx, &g, n, listed, s), s: s, r: r, until: map[string]time.Time{}, lines: map[string][]string{}}
 		time.Sleep(5 * time.Second)
 		d.began = time.Now()
 		d.f.trace = func(instance, event string, fields []any) { d.noted(instance, "%s %s %v", instance, event, fields) }
@@ -262,10 +285,7 @@
 	m := d.some()
 	d.noted("", "restarted: %v", m)
 	d.trouble(m, time.Now())
-	for _, x := range m {
-		d.f.ended[x.ID]()
-		d.f.run(x)
-	}
+	d.f.restart(m...)
 }
 
 // lose has datagrams lost for a while.
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -16,7 +16,7 @@
 	askAgain = 200 * time.Millisecond
 	// mostGathers bounds, in Times.Gather, how long an instance of the later
 	// tiers waits for the second tier when the watching ones can't tell.
-	mostGathers = 3
+	mostGathers = 2
 	// askedTogether is how many instances are asked at once where the first can't tell.
 	askedTogether = 8
 )
--- a/relay/node.go
+++ b/relay/node.go
@@ -121,7 +121,7 @@
 		n.leaveStore()
 	}
 	if s == lostTouch && n.backoff.waits(n.clock()) {
-		if c, s := n.follow(ctx, rest, after); s == known {
+		if c, ok := n.followAny(ctx, rest, after, n.times.Follow); ok {
 			n.told()
 			return c, nil
 		}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -28,7 +28,7 @@
 		return c, err
 	}
 	n.backoff = n.backoff.withFailure(tier, n.clock())
-	if f, s := n.follow(ctx, rest, after); s == known {
+	if f, ok := n.followAny(ctx, rest, after, n.times.Follow); ok {
 		n.backoff = n.backoff.withSource(n.clock())
 		n.told()
 		return f, nil
