--- a/cmd/fieldvale-soak/main.go
+++ b/cmd/fieldvale-soak/main.go
@@ -26,16 +26,17 @@
 was broken; the faults and the end of the log are printed then.`
 
 type options struct {
-	Binary   string        `long:"binary" default:"bin/fieldvale-node" description:"the program to soak"`
-	Seed     uint64        `long:"seed" default:"1" description:"the first seed"`
-	Seeds    int           `long:"seeds" default:"1" description:"how many seeds, one after another"`
-	For      time.Duration `long:"for" default:"10s" description:"how long faults are injected, a seed"`
-	Nodes    int           `long:"nodes" default:"5" description:"instances"`
-	Replicas int           `long:"replicas" default:"4" description:"replicas"`
-	Clients  int           `long:"clients" default:"12" description:"clients"`
-	Crashing bool          `long:"crashing" description:"send a request all the while under which replicas end"`
-	Limited  bool          `long:"limited" description:"have replicas name limits all the while"`
-	Noticing bool          `long:"noticing" description:"have replicas say that they leave, or ask for rest, all the while"`
+	Binary     string        `long:"binary" default:"bin/fieldvale-node" description:"the program to soak"`
+	Seed       uint64        `long:"seed" default:"1" description:"the first seed"`
+	Seeds      int           `long:"seeds" default:"1" description:"how many seeds, one after another"`
+	For        time.Duration `long:"for" default:"10s" description:"how long faults are injected, a seed"`
+	Nodes      int           `long:"nodes" default:"5" description:"instances"`
+	Replicas   int           `long:"replicas" default:"4" description:"replicas"`
+	Clients    int           `long:"clients" default:"12" description:"clients"`
+	Crashing   bool          `long:"crashing" description:"send a request all the while under which replicas end"`
+	Limited    bool          `long:"limited" description:"have replicas name limits all the while"`
+	Forgetting bool          `long:"forgetting" description:"have the store turn instances away and drop its history all the while"`
+	Noticing   bool          `long:"noticing" description:"have replicas say that they leave, or ask for rest, all the while"`
 }
 
 func main() { os.Exit(run()) }
@@ -84,7 +85,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
-	r, err := soak.Run(ctx, soak.Settings{Seed: seed, Binary: b, For: o.For, Nodes: o.Nodes, Replicas: o.Replicas, Clients: o.Clients, Crashing: o.Crashing, Limited: o.Limited, Noticing: o.Noticing, Dir: d})
+	r, err := soak.Run(ctx, soak.Settings{Seed: seed, Binary: b, For: o.For, Nodes: o.Nodes, Replicas: o.Replicas, Clients: o.Clients, Crashing: o.Crashing, Limited: o.Limited, Noticing: o.Noticing, Forgetting: o.Forgetting, Dir: d})
 	ok := err == nil && len(r.Broken) == 0
 	fmt.Printf("seed=%d ok=%t answered=%d failed=%d after: answered=%d failed=%d faults=%d crashed=%d release=%s\n", seed, ok, r.Answered, r.Failed, r.LateAnswered, r.LateFailed, len(r.Faults), r.Crashed, r.Release)
 	for _, c := range slices.Sorted(maps.Keys(r.Causes)) {
