--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -185,10 +185,8 @@
 
 // nextWait is how long the next call waits for a change. After an answer that
 // brought one late, which proves nothing later than its question, it is less, so
-// that what is known is never much older than one wait (TestKnowledgeAgesByOneWait).
-// With two waits, 2.4 s where a change has to be in force within 4 s, and 0.6 s
-// for each of two instances on the way, those at the end would find it too old,
-// at 2.6 s, and all ask the store.
+// that what is known is never much older than one wait: with two, those at the end of
+// a way over two instances would find it too old and all ask the store.
 func (m *Mirror) nextWait(now time.Time) time.Duration {
 	return min(m.wait, max(m.wait/shortestPart, m.wait-now.Sub(m.confirmed)))
 }
--- a/relay/ask.go
+++ b/relay/ask.go
@@ -117,8 +117,7 @@
 }
 
 // answerRate is how many bytes of answers an instance sends in a second at most: four
-// fifths of a link of 10 Mbit/s. Where 47 instances asked the one that knew a change at once,
-// 6 kB each, their answers overran its link and most were lost, twice in a row.
+// fifths of a link of 10 Mbit/s, so that none overruns it.
 const answerRate = 1e6
 
 // awaitLink waits until the link has room for an answer's items, and returns for how
--- a/relay/days_test.go
+++ b/relay/days_test.go
@@ -39,8 +39,7 @@
 	return most
 }
 
-// lateDays were late: silent sources were asked in turn, or waited for again and again, or left
-// alone by an instance that had been cut off itself.
+// lateDays were late once.
 var lateDays = []int{489, 2117, 2917, 1007, 2346}
 
 // Whatever befalls instances and the store, those in touch know a change in time.
--- a/relay/forgotten_test.go
+++ b/relay/forgotten_test.go
@@ -76,8 +76,7 @@
 	}
 }
 
-// An answer to one that knows a revision already names a whole only if that is newer, and one that is
-// not is not taken from instances that name it all the same.
+// It is neither offered to one that knows as much, nor taken where it is offered all the same.
 func TestAWholeThatIsNoNewerIsNotTaken(t *testing.T) {
 	items, err := pack([]store.Item{{Key: "a", Revision: 7}})
 	if err != nil {
--- a/relay/sources.go
+++ b/relay/sources.go
@@ -96,10 +96,7 @@
 }
 
 // passSilent leaves an instance out that gave no answer: for long only if it
-// gave none the time before either, as one datagram may be lost. Where one
-// instance alone could tell, after others had lost their way to the store, those
-// that missed its answer knew a change two seconds later than all others
-// (TestALostAnswerIsAskedForAgain).
+// gave none the time before either, as one datagram may be lost.
 func (n *Node) passSilent(m peer.Member) {
 	n.mu.Lock()
 	again := n.silent[m.ID]
--- a/relay/unlisted.go
+++ b/relay/unlisted.go
@@ -48,9 +48,7 @@
 
 // leaveStore has the store left alone for the longest pause there is before it
 // is asked for the first time: listed instances that answer, and are out of touch
-// themselves, ask it by their ranks. While a store was away for 8 s, 150 instances, 102
-// of them unlisted, made 350 calls to it in vain, with this 146
-// (TestUnlistedInstancesLeaveTheStoreAlone).
+// themselves, ask it by their ranks.
 func (n *Node) leaveStore() {
 	if n.leftStore || n.backoff.waits(n.clock()) {
 		return
