placement: place streams by the time to the complete answer

Cause: placement knew only the prompts waiting for prefill. Streams that run on a replica, the tokens they still generate and the prefill beside them were unknown, so a replica with 24 streams could get the next prompt while another had one.

Change: the owner of a group counts the runs of all instances with the pace of their model and their expected end, and the part of time that a replica spends on prefill. On routes that allow pauses of completion_pause or more it chooses the replica on which the answer is complete first, counting the delay of the streams there. Clients' length hints and the learned ratio to them give the tokens to expect.

--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -67,6 +67,9 @@
 	// DrainPeriod is how long a draining replica still serves requests after it has reported
 	// that it is draining.
 	DrainPeriod time.Duration
+	// CompletionPause is the pause between events from which a route's requests are placed by
+	// the time until the whole answer is complete; 0 for none.
+	CompletionPause time.Duration
 	// AcceptConfidence is the confidence, from 0 to 100, that the smallest model must report
 	// in its answer for the answer to be returned to the caller.
 	AcceptConfidence float64
@@ -103,7 +106,7 @@
 		return n, []error{err}
 	}
 	found := false
-	f.Each([]string{"node", "limits", "keys", "repeats", "releases", "replicas", "models", "regions", "cloud"}, func(s *inifile.Section) {
+	f.Each([]string{"node", "limits", "keys", "repeats", "releases", "replicas", "models", "regions", "cloud", "placement"}, func(s *inifile.Section) {
 		found = found || s.Kind == "node"
 		n.readSection(s)
 	})
@@ -144,6 +147,8 @@
 		n.DrainPeriod = s.Duration("drain_for", defaultDrainPeriod)
 	case "models":
 		n.readModels(s)
+	case "placement":
+		n.CompletionPause = s.Duration("completion_pause", 0)
 	case "cloud":
 		n.readCloud(s)
 	case "regions":
--- a/entry/assign.go
+++ b/entry/assign.go
@@ -25,6 +25,10 @@
 	permit quota.Ticket
 	// firstEventMs is the estimated time to the first event, in milliseconds; 0 if there is none.
 	firstEventMs float64
+	// byCompletion is set if the replica was chosen by the time until the whole answer is complete,
+	// which is then finishMs, in milliseconds.
+	byCompletion bool
+	finishMs     float64
 }
 
 // assignAmong chooses one of the replicas for the request; nil if none is left.
@@ -75,6 +79,7 @@
 	}
 	p = &assignment{
 		replica: c[x.Index], ticket: t, costMs: x.PrefillMs, promptPending: true,
+		byCompletion: w.placesByCompletion(), finishMs: x.FinishMs,
 		idle: x.WaitMs < 1, tokens: x.PrefillMs / e.msPerToken, firstEventMs: x.WaitMs + x.PrefillMs,
 	}
 	w.r.backends.assign(p.replica, p.costMs, now)
@@ -83,11 +88,18 @@
 
 // placementRequest builds the request for one of the replicas.
 func (w *forwarding) placementRequest(e promptEstimate, c []*pool.Replica) placement.Request {
-	return placement.Request{
+	q := placement.Request{
 		Replicas: ids(c), RemoteBits: w.r.remoteBits(c), RemotePenaltyMs: w.remotePenaltyMs(),
 		UnsharedMs: max(1, e.unsharedMs), SharedPrefix: e.shared, SlotMs: w.r.slotTimes.ExpectedMs(w.slotTimeKey()),
 		TimeLeftMs: w.timeToTargetMs(),
 	}
+	if !w.placesByCompletion() {
+		return q
+	}
+	q.ByCompletion, q.Pace, q.OutputTokens = true, e.msPerToken, w.expectedOutputTokens()
+	q.MemoryTokens, q.ReplicaMemoryTokens = w.memoryTokens(), float64(w.q.Table.Service(w.result.Service).MemoryTokens)
+	q.Customer, q.DeadlineMs = w.q.Customer.Name, max(1, w.q.effectiveDeadline().Sub(w.r.clock()).Seconds()*1000)
+	return q
 }
 
 // timeToTargetMs is the time left to the route's target, in milliseconds and at least 1; 0 if the
@@ -121,10 +133,14 @@
 	}
 }
 
-// abandonPrompt removes a prompt that was not read from its replica's pending work.
+// abandonPrompt removes a prompt that was not read from its replica's pending work, and reports
+// the end of the run of one that was read.
 func (w *forwarding) abandonPrompt(p *assignment, fault placement.Fault) {
-	if w.closePrompt(p) {
+	switch {
+	case w.closePrompt(p):
 		w.r.placer.ReportAborted(p.ticket, fault)
+	case p.byCompletion && w.r.placer != nil:
+		w.r.placer.ReportEnded(p.ticket)
 	}
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -97,6 +97,7 @@
 	w := a.w
 	r := w.r
 	a.recordSlotTime()
+	a.recordOutput()
 	a.endHeadWait(false)
 	failed := err != nil && !a.succeeded && !a.clientLeft && !errors.Is(err, errCallerGone)
 	bad := a.mayHaveRun && !a.succeeded && (failed || w.result.Status >= 500)
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -107,6 +107,7 @@
 }
 
 func (busyPlacer) ReportPrefilled(placement.Ticket)                {}
+func (busyPlacer) ReportEnded(placement.Ticket)                    {}
 func (busyPlacer) ReportAborted(placement.Ticket, placement.Fault) {}
 
 // placer is nil where the script states no waiting work.
--- a/entry/group.go
+++ b/entry/group.go
@@ -8,8 +8,14 @@
 	"fieldvale/pool"
 )
 
-// maxCandidates bounds the replicas among which a group's owner chooses.
-const maxCandidates = 12
+const (
+	// maxCandidates bounds the replicas among which a group's owner chooses.
+	maxCandidates = 12
+	// maxCompletionCandidates is the bound for requests that are placed by completion. The load of
+	// streams differs between replicas by more than that of prompts, so that the whole group is
+	// looked at. placement.Request.RemoteBits has room for 64.
+	maxCompletionCandidates = 48
+)
 
 // placementGroup returns the key's group among the allowed replicas, and its best candidates in
 // the key's order of preference.
@@ -22,16 +28,24 @@
 	if in := inGroup(c, g, k); len(in) > 0 {
 		c = in
 	}
-	return w.result.Service + "/" + strconv.Itoa(k), firstCandidates(key, c)
+	return w.result.Service + "/" + strconv.Itoa(k), firstCandidates(key, c, w.candidateLimit())
+}
+
+// candidateLimit is the bound on the request's candidates.
+func (w *forwarding) candidateLimit() int {
+	if w.placesByCompletion() {
+		return maxCompletionCandidates
+	}
+	return maxCandidates
 }
 
 // firstCandidates returns the first replicas in the key's order of preference.
-func firstCandidates(key string, l []*pool.Replica) []*pool.Replica {
+func firstCandidates(key string, l []*pool.Replica, limit int) []*pool.Replica {
 	if len(l) == 0 {
 		return nil
 	}
 	l = pool.RendezvousOrder(key, l)
-	return l[:min(len(l), maxCandidates)]
+	return l[:min(len(l), limit)]
 }
 
 // inGroup returns the replicas of the group.
--- a/entry/notices_test.go
+++ b/entry/notices_test.go
@@ -140,6 +140,7 @@
 	return placement.Choice{Index: max(0, i)}, placement.Ticket{}, i >= 0
 }
 func (w *noticingReplicas) ReportPrefilled(placement.Ticket)                {}
+func (w *noticingReplicas) ReportEnded(placement.Ticket)                    {}
 func (w *noticingReplicas) ReportAborted(placement.Ticket, placement.Fault) {}
 
 // drawnQuota bounds every other replica and lets a notice arrive during a permit request.
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -84,8 +84,10 @@
 type Placer interface {
 	Choose(ctx context.Context, group string, a placement.Request) (placement.Choice, placement.Ticket, bool)
 	// ReportPrefilled reports that the replica has read the prompt, ReportAborted that the attempt
-	// failed before that.
+	// failed before that. ReportEnded reports the end of an attempt whose prompt was read and was
+	// placed by completion.
 	ReportPrefilled(t placement.Ticket)
+	ReportEnded(t placement.Ticket)
 	ReportAborted(t placement.Ticket, fault placement.Fault)
 }
 
--- a/entry/router.go
+++ b/entry/router.go
@@ -62,6 +62,7 @@
 	placer           Placer
 	prefillTimes     *timing.PrefillTimes
 	slotTimes        *timing.SlotTimes
+	outputTokens     *timing.OutputTokens
 	confidenceGains  *confidenceGains
 	answerSizes      *answerSizes
 	firstEventDelays *timing.FirstEventDelays
@@ -78,6 +79,8 @@
 	// acceptConfidence is the confidence, from 0 to 100, that a smaller model must report in its
 	// own answer for the answer to be passed on.
 	acceptConfidence float64
+	// completionPause is described in Ports.
+	completionPause time.Duration
 }
 
 // Ports are the dependencies and settings of a Router.
@@ -109,6 +112,9 @@
 	// AcceptConfidence is the confidence, from 0 to 100, that a smaller model must report in its
 	// own answer for the answer to be passed on.
 	AcceptConfidence float64
+	// CompletionPause is the pause between events from which a route's requests are placed by the
+	// time until the whole answer is complete; 0 for none.
+	CompletionPause time.Duration
 	// Self is this instance's id.
 	Self string
 	// DataCentre is the data centre of this instance. Among equivalent replicas, local ones are
@@ -136,9 +142,9 @@
 		backends: newBackends(p.Rand, p.Notices), evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, retryBudget: admission.NewRetryBudget(),
 		cascadeLearner: cascade.NewLearner(), hooks: e,
-		upstream: p.Upstream, activeForwards: newActiveForwards(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, prefillTimes: timing.NewPrefillTimes(), slotTimes: timing.NewSlotTimes(), confidenceGains: newConfidenceGains(), answerSizes: newAnswerSizes(), firstEventDelays: timing.NewFirstEventDelays(), tokenTimes: newTokenTimes(),
+		upstream: p.Upstream, activeForwards: newActiveForwards(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, prefillTimes: timing.NewPrefillTimes(), slotTimes: timing.NewSlotTimes(), outputTokens: timing.NewOutputTokens(), confidenceGains: newConfidenceGains(), answerSizes: newAnswerSizes(), firstEventDelays: timing.NewFirstEventDelays(), tokenTimes: newTokenTimes(),
 		releases: newReleases(p.Clock()), retryWindows: map[string]*admission.RetryWindow{}, retries: p.Retries, fleetSize: p.FleetSize,
-		acceptConfidence: p.AcceptConfidence, coldBound: p.ColdBound, quota: p.Quota, notices: p.Notices,
+		acceptConfidence: p.AcceptConfidence, completionPause: p.CompletionPause, coldBound: p.ColdBound, quota: p.Quota, notices: p.Notices,
 	}
 }
 
--- a/placement/node.go
+++ b/placement/node.go
@@ -88,7 +88,10 @@
 	n.report(t, message{Aborted: t.id, Fault: int(why)})
 }
 
-// report sends the end of the ticket to its owner.
+// ReportEnded reports that the run of the prompt has ended.
+func (n *Node) ReportEnded(t Ticket) { n.report(t, message{Ended: t.id}) }
+
+// report sends the state of the ticket to its owner.
 func (n *Node) report(t Ticket, m message) {
 	switch t.owner {
 	case "":
@@ -101,11 +104,14 @@
 	}
 }
 
-// endTicket applies the reported end of a ticket to the load tracker.
+// endTicket applies the reported state of a ticket to the load tracker.
 func (n *Node) endTicket(m message) {
 	if m.Prefilled != 0 {
 		n.tracker.Prefilled(m.Prefilled, n.clock())
 	}
+	if m.Ended != 0 {
+		n.tracker.Ended(m.Ended)
+	}
 	if m.Aborted != 0 {
 		if r := n.tracker.Aborted(m.Aborted, Fault(m.Fault), n.clock()); r != "" {
 			n.log("replica_avoided", "replica", r, "reason", Fault(m.Fault))
--- a/placement/request.go
+++ b/placement/request.go
@@ -23,6 +23,22 @@
 	// TimeLeftMs is the time until the first event of the answer is due; 0 means
 	// that there is no such target.
 	TimeLeftMs float64
+	// ByCompletion has the prompt placed by the time until its whole answer is
+	// complete, and by the delay of other streams, instead of the time to its first
+	// event. The fields below are set only then.
+	ByCompletion bool
+	// Pace is the prefill time of a token of the model. It also measures the work of
+	// generating one.
+	Pace float64
+	// OutputTokens is the expected number of tokens to generate.
+	OutputTokens float64
+	// MemoryTokens is the number of tokens that the run holds in the replica's memory
+	// at its end; ReplicaMemoryTokens is the capacity of a replica, 0 if unknown.
+	MemoryTokens, ReplicaMemoryTokens float64
+	// Customer is the name of the customer, empty if there is none.
+	Customer string
+	// DeadlineMs is the time until the whole answer is due.
+	DeadlineMs float64
 }
 
 // PrefixPart is one part of a prompt's shared prefix.
@@ -66,6 +82,13 @@
 	// PrefillMs is the prefill time of the prompt on that replica, in
 	// milliseconds.
 	PrefillMs float64
+	// FinishMs is the time until the whole answer is expected to be complete, and
+	// OthersMs the total delay of other streams on that replica, in milliseconds.
+	// Both are 0 unless the prompt was placed by completion.
+	FinishMs, OthersMs float64
+	// Demoted reports that replicas are short and that the customer uses more than
+	// its fair share of them.
+	Demoted bool
 	// Ticket identifies the prompt in the owner's load tracker.
 	Ticket uint64
 }
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -79,7 +79,11 @@
 	// faults are the estimates from the faults that instances reported.
 	faults map[string]faultEstimate
 	// cached has the assumed end of each cache entry.
-	cached     map[cachedPart]time.Time
+	cached map[cachedPart]time.Time
+	// work is the work by replica, and runs the runs by ticket, of requests that were
+	// placed by completion.
+	work       map[string]*replicaWork
+	runs       map[uint64]*run
 	lastTicket uint64
 	nextSweep  time.Time
 }
@@ -90,6 +94,7 @@
 	return &LoadTracker{
 		pendingMs: map[string]float64{}, open: map[uint64]placedPrompt{}, busySlots: map[string]int{},
 		faults: map[string]faultEstimate{}, cached: map[cachedPart]time.Time{}, lastTicket: start,
+		work: map[string]*replicaWork{}, runs: map[uint64]*run{},
 	}
 }
 
@@ -122,24 +127,37 @@
 }
 
 // evaluate returns the choice of candidate i and its cost in milliseconds. The
-// cost is the time to the end of prefill plus the penalties for what the choice
-// takes from other requests, for faults, distance and lateness.
+// cost is the time to the end of prefill, or to the end of the answer if the request
+// is placed by completion, plus what the choice takes from other requests and the
+// penalties for faults, distance and lateness.
 func (l *LoadTracker) evaluate(r Request, i int, now time.Time) (Choice, float64) {
 	id := r.Replicas[i]
 	c := Choice{Index: i, WaitMs: l.pendingMs[id], PrefillMs: r.UnsharedMs}
-	cost := c.WaitMs + c.PrefillMs + slotSlowdown*r.SlotMs*float64(l.busySlots[id]) + l.faults[id].penaltyMs(now) + r.remotePenalty(i)
+	cost := l.faults[id].penaltyMs(now) + r.remotePenalty(i)
 	for _, p := range l.uncached(r, id, now) {
 		c.PrefillMs += p.PrefillMs
-		cost += p.PrefillMs + p.ReprefillPenaltyMs
+		cost += p.ReprefillPenaltyMs
 	}
-	return c, cost + r.latePenalty(c.WaitMs+c.PrefillMs)
+	cost += r.latePenalty(c.WaitMs + c.PrefillMs)
+	if !r.ByCompletion {
+		return c, cost + c.WaitMs + c.PrefillMs + slotSlowdown*r.SlotMs*float64(l.busySlots[id])
+	}
+	w := l.workOf(id)
+	x := w.completionOn(r, c.WaitMs, c.PrefillMs, now)
+	c.FinishMs, c.OthersMs = x.finishMs, x.othersMs
+	if !w.fits(r) {
+		cost += preemptionPenaltyMs
+	}
+	return c, cost + x.finishMs + x.othersMs
 }
 
 // record counts the prompt at the replica chosen for it.
 func (l *LoadTracker) record(r Request, c Choice, now time.Time) {
 	id := r.Replicas[c.Index]
 	p := placedPrompt{replica: id, parts: r.SharedPrefix, prefillMs: c.PrefillMs, expiresAt: now.Add(expiryFactor*milliseconds(c.WaitMs+c.PrefillMs) + expiryMargin)}
-	if r.SlotMs > 0 {
+	if r.ByCompletion {
+		l.startRun(r, c, now)
+	} else if r.SlotMs > 0 {
 		p.slot = &slotUse{replica: id, endsAt: now.Add(milliseconds(c.WaitMs + c.PrefillMs + r.SlotMs))}
 		l.busySlots[id]++
 		l.slots.push(p.slot)
@@ -183,6 +201,7 @@
 	defer l.mu.Unlock()
 	p, ok := l.open[ticket]
 	if !ok {
+		l.endRun(ticket)
 		return ""
 	}
 	if why != NoFault {
@@ -194,6 +213,7 @@
 		}
 	}
 	l.releaseSlot(p.slot)
+	l.endRun(ticket)
 	l.closeTicket(ticket)
 	return avoided
 }
@@ -232,6 +252,7 @@
 			l.closeTicket(t)
 		}
 	}
+	l.sweepWork(now)
 	for r, f := range l.faults {
 		if f.isExpired(now) {
 			delete(l.faults, r)
--- a/placement/wire.go
+++ b/placement/wire.go
@@ -3,8 +3,8 @@
 import "encoding/json"
 
 // message is a datagram between instances about placement. It holds a request,
-// the choice that answers the request with the same id, or the end of a ticket:
-// prefilled, or aborted with a fault.
+// the choice that answers the request with the same id, or a state of a ticket:
+// prefilled, aborted with a fault, or ended.
 type message struct {
 	RequestID uint64       `json:"q,omitempty"`
 	Request   *wireRequest `json:"a,omitempty"`
@@ -13,6 +13,8 @@
 	Prefilled uint64 `json:"r,omitempty"`
 	Aborted   uint64 `json:"l,omitempty"`
 	Fault     int    `json:"f,omitempty"`
+	// Ended is the id of a ticket whose run has ended.
+	Ended uint64 `json:"e,omitempty"`
 }
 
 // wireRequest is the encoding of Request. Its JSON names are part of the
@@ -25,6 +27,13 @@
 	RemoteBits      uint64     `json:"Far,omitempty"`
 	RemotePenaltyMs float64    `json:"Away,omitempty"`
 	TimeLeftMs      float64    `json:"Within,omitempty"`
+	ByCompletion    bool       `json:"Whole,omitempty"`
+	Pace            float64    `json:"Pace,omitempty"`
+	OutputTokens    float64    `json:"Tokens,omitempty"`
+	MemoryTokens    float64    `json:"Memory,omitempty"`
+	ReplicaMemory   float64    `json:"Room,omitempty"`
+	Customer        string     `json:"Customer,omitempty"`
+	DeadlineMs      float64    `json:"Left,omitempty"`
 }
 
 // wirePart is the encoding of PrefixPart.
@@ -35,7 +44,9 @@
 }
 
 func newWireRequest(r Request) *wireRequest {
-	w := &wireRequest{Replicas: r.Replicas, UnsharedMs: r.UnsharedMs, SlotMs: r.SlotMs, RemoteBits: r.RemoteBits, RemotePenaltyMs: r.RemotePenaltyMs, TimeLeftMs: r.TimeLeftMs}
+	w := &wireRequest{Replicas: r.Replicas, UnsharedMs: r.UnsharedMs, SlotMs: r.SlotMs, RemoteBits: r.RemoteBits, RemotePenaltyMs: r.RemotePenaltyMs, TimeLeftMs: r.TimeLeftMs,
+		ByCompletion: r.ByCompletion, Pace: r.Pace, OutputTokens: r.OutputTokens, MemoryTokens: r.MemoryTokens, ReplicaMemory: r.ReplicaMemoryTokens, Customer: r.Customer, DeadlineMs: r.DeadlineMs,
+	}
 	for _, p := range r.SharedPrefix {
 		w.SharedPrefix = append(w.SharedPrefix, wirePart(p))
 	}
@@ -43,7 +54,9 @@
 }
 
 func (w *wireRequest) request() Request {
-	r := Request{Replicas: w.Replicas, UnsharedMs: w.UnsharedMs, SlotMs: w.SlotMs, RemoteBits: w.RemoteBits, RemotePenaltyMs: w.RemotePenaltyMs, TimeLeftMs: w.TimeLeftMs}
+	r := Request{Replicas: w.Replicas, UnsharedMs: w.UnsharedMs, SlotMs: w.SlotMs, RemoteBits: w.RemoteBits, RemotePenaltyMs: w.RemotePenaltyMs, TimeLeftMs: w.TimeLeftMs,
+		ByCompletion: w.ByCompletion, Pace: w.Pace, OutputTokens: w.OutputTokens, MemoryTokens: w.MemoryTokens, ReplicaMemoryTokens: w.ReplicaMemory, Customer: w.Customer, DeadlineMs: w.DeadlineMs,
+	}
 	for _, p := range w.SharedPrefix {
 		r.SharedPrefix = append(r.SharedPrefix, PrefixPart(p))
 	}
@@ -55,6 +68,9 @@
 	Index     int     `json:"Index"`
 	WaitMs    float64 `json:"Wait"`
 	PrefillMs float64 `json:"Cost"`
+	FinishMs  float64 `json:"Finish,omitempty"`
+	OthersMs  float64 `json:"Others,omitempty"`
+	Demoted   bool    `json:"Demoted,omitempty"`
 	Ticket    uint64  `json:"Ticket"`
 }
 
--- a/prompt/prompt.go
+++ b/prompt/prompt.go
@@ -11,6 +11,9 @@
 	InputTokens int
 	// MaxOutputTokens is the maximum number of tokens to generate.
 	MaxOutputTokens int
+	// EstimatedOutputTokens is the client's estimate of the number of tokens to
+	// generate; 0 if it gave none.
+	EstimatedOutputTokens int
 	// Parts are the consecutive parts of the prompt. The last one belongs to the request
 	// or its session; those before it are shared with other requests.
 	Parts []Part
--- a/route/route.go
+++ b/route/route.go
@@ -29,10 +29,13 @@
 	Prefix string
 	Kind   Kind
 	// Timeout bounds the total time of a request. Target is the response-time
-	// target, up to the answer or a stream's first event. Both are durations
+	// target, up to the answer or a stream's first event. They are durations
 	// rather than deadlines because they apply to future requests.
 	Timeout time.Duration
 	Target  time.Duration
+	// PauseTarget is the longest pause between the events of a stream with which the
+	// answer is in time; 0 if the operator set none.
+	PauseTarget time.Duration
 	// Priority orders requests by urgency; 0 is the most urgent.
 	Priority int
 	// MaxAttempts is the maximum number of replicas on which one request may run.
--- a/route/table.go
+++ b/route/table.go
@@ -31,6 +31,10 @@
 	Models []Model
 	// Slots is the number of requests that a replica runs concurrently.
 	Slots int
+	// TokensPerEvent is the number of tokens in an event of its streams, and
+	// MemoryTokens the number of tokens that a replica's memory holds; 0 if unknown.
+	TokensPerEvent int
+	MemoryTokens   int
 	// ColdPeriod is how long a replica is cold after its start, and ColdPerSecond the
 	// request rate that it can handle during that time; both are 0 for services
 	// whose replicas handle the full rate from the start. ColdPeriod is a duration
