entry: continue silent and slow streams on another replica

Cause: a stream that falls silent after its first event, or generates too slowly to end before its deadline, was left at its replica until the deadline. Change: on routes that are placed by completion and allow resumed streams, a monitor follows each run. It reserves another replica, closes the run and resumes it with Last-Event-Id, within max_attempts and the retry budget and once for slowness. A slow replica isn't counted as faulty, a silent one counts as a hung one does. An answer that has exceeded its expected length is expected to go on for a quarter of what was generated. Other routes get no monitor.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -49,13 +49,20 @@
 	// headWait measures the wait for the answer's head where two releases are compared; nil
 	// otherwise and once the head arrived.
 	headWait *headWait
+	// monitor follows the stream if it may be moved to another replica; nil otherwise.
+	monitor *streamMonitor
+	// movedForSlowness is set if the attempt was ended because the stream was too slow for the time
+	// left, which is no fault of the replica.
+	movedForSlowness bool
 }
 
 // exchange sends the request and relays the answer.
 func (a *attempt) exchange(ctx context.Context, d Dispatch) error {
 	x, responded, end := a.withHangTimeout(ctx)
 	defer end()
-	reply, err := a.w.r.upstream.Send(x, a.replica, d)
+	x, endMonitor := a.monitorStream(x, ctx)
+	defer endMonitor()
+	reply, err := a.monitor.send(func() (Reply, error) { return a.w.r.upstream.Send(x, a.replica, d) })
 	if err != nil {
 		if errors.Is(context.Cause(x), errHung) {
 			err = outcome.New(outcome.Unknown, "wait", a.replica.ID, errHung)
@@ -100,7 +107,7 @@
 	a.recordOutput()
 	a.endHeadWait(false)
 	failed := err != nil && !a.succeeded && !a.clientLeft && !errors.Is(err, errCallerGone)
-	bad := a.mayHaveRun && !a.succeeded && (failed || w.result.Status >= 500)
+	bad := a.mayHaveRun && !a.succeeded && !a.movedForSlowness && (failed || w.result.Status >= 500)
 	w.abandonPrompt(a.assignment, a.placementFault(err, bad))
 	if isUnreachable(err) {
 		r.quota.ReleasePermit(a.assignment.permit)
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -15,9 +15,19 @@
 func (w *forwarding) expectedOutputTokens() float64 {
 	p := w.q.Prompt
 	n := w.r.outputTokens.Expect(w.slotTimeKey(), p.EstimatedOutputTokens, p.MaxOutputTokens)
-	return max(w.tokensPerEvent(), n-float64(w.result.Events)*w.tokensPerEvent())
+	sent := float64(w.result.Events) * w.tokensPerEvent()
+	overrun := overrunPart * sent
+	if p.MaxOutputTokens > 0 {
+		overrun = min(overrun, float64(p.MaxOutputTokens)-sent)
+	}
+	return max(w.tokensPerEvent(), n-sent, overrun)
 }
 
+// overrunPart is the least expected rest of an answer, as a part of what was generated. Lengths vary
+// by a factor of three between answers of one kind, so that an answer that has exceeded its expected
+// length is rarely at its end.
+const overrunPart = 0.25
+
 // tokensPerEvent is the number of tokens in an event of the service's streams.
 func (w *forwarding) tokensPerEvent() float64 {
 	return float64(max(1, w.q.Table.Service(w.result.Service).TokensPerEvent))
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -40,6 +40,8 @@
 	// escalatedFrom is the index of the model whose answer was dropped for this one's; negative
 	// if there is none.
 	escalatedFrom int
+	// movedForSlowness is set once the stream was moved to another replica because it was too slow.
+	movedForSlowness bool
 	// answerStarted is set once a part of the answer was written to the client.
 	answerStarted bool
 	// lastEventID is the id of the last event written to the client.
@@ -83,6 +85,7 @@
 
 // run makes attempts until the request is answered or no further attempt is allowed.
 func (w *forwarding) run(ctx context.Context) error {
+	defer w.releaseNextAssignment()
 	for {
 		err := w.attempt(ctx)
 		if err == nil || w.isOver(ctx, err) {
@@ -93,7 +96,7 @@
 
 // isOver decides whether the request ends with err or is sent to another replica.
 func (w *forwarding) isOver(ctx context.Context, err error) bool {
-	if errors.Is(err, errRetryGranted) {
+	if errors.Is(err, errRetryGranted) && (ctx.Err() == nil || !isStreamMove(err)) {
 		return false
 	}
 	if errors.Is(err, errNoAttemptLeft) {
--- a/entry/hooks.go
+++ b/entry/hooks.go
@@ -36,6 +36,15 @@
 	RequestStarted func(customer string, at time.Time)
 	// AttemptJudged is called with the verdict of an attempt on its service's release.
 	AttemptJudged func(service, release, verdict string)
+	// StreamMoved is called when the run of a stream was ended in order to continue it on another
+	// replica.
+	StreamMoved func(StreamMove)
+}
+
+func (e *Hooks) streamMoved(m StreamMove) {
+	if e.StreamMoved != nil {
+		e.StreamMoved(m)
+	}
 }
 
 func (e *Hooks) attemptJudged(service, release, verdict string) {
--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -121,13 +121,17 @@
 	Tried []string
 	// Excluded counts the replicas that were draining or backing off at the last choice.
 	Excluded string
-	Sends    int
-	Runs     int
-	Events   int
-	Status   int
-	Outcome  outcome.Kind
-	Code     Code
-	Cause    error
+	// Moves are the decisions to continue the stream on another replica. MoveDeclined states why
+	// it was last left at a silent or slow one.
+	Moves        []StreamMove
+	MoveDeclined string
+	Sends        int
+	Runs         int
+	Events       int
+	Status       int
+	Outcome      outcome.Kind
+	Code         Code
+	Cause        error
 	// StopReason states why no further attempt was made after a failed one.
 	StopReason  string
 	FirstByteAt time.Time
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -82,7 +82,10 @@
 // relayEvents relays the events of a stream on arrival. It calls responded on the first one.
 func (a *attempt) relayEvents(reply Reply, responded func()) error {
 	for {
-		e, err := reply.Next()
+		e, err := a.monitor.next(reply)
+		if isStreamMove(err) {
+			return err
+		}
 		if err != nil && !isStreamEnd(err) {
 			return outcome.New(outcome.Unknown, "read", a.replica.ID, err)
 		}
--- /dev/null
+++ b/entry/streammonitor_test.go
@@ -0,0 +1,456 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"fieldvale/admission"
+	"fieldvale/outcome"
+	"fieldvale/placement"
+	"fieldvale/pool"
+	"fieldvale/prompt"
+	"fieldvale/quarantine"
+	"fieldvale/rollout"
+	"fieldvale/route"
+)
+
+// completionPause is the pause from which the tests' routes are placed by completion.
+const completionPause = 2 * time.Second
+
+// neverStops is the stopAfter of a run that sends all events.
+const neverStops = 1 << 30
+
+// fakeRun is one run of a stream at a fake replica.
+type fakeRun struct {
+	// first is the time to the first event, interval that to each further event and to the end.
+	first, interval time.Duration
+	// stopAfter is the id of the last event of the run, if it is not complete. The run is then
+	// silent for the pause, or for ever if that is 0; broken ends it instead.
+	stopAfter int
+	pause     time.Duration
+	broken    bool
+	// buffered is the number of events, or ends, that arrive while a silent run is being cancelled.
+	buffered int
+	// refused has the replica answer that the request did not run, or with the status if that is
+	// set.
+	refused bool
+	status  int
+}
+
+func complete(interval time.Duration) fakeRun {
+	return fakeRun{first: interval, interval: interval, stopAfter: neverStops}
+}
+
+func silentAfter(event int) fakeRun {
+	return fakeRun{first: 50 * time.Millisecond, interval: 50 * time.Millisecond, stopAfter: event}
+}
+
+// streamScenario is a stream, its runs at successive replicas, and the state of the fleet.
+type streamScenario struct {
+	runs []fakeRun
+	// events is the number of events of the answer, expected the client's estimate of it.
+	events, expected int
+	maxAttempts      int
+	budget           float64
+	timeLeft         time.Duration
+	pauseTarget      time.Duration
+	// finish is the time to the complete answer that the placer expects of any other replica.
+	finish time.Duration
+	// models are the route's models; each but the last doubts its answer.
+	models []string
+	// withoutIDs has events without ids, onTrial the content suspected.
+	withoutIDs, onTrial bool
+	// onChoose is called with the number of each choice of the placer, onSend before each attempt.
+	onChoose, onSend func(n int, leave context.CancelFunc)
+	// onCancel is called when a run is cancelled, onClose when it is closed.
+	onCancel, onClose func(leave context.CancelFunc)
+	// clock may be nil.
+	clock Clock
+}
+
+func newScenario(runs ...fakeRun) streamScenario {
+	return streamScenario{
+		runs: runs, events: 20, expected: 20, maxAttempts: 4, budget: 9, timeLeft: 20 * time.Second,
+		pauseTarget: completionPause, finish: 3 * time.Second,
+	}
+}
+
+// streamFleet fakes the upstream, the placer, the quarantine and the client of one request.
+type streamFleet struct {
+	streamScenario
+	leave   context.CancelFunc
+	faults  []string
+	sends   []string
+	open    int
+	chosen  int
+	settled int
+	got     []string
+	heads   int
+	// bodies is the number of error responses that the client got.
+	bodies int
+	failed []FailedAttempt
+	moved  []StreamMove
+}
+
+func (f *streamFleet) fault(format string, args ...any) {
+	f.faults = append(f.faults, fmt.Sprintf(format, args...))
+}
+
+func (f *streamFleet) Choose(_ context.Context, _ string, r placement.Request) (placement.Choice, placement.Ticket, bool) {
+	f.chosen++
+	if f.onChoose != nil {
+		f.onChoose(f.chosen, f.leave)
+	}
+	c := placement.Choice{WaitMs: 1, PrefillMs: 100}
+	if r.ByCompletion {
+		c.FinishMs = float64(f.finish.Milliseconds())
+	}
+	return c, placement.Ticket{}, true
+}
+
+func (f *streamFleet) ReportPrefilled(placement.Ticket)                {}
+func (f *streamFleet) ReportEnded(placement.Ticket)                    { f.settled++ }
+func (f *streamFleet) ReportAborted(placement.Ticket, placement.Fault) { f.settled++ }
+
+func (f *streamFleet) IsEmpty() bool { return !f.onTrial }
+func (f *streamFleet) Check(context.Context, quarantine.Fingerprint) quarantine.Verdict {
+	return quarantine.Verdict{Decision: quarantine.AllowTrial}
+}
+func (f *streamFleet) ReportAttempt(quarantine.Fingerprint, quarantine.AttemptResult) {}
+
+// Send implements Upstream.
+func (f *streamFleet) Send(ctx context.Context, r *pool.Replica, d Dispatch) (Reply, error) {
+	if f.open > 0 {
+		f.fault("attempt %d began before the previous run was closed", len(f.sends)+1)
+	}
+	f.sends = append(f.sends, r.ID)
+	if f.onSend != nil {
+		f.onSend(len(f.sends), f.leave)
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, outcome.New(outcome.NotRun, "dial", r.ID, err)
+	}
+	n := len(f.sends)
+	if n > len(f.runs) {
+		f.fault("attempt %d is not in the scenario", n)
+		return nil, outcome.New(outcome.NotRun, "refused", r.ID, errors.New("no run left")).WithStatus(503)
+	}
+	x := f.runs[n-1]
+	if x.refused {
+		return nil, outcome.New(outcome.NotRun, "refused", r.ID, errors.New("full")).WithStatus(503)
+	}
+	after, _ := strconv.Atoi(d.LastEventID)
+	f.open++
+	return &runFake{f: f, ctx: ctx, run: x, model: d.Model, last: after}, nil
+}
+
+// runFake is the reply of one run.
+type runFake struct {
+	f     *streamFleet
+	ctx   context.Context
+	run   fakeRun
+	model string
+	last  int
+	sent  bool
+	// paused is set once the pause of the run is over.
+	paused bool
+}
+
+func (r *runFake) Head() Head {
+	if r.run.status != 0 {
+		return Head{Status: r.run.status, Header: http.Header{}}
+	}
+	return Head{Status: http.StatusOK, Header: http.Header{}}
+}
+func (r *runFake) Confidence() (float64, bool) {
+	m := r.f.models
+	if len(m) == 0 {
+		return 0, false
+	}
+	if r.model == m[len(m)-1] {
+		return 100, true
+	}
+	return 10, true
+}
+func (r *runFake) Body() ([]byte, error) { return nil, r.ctx.Err() }
+func (r *runFake) Close() {
+	r.f.open--
+	if r.f.onClose != nil {
+		r.f.onClose(r.f.leave)
+	}
+}
+
+// partOfEvent is what has arrived of an event when its connection is closed.
+var partOfEvent = Event{Data: []byte("part")}
+
+func (r *runFake) Next() (Event, error) {
+	wait := r.run.interval
+	if !r.sent {
+		wait = r.run.first
+	}
+	if r.last >= r.run.stopAfter && !r.paused {
+		if r.run.broken {
+			return partOfEvent, io.ErrUnexpectedEOF
+		}
+		wait = r.run.pause
+		if wait == 0 {
+			wait = time.Hour
+		}
+		r.paused = true
+	}
+	select {
+	case <-r.ctx.Done():
+		if r.f.onCancel != nil {
+			r.f.onCancel(r.f.leave)
+		}
+		if r.run.buffered == 0 {
+			return partOfEvent, context.Cause(r.ctx)
+		}
+		r.run.buffered--
+	case <-time.After(wait):
+	}
+	if r.last >= r.f.events {
+		return Event{}, io.EOF
+	}
+	r.last++
+	r.sent = true
+	e := Event{ID: strconv.Itoa(r.last), Data: []byte(strconv.Itoa(r.last))}
+	if r.f.withoutIDs {
+		e.ID = ""
+	}
+	return e, nil
+}
+
+// Head implements ForwardSink.
+func (f *streamFleet) Head(Head) error { f.heads++; return nil }
+
+// Event implements ForwardSink.
+func (f *streamFleet) Event(b []byte) error { f.got = append(f.got, string(b)); return nil }
+
+// Body implements ForwardSink.
+func (f *streamFleet) Body([]byte) error { f.bodies++; return nil }
+
+// run forwards the request in a bubble of fake time and checks what holds for every stream.
+func (s streamScenario) run(t *testing.T) (f *streamFleet, x *ForwardResult, err error) {
+	f = &streamFleet{streamScenario: s}
+	synctest.Test(t, func(t *testing.T) {
+		v := NewCurrentView()
+		var l []pool.Replica
+		for i := range 8 {
+			l = append(l, pool.Replica{ID: fmt.Sprint("r", i), Kind: pool.Service, Service: "s", Slots: 4})
+		}
+		v.Put(NewView(nil, l, nil, nil).WithRoutes(route.New(1, nil, nil, nil, route.Limits{}), map[string]rollout.Release{}))
+		clock := time.Now
+		if s.clock != nil {
+			clock = s.clock
+		}
+		r := NewRouter(Ports{
+			View: v, Clock: clock, Rand: rand.NewPCG(1, 1), Upstream: f, Retries: admission.RetryLimit{Burst: s.budget}, Placer: f, Quarantine: f,
+			FleetSize: func() int { return 1 }, CompletionPause: completionPause, AcceptConfidence: 60,
+			Hooks: &Hooks{
+				AttemptFailed: func(a FailedAttempt) { f.failed = append(f.failed, a) },
+				StreamMoved:   func(m StreamMove) { f.moved = append(f.moved, m) },
+			},
+		})
+		now := clock()
+		q := &OpaqueRequest{
+			ID: "q", Table: v.Get().Table, Prompt: prompt.Prompt{Model: "m", InputTokens: 100, EstimatedOutputTokens: s.expected},
+			Route:     &route.Route{Name: "r", Kind: route.Stream, Resumable: true, Target: 2 * time.Second, PauseTarget: s.pauseTarget, MaxAttempts: s.maxAttempts, Split: []route.WeightedService{{Service: "s"}}},
+			ArrivedAt: now, Deadline: now.Add(s.timeLeft), TimeoutAt: now.Add(s.timeLeft),
+		}
+		if len(s.models) > 0 {
+			q.Route.Models, q.Prompt.Model = s.models, prompt.AnyModel
+		}
+		ctx, leave := context.WithCancel(t.Context())
+		defer leave()
+		f.leave = leave
+		x, err = r.Forward(ctx, q, f)
+		if n := r.InFlight(); len(n) > 0 {
+			f.fault("requests are still counted at %v", n)
+		}
+	})
+	f.checkInvariants(x, err)
+	return f, x, err
+}
+
+func (f *streamFleet) checkInvariants(x *ForwardResult, err error) {
+	for i, e := range f.got {
+		if e != strconv.Itoa(i+1) {
+			f.fault("the client got events %v", f.got)
+			break
+		}
+	}
+	if err == nil && f.bodies == 0 && len(f.got) != f.events {
+		f.fault("a complete answer has %d events, want %d", len(f.got), f.events)
+	}
+	if f.heads > 1 || f.open != 0 || f.chosen != f.settled && f.pauseTarget >= completionPause {
+		f.fault("%d heads, %d runs open, %d replicas chosen and %d released", f.heads, f.open, f.chosen, f.settled)
+	}
+	if x.Runs > f.maxAttempts || !slices.Equal(x.Moves, f.moved) {
+		f.fault("%d runs, moves %v, reported %v", x.Runs, x.Moves, f.moved)
+	}
+}
+
+// moves formats the reasons of the moves.
+func moves(x *ForwardResult) string {
+	var l []string
+	for _, m := range x.Moves {
+		l = append(l, m.Reason.String())
+	}
+	return strings.Join(l, ",")
+}
+
+func TestStreamsAreMoved(t *testing.T) {
+	const ms = time.Millisecond
+	second := complete(50 * ms)
+	slow := complete(500 * ms)
+	with := func(s streamScenario, f func(*streamScenario)) streamScenario { f(&s); return s }
+	slowStream := func(runs ...fakeRun) streamScenario {
+		return with(newScenario(runs...), func(s *streamScenario) { s.events, s.expected, s.timeLeft = 60, 60, 15*time.Second })
+	}
+	pausing := fakeRun{first: 50 * ms, interval: 50 * ms, stopAfter: 5, pause: 5 * time.Second}
+	for _, c := range []struct {
+		name string
+		// guards names the failure that the case guards against.
+		guards   string
+		scenario streamScenario
+		moves    string
+		sends    int
+		faults   int
+		declined string
+		ok       bool
+	}{
+		{"silent midway", "a request that waits for a dead replica until its deadline", newScenario(silentAfter(5), second), "silent", 2, 1, "", true},
+		{"silent before its first event", "the wait for the first event of the first run no longer bounded by the hang timeout", newScenario(silentAfter(0), second), "", 2, 1, "", true},
+		{"silent after its last event", "an answer that is complete but for its end, and is lost or sent twice", newScenario(silentAfter(20), second), "silent", 2, 1, "", true},
+		{"second replica silent before its first event", "a resumed stream without a bound on its first event", newScenario(silentAfter(5), silentAfter(5), second), "silent", 3, 2, "", true},
+		{"second replica silent with little time left", "a resumed stream that waits for its first event until no other replica can complete it", with(newScenario(silentAfter(5), silentAfter(5), second), func(s *streamScenario) { s.timeLeft, s.finish = 5*time.Second, time.Second }), "silent,slow", 3, 1, "", true},
+		{"slow after an error response", "a slow replica counted as faulty for the error of another one", slowStream(silentAfter(5), fakeRun{status: 500}, complete(300*ms), second), "silent,slow", 4, 2, "", true},
+		{"second replica silent later", "a monitor that works for one run only", newScenario(silentAfter(5), silentAfter(9), second), "silent,silent", 3, 2, "", true},
+		{"second replica refuses", "a refusal that ends the stream", newScenario(silentAfter(5), fakeRun{refused: true}, second), "silent", 3, 2, "", true},
+		{"second replica answers with an error", "an error response written into the stream", newScenario(silentAfter(5), fakeRun{status: 500}, second), "silent", 3, 2, "", true},
+		{"second replica fails", "a broken connection that ends a moved stream", newScenario(silentAfter(5), fakeRun{first: 50 * ms, interval: 50 * ms, stopAfter: 9, broken: true}, second), "silent", 3, 2, "", true},
+		{"events arrive while it is being moved", "events lost or sent twice", newScenario(fakeRun{first: 50 * ms, interval: 50 * ms, stopAfter: 5, buffered: 2}, second), "silent", 2, 1, "", true},
+		{"ends while it is being moved", "a complete answer that is resumed, and a replica that stays reserved", newScenario(fakeRun{first: 50 * ms, interval: 50 * ms, stopAfter: 19, buffered: 2}), "", 1, 0, "", true},
+		{"slow with a better replica", "a stream that sends events until its deadline and is not complete, and a slow replica counted as faulty", slowStream(slow, second), "slow", 2, 0, "", true},
+		{"slow and longer than estimated", "a stream that counts as almost complete because its estimate is used up", with(slowStream(complete(300*ms), second), func(s *streamScenario) { s.expected, s.finish = 5, 2*time.Second }), "slow", 2, 0, "", true},
+		{"slow without a better replica", "a stream moved to a replica that is no faster", with(slowStream(slow), func(s *streamScenario) { s.finish, s.events = 14*time.Second, 25 }), "", 1, 0, keptNoneInTime, true},
+		{"slow at two replicas", "a stream that is read again at one replica after the other", with(slowStream(slow, slow), func(s *streamScenario) { s.events = 25 }), "slow", 2, 0, keptAtSlowReplica, true},
+		{"slow and the second silent", "a move for slowness that forbids one for silence", slowStream(slow, silentAfter(12), second), "slow,silent", 3, 1, "", true},
+		{"budget used up", "a stream cut off that can't be continued", with(newScenario(pausing), func(s *streamScenario) { s.budget = 0 }), "", 1, 0, keptWithoutBudget, true},
+		{"attempts used up", "a stream cut off that may not run again", with(newScenario(pausing), func(s *streamScenario) { s.maxAttempts = 1 }), "", 1, 0, "", true},
+		{"events without ids", "events sent twice because the replica does not know where to resume", with(newScenario(pausing), func(s *streamScenario) { s.withoutIDs = true }), "", 1, 0, keptUnresumable, true},
+		{"on trial", "a trial that is cut off and shows nothing about the content", with(newScenario(pausing), func(s *streamScenario) { s.onTrial = true }), "", 1, 0, "", true},
+		{"not placed by completion", "other routes served differently", with(newScenario(pausing), func(s *streamScenario) { s.pauseTarget = time.Second }), "", 1, 0, "", true},
+		{"slow and short of time", "a healthy stream that is cut off by a small silence shortly before its deadline", with(newScenario(complete(400*ms)), func(s *streamScenario) { s.events, s.expected, s.timeLeft = 3, 3, 1700*ms }), "", 1, 0, keptNoneInTime, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, x, err := c.scenario.run(t)
+			if len(f.faults) > 0 {
+				t.Errorf("%v", f.faults)
+			}
+			if moves(x) != c.moves || len(f.sends) != c.sends || len(f.failed) != c.faults || x.MoveDeclined != c.declined || (err == nil) != c.ok {
+				t.Errorf("moves %q, %d sends, faults %v, declined %q, %v (guards against %s)", moves(x), len(f.sends), f.failed, x.MoveDeclined, err, c.guards)
+			}
+		})
+	}
+}
+
+// Guards against a request that goes on for a client that left while its stream was being moved.
+func TestClientLeavesDuringTheMove(t *testing.T) {
+	leaveAt := func(n int) func(int, context.CancelFunc) {
+		return func(i int, leave context.CancelFunc) {
+			if i == n {
+				leave()
+			}
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		set   func(*streamScenario)
+		sends int
+		moves int
+	}{
+		{"while another replica is chosen", func(s *streamScenario) { s.onChoose = leaveAt(2) }, 1, 0},
+		{"while the first run is being cancelled", func(s *streamScenario) { s.onCancel = func(leave context.CancelFunc) { leave() } }, 1, 0},
+		{"while the first run is being closed", func(s *streamScenario) { s.onClose = func(leave context.CancelFunc) { leave() } }, 1, 1},
+		{"while the request is sent again", func(s *streamScenario) { s.onSend = leaveAt(2) }, 2, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScenario(silentAfter(5), complete(50*time.Millisecond))
+			c.set(&s)
+			f, x, err := s.run(t)
+			if len(f.faults) > 0 || err == nil || x.StopReason != "the client left" || len(f.sends) != c.sends || len(x.Moves) != c.moves {
+				t.Errorf("%v, %v, stopped %q after %d sends and moves %v, want %d and %d", f.faults, err, x.StopReason, len(f.sends), x.Moves, c.sends, c.moves)
+			}
+		})
+	}
+}
+
+// Guards against a healthy replica that is found silent because this process was suspended: the
+// event that ends the silence has arrived but was not read yet.
+func TestSuspensionIsNoSilence(t *testing.T) {
+	s := newScenario(fakeRun{first: 50 * time.Millisecond, interval: 50 * time.Millisecond, stopAfter: 5, pause: 2050 * time.Millisecond})
+	var start time.Time
+	s.clock = func() time.Time {
+		now := time.Now()
+		if start.IsZero() {
+			start = now
+		}
+		if now.Sub(start) > 300*time.Millisecond {
+			now = now.Add(3 * time.Second)
+		}
+		return now
+	}
+	f, x, err := s.run(t)
+	if len(f.faults) > 0 || err != nil || len(x.Moves) > 0 {
+		t.Errorf("%v, moves %v, %v, want none", f.faults, x.Moves, err)
+	}
+}
+
+// Guards against events that are lost, sent twice or out of order, runs that overlap, and replicas
+// that stay reserved, whatever the replicas do.
+func TestMovedStreamsAreComplete(t *testing.T) {
+	millis := func(low, high int) *rapid.Generator[time.Duration] {
+		return rapid.Map(rapid.IntRange(low, high), func(n int) time.Duration { return time.Duration(n) * time.Millisecond })
+	}
+	run := rapid.Custom(func(t *rapid.T) fakeRun {
+		return fakeRun{
+			first: millis(1, 4000).Draw(t, "first"), interval: millis(1, 700).Draw(t, "interval"),
+			stopAfter: rapid.OneOf(rapid.IntRange(0, 40), rapid.Just(neverStops)).Draw(t, "stop"), pause: millis(0, 6000).Draw(t, "pause"),
+			buffered: rapid.IntRange(0, 3).Draw(t, "buffered"),
+			broken:   rapid.IntRange(0, 4).Draw(t, "broken") == 0, refused: rapid.IntRange(0, 5).Draw(t, "refused") == 0,
+			status: rapid.SampledFrom([]int{0, 0, 0, 0, 500}).Draw(t, "status"),
+		}
+	})
+	rapid.Check(t, func(u *rapid.T) {
+		s := newScenario(append(rapid.SliceOfN(run, 1, 5).Draw(u, "runs"), complete(20*time.Millisecond), complete(20*time.Millisecond), complete(20*time.Millisecond))...)
+		s.events, s.expected = rapid.IntRange(1, 40).Draw(u, "events"), rapid.IntRange(1, 60).Draw(u, "expected")
+		s.maxAttempts, s.budget = rapid.IntRange(1, 6).Draw(u, "attempts"), float64(rapid.IntRange(0, 6).Draw(u, "budget"))
+		s.timeLeft, s.finish = millis(500, 20000).Draw(u, "left"), millis(10, 20000).Draw(u, "finish")
+		if n := rapid.IntRange(0, 4).Draw(u, "leaves"); n > 0 {
+			s.onChoose = func(i int, leave context.CancelFunc) {
+				if i == n+1 {
+					leave()
+				}
+			}
+		}
+		f, x, _ := s.run(t)
+		slowMoves := strings.Count(moves(x), "slow")
+		if len(f.faults) > 0 || slowMoves > 1 {
+			u.Fatalf("%v, moves %v", f.faults, x.Moves)
+		}
+	})
+}
