entry: ask a larger model only if its whole answer is expected in time

Cause: a small model's answer was dropped for a larger model's whose first event was in time but whose stream ran until the deadline. Change: for requests placed by completion, the expected time to the complete answer times 1.25 has to fit into the time left; otherwise the answer in hand is kept, with the result "kept: no larger model complete in time". Without an estimate and on other routes as before.

--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -30,6 +30,7 @@
 	keptNoAttempts = "kept: attempts used"
 	keptNoBudget   = "kept: no budget"
 	keptTooLate    = "kept: no larger model in time"
+	keptIncomplete = "kept: no larger model complete in time"
 	keptOnTrial    = "kept: sent on trial"
 )
 
@@ -78,7 +79,7 @@
 	}
 	result := keptTooLate
 	for _, m := range w.largerModels(confidence) {
-		if result = w.escalateTo(ctx, m, confidence); result != keptTooLate {
+		if result = w.escalateTo(ctx, m, confidence); result != keptTooLate && result != keptIncomplete {
 			return result
 		}
 	}
@@ -122,13 +123,10 @@
 	from, tried := w.modelIndex, w.tried
 	w.modelIndex, w.tried = model, nil
 	p := w.assignReplica(ctx)
-	result := keptTooLate
-	if p != nil && w.answersInTime(p, confidence) {
-		if w.r.takeOpaqueRetry(w.result.Service, escalationReserve) {
-			w.nextAssignment, w.escalatedFrom = p, from
-			return escalated
-		}
-		result = keptNoBudget
+	result := w.mayEscalateTo(p, confidence)
+	if result == escalated {
+		w.nextAssignment, w.escalatedFrom = p, from
+		return escalated
 	}
 	if p != nil {
 		w.releaseAssignment(p)
@@ -137,6 +135,21 @@
 	return result
 }
 
+// mayEscalateTo decides whether the assignment's model is asked, and takes the retry if it is. p may
+// be nil.
+func (w *forwarding) mayEscalateTo(p *assignment, confidence float64) string {
+	if p == nil || !w.answersInTime(p, confidence) {
+		return keptTooLate
+	}
+	if inTime, known := w.completesInTime(p); known && !inTime {
+		return keptIncomplete
+	}
+	if !w.r.takeOpaqueRetry(w.result.Service, escalationReserve) {
+		return keptNoBudget
+	}
+	return escalated
+}
+
 // answersInTime reports whether the first event is expected early enough for the gain that the
 // larger model promises.
 func (w *forwarding) answersInTime(p *assignment, confidence float64) bool {
