fieldvale-node: log and count streams that are moved

Change: a line stream_moved and fieldvale_streams_moved_total{service,reason} for each decision to move a stream; moved and move_declined in the routed line.

--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -16,7 +16,12 @@
 func (n *node) routerHooks() *entry.Hooks {
 	judged := n.metrics.Counter("release_answers_total", "Attempts by release and what they count as when releases are judged.", "service", "release", "verdict")
 	broken := n.metrics.Counter("attempts_failed_total", "Attempts at backend servers that came to nothing, by service and whether an answer had begun.", "service", "began")
+	moved := n.metrics.Counter("streams_moved_total", "Streams that were continued on another replica because they were silent or too slow, by service and reason.", "service", "reason")
 	return &entry.Hooks{
+		StreamMoved: func(m entry.StreamMove) {
+			moved.WithLabelValues(m.Service, m.Reason.String()).Inc()
+			n.logEvent("stream_moved", "request", m.Request, "service", m.Service, "from", m.From, "to", m.To, "events", m.Events, "interval", m.Interval, "silence", m.DecidedAt.Sub(m.SilentSince), "events_left", m.EventsLeft, "time_left", m.Deadline.Sub(m.DecidedAt), "reason", m.Reason)
+		},
 		RequestStarted: n.requestStartedHook(),
 		AttemptJudged:  func(service, release, verdict string) { judged.WithLabelValues(service, release, verdict).Inc() },
 		AttemptFailed: func(f entry.FailedAttempt) {
@@ -94,7 +99,7 @@
 		}
 		n.logEvent("routed", "request", q.ID, "content", f.Fingerprint, "route", q.Route.Name, "customer", q.Customer.Name, "session", q.Session, "config", q.Table.Version, "config_age", age,
 			"service", f.Service, "replica", f.Replica, "tried", f.Tried, "left_out", f.Excluded, "release", f.Release, "model", f.Model, "confidence", f.Confidence, "dropped", f.Dropped, "doubt", f.Escalation,
-			"prompt", q.Prompt.InputTokens, "most", q.Prompt.MaxOutputTokens, "limited", f.SkippedCount, "passed_over", f.Skipped, "sends", f.Sends, "runs", f.Runs, "events", f.Events, "status", f.Status, "code", code, "run", f.Outcome, "cause", errorText(f.Cause), "stopped", f.StopReason,
+			"prompt", q.Prompt.InputTokens, "most", q.Prompt.MaxOutputTokens, "limited", f.SkippedCount, "passed_over", f.Skipped, "sends", f.Sends, "runs", f.Runs, "events", f.Events, "status", f.Status, "code", code, "run", f.Outcome, "cause", errorText(f.Cause), "stopped", f.StopReason, "moved", f.Moves, "move_declined", f.MoveDeclined,
 			"first", elapsed(f.FirstByteAt, q.ArrivedAt), "took", f.EndedAt.Sub(q.ArrivedAt), "allowed", q.Deadline.Sub(q.ArrivedAt))
 	}
 }
