--- a/entry/streammonitor_test.go
+++ b/entry/streammonitor_test.go
@@ -454,3 +454,19 @@
 		}
 	})
 }
+
+// Guards against an estimate that leaves out that a resumed stream's events have to be read again.
+func TestSentEventsAreReadAgain(t *testing.T) {
+	v := NewCurrentView()
+	v.Put(NewView(nil, nil, nil, nil).WithRoutes(route.New(1, nil, nil, nil, route.Limits{}), nil))
+	r := NewRouter(Ports{View: v, Clock: time.Now, Rand: rand.NewPCG(1, 1)})
+	end := time.Now().Add(10 * time.Second)
+	w := &forwarding{r: r, modelIndex: -1, result: &ForwardResult{Service: "s"}, q: &OpaqueRequest{Table: v.Get().Table, Deadline: end, TimeoutAt: end}}
+	p := &assignment{byCompletion: true, finishMs: 7000}
+	for events, want := range map[int]bool{0: true, 1_000_000: false} {
+		w.result.Events = events
+		if inTime, known := w.completesInTime(p); inTime != want || !known {
+			t.Errorf("%d events sent: in time %t (known %t), want %t", events, inTime, known, want)
+		}
+	}
+}
