--- a/pace/pace.go
+++ b/pace/pace.go
@@ -13,8 +13,14 @@
 	// window would take each such phase for the rate of the stream.
 	intervalWindow = 16
 	// minIntervals is the number of intervals from which their mean is used as a rate.
-	// Short answers have about 30 events, so that a whole window would be half of one.
-	minIntervals = 8
+	// A stream's first events are often delayed by the prefill of prompts that were
+	// placed with it, which ends within a second or two.
+	minIntervals = intervalWindow
+	// slowFactor is the multiple of the time left that the rest of a stream has to take at
+	// its current rate for it to count as too slow. To continue it elsewhere has the
+	// prompt prefilled again, which slows the streams there, and streams often speed up
+	// again when a peak of the load is over.
+	slowFactor = 1.3
 	// silenceFactor is the number of mean intervals that explain a silence. The wait for
 	// the first event is bounded by the same factor: the slowest of a hundred healthy
 	// replicas take four times the expected time.
@@ -141,8 +147,13 @@
 			return Silent
 		}
 		return Slow
-	case t.intervals >= minIntervals && t.EndsAt(eventsLeft, now).After(p.Deadline):
+	case t.intervals >= minIntervals && p.misses(t, eventsLeft, now):
 		return Slow
 	}
 	return Keep
 }
+
+// misses reports whether the stream is far from meeting its deadline at its current rate.
+func (p Policy) misses(t Tracker, eventsLeft float64, now time.Time) bool {
+	return t.EndsAt(eventsLeft/slowFactor, now).After(p.Deadline)
+}
