placement: mark requests of customers over their shares of a short group

Cause: the owner of a group sees all placements and didn't use that for shares.

Change: the load tracker keeps the work of each customer by group (new field Group of a request, as one owner may have several groups) and sets Choice.Demoted, with the share used and the fair one, if the group is short. Demoted prompts wait behind others, so that they don't count in the wait of customers within their shares.

Tested: idle groups, other groups of the same owner, late requests, single candidates, requests without group or by first event demote nobody; short ones and slow streams do.

--- a/placement/node.go
+++ b/placement/node.go
@@ -64,6 +64,9 @@
 // Choose asks the group's owner for a replica for the prompt. It returns false if
 // the owner does not answer in time or has no replica for the prompt.
 func (n *Node) Choose(ctx context.Context, group string, r Request) (Choice, Ticket, bool) {
+	if r.ByCompletion {
+		r.Group = group
+	}
 	o, ok := n.owner(group)
 	if !ok || o.ID == n.self {
 		c := n.tracker.Choose(r, n.clock())
--- a/placement/request.go
+++ b/placement/request.go
@@ -39,6 +39,11 @@
 	Customer string
 	// DeadlineMs is the time until the whole answer is due.
 	DeadlineMs float64
+	// Group is the group of the replicas, set by Node.Choose. Fair shares are kept by
+	// group; without one, none is.
+	Group string
+	// demoted is set by the load tracker if the customer is over its share.
+	demoted bool
 }
 
 // PrefixPart is one part of a prompt's shared prefix.
@@ -89,6 +94,9 @@
 	// Demoted reports that replicas are short and that the customer uses more than
 	// its fair share of them.
 	Demoted bool
+	// ShareUsed is the customer's part of the work placed in the group lately, and
+	// ShareFair the part that it may have, from 0 to 1. Both are 0 unless Demoted is set.
+	ShareUsed, ShareFair float64
 	// Ticket identifies the prompt in the owner's load tracker.
 	Ticket uint64
 }
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -55,6 +55,8 @@
 	// parts are the prefix parts that the replica caches by prefilling the
 	// prompt.
 	parts []PrefixPart
+	// shared is the prompt's work in its customer's share; nil if none is kept.
+	shared *sharedWork
 }
 
 // cachedPart identifies a prefix part in the cache of a replica.
@@ -84,6 +86,7 @@
 	// placed by completion.
 	work       map[string]*replicaWork
 	runs       map[uint64]*run
+	shares     groupShares
 	lastTicket uint64
 	nextSweep  time.Time
 }
@@ -94,7 +97,7 @@
 	return &LoadTracker{
 		pendingMs: map[string]float64{}, open: map[uint64]placedPrompt{}, busySlots: map[string]int{},
 		faults: map[string]faultEstimate{}, cached: map[cachedPart]time.Time{}, lastTicket: start,
-		work: map[string]*replicaWork{}, runs: map[uint64]*run{},
+		work: map[string]*replicaWork{}, runs: map[uint64]*run{}, shares: newGroupShares(),
 	}
 }
 
@@ -105,10 +108,18 @@
 	defer l.mu.Unlock()
 	l.sweep(now)
 	l.releaseEndedSlots(now)
+	s := l.standing(r, now)
+	r.demoted = s.Over
 	c := l.best(r, now)
 	if c.Index < 0 {
 		return c
 	}
+	if !s.Over && r.finishesLate(c) {
+		s = l.groupStanding(r, now)
+	}
+	if s.Over {
+		c.Demoted, c.ShareUsed, c.ShareFair = true, s.Used, s.Fair
+	}
 	l.lastTicket++
 	c.Ticket = l.lastTicket
 	l.record(r, c, now)
@@ -132,7 +143,7 @@
 // penalties for faults, distance and lateness.
 func (l *LoadTracker) evaluate(r Request, i int, now time.Time) (Choice, float64) {
 	id := r.Replicas[i]
-	c := Choice{Index: i, WaitMs: l.pendingMs[id], PrefillMs: r.UnsharedMs}
+	c := Choice{Index: i, WaitMs: l.waitMs(r, id), PrefillMs: r.UnsharedMs}
 	cost := l.faults[id].penaltyMs(now) + r.remotePenalty(i)
 	for _, p := range l.uncached(r, id, now) {
 		c.PrefillMs += p.PrefillMs
@@ -157,6 +168,7 @@
 	p := placedPrompt{replica: id, parts: r.SharedPrefix, prefillMs: c.PrefillMs, expiresAt: now.Add(expiryFactor*milliseconds(c.WaitMs+c.PrefillMs) + expiryMargin)}
 	if r.ByCompletion {
 		l.startRun(r, c, now)
+		p.shared = l.shares.place(r, c, now)
 	} else if r.SlotMs > 0 {
 		p.slot = &slotUse{replica: id, endsAt: now.Add(milliseconds(c.WaitMs + c.PrefillMs + r.SlotMs))}
 		l.busySlots[id]++
@@ -215,6 +227,7 @@
 	l.releaseSlot(p.slot)
 	l.endRun(ticket)
 	l.closeTicket(ticket)
+	p.shared.withdraw(now)
 	return avoided
 }
 
@@ -234,6 +247,7 @@
 		return
 	}
 	delete(l.open, ticket)
+	l.shares.close(p)
 	l.pendingMs[p.replica] -= p.prefillMs
 	if l.pendingMs[p.replica] < pendingEpsilonMs {
 		delete(l.pendingMs, p.replica)
@@ -253,6 +267,7 @@
 		}
 	}
 	l.sweepWork(now)
+	l.shares.sweep(now)
 	for r, f := range l.faults {
 		if f.isExpired(now) {
 			delete(l.faults, r)
--- a/placement/wire.go
+++ b/placement/wire.go
@@ -34,6 +34,7 @@
 	ReplicaMemory   float64    `json:"Room,omitempty"`
 	Customer        string     `json:"Customer,omitempty"`
 	DeadlineMs      float64    `json:"Left,omitempty"`
+	Group           string     `json:"Group,omitempty"`
 }
 
 // wirePart is the encoding of PrefixPart.
@@ -45,7 +46,7 @@
 
 func newWireRequest(r Request) *wireRequest {
 	w := &wireRequest{Replicas: r.Replicas, UnsharedMs: r.UnsharedMs, SlotMs: r.SlotMs, RemoteBits: r.RemoteBits, RemotePenaltyMs: r.RemotePenaltyMs, TimeLeftMs: r.TimeLeftMs,
-		ByCompletion: r.ByCompletion, Pace: r.Pace, OutputTokens: r.OutputTokens, MemoryTokens: r.MemoryTokens, ReplicaMemory: r.ReplicaMemoryTokens, Customer: r.Customer, DeadlineMs: r.DeadlineMs,
+		ByCompletion: r.ByCompletion, Pace: r.Pace, OutputTokens: r.OutputTokens, MemoryTokens: r.MemoryTokens, ReplicaMemory: r.ReplicaMemoryTokens, Customer: r.Customer, DeadlineMs: r.DeadlineMs, Group: r.Group,
 	}
 	for _, p := range r.SharedPrefix {
 		w.SharedPrefix = append(w.SharedPrefix, wirePart(p))
@@ -55,7 +56,7 @@
 
 func (w *wireRequest) request() Request {
 	r := Request{Replicas: w.Replicas, UnsharedMs: w.UnsharedMs, SlotMs: w.SlotMs, RemoteBits: w.RemoteBits, RemotePenaltyMs: w.RemotePenaltyMs, TimeLeftMs: w.TimeLeftMs,
-		ByCompletion: w.ByCompletion, Pace: w.Pace, OutputTokens: w.OutputTokens, MemoryTokens: w.MemoryTokens, ReplicaMemoryTokens: w.ReplicaMemory, Customer: w.Customer, DeadlineMs: w.DeadlineMs,
+		ByCompletion: w.ByCompletion, Pace: w.Pace, OutputTokens: w.OutputTokens, MemoryTokens: w.MemoryTokens, ReplicaMemoryTokens: w.ReplicaMemory, Customer: w.Customer, DeadlineMs: w.DeadlineMs, Group: w.Group,
 	}
 	for _, p := range w.SharedPrefix {
 		r.SharedPrefix = append(r.SharedPrefix, PrefixPart(p))
@@ -71,6 +72,8 @@
 	FinishMs  float64 `json:"Finish,omitempty"`
 	OthersMs  float64 `json:"Others,omitempty"`
 	Demoted   bool    `json:"Demoted,omitempty"`
+	ShareUsed float64 `json:"Used,omitempty"`
+	ShareFair float64 `json:"Fair,omitempty"`
 	Ticket    uint64  `json:"Ticket"`
 }
 
