entry: serve customers over their shares after the others

Cause: Choice.Demoted had no effect.

Change: a demoted request gets a priority one class lower and isn't escalated; before anything was sent, it is refused (503, not run) if its complete answer is expected after the deadline, with a jittered time to return. The expected time is corrected by the learned ratio of actual to expected times. Where no owner answers, an instance decides by its own requests and first events. A hook reports each decision.

--- a/entry/assign.go
+++ b/entry/assign.go
@@ -29,6 +29,8 @@
 	// which is then finishMs, in milliseconds.
 	byCompletion bool
 	finishMs     float64
+	// share is the customer's use of the replicas.
+	share shareStatus
 }
 
 // assignAmong chooses one of the replicas for the request; nil if none is left.
@@ -54,7 +56,9 @@
 	if p, ok := w.assignByPlacer(ctx, allowed, c, e); ok {
 		return p
 	}
-	return w.assignLocally(c, e.affinityKey, e.unsharedMs)
+	p := w.assignLocally(c, e.affinityKey, e.unsharedMs)
+	w.demoteLocally(p, e)
+	return p
 }
 
 // candidates are the replicas that may be chosen now.
@@ -83,6 +87,7 @@
 		idle: x.WaitMs < 1, tokens: x.PrefillMs / e.msPerToken, firstEventMs: x.WaitMs + x.PrefillMs,
 	}
 	w.r.backends.assign(p.replica, p.costMs, now)
+	w.recordShare(p, x, e)
 	return p, true
 }
 
@@ -128,6 +133,7 @@
 		w.r.prefillTimes.Observe(w.prefillKey(), w.r.clock().Sub(sent), p.tokens)
 	}
 	w.r.firstEventDelays.Observe(w.result.Service, p.firstEventMs, w.r.clock().Sub(sent))
+	w.observeFirstEvent(w.r.clock().Sub(sent))
 	if w.closePrompt(p) {
 		w.r.placer.ReportPrefilled(p.ticket)
 	}
@@ -136,6 +142,7 @@
 // abandonPrompt removes a prompt that was not read from its replica's pending work, and reports
 // the end of the run of one that was read.
 func (w *forwarding) abandonPrompt(p *assignment, fault placement.Fault) {
+	w.withdrawShare(p)
 	switch {
 	case w.closePrompt(p):
 		w.r.placer.ReportAborted(p.ticket, fault)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -98,6 +98,7 @@
 	r := w.r
 	a.recordSlotTime()
 	a.recordOutput()
+	a.recordFinish()
 	a.endHeadWait(false)
 	failed := err != nil && !a.succeeded && !a.clientLeft && !errors.Is(err, errCallerGone)
 	bad := a.mayHaveRun && !a.succeeded && (failed || w.result.Status >= 500)
--- a/entry/deadline.go
+++ b/entry/deadline.go
@@ -16,6 +16,18 @@
 // refused at the same moment don't return at the same moment.
 const retrySpread = 0.5
 
+// refusal is the reason for which a request that was not sent yet is refused at once; nil if it
+// is sent.
+func (w *forwarding) refusal(p *assignment) error {
+	switch {
+	case w.refusesOverShare(p):
+		return errOverShare
+	case w.missesDeadline(p):
+		return errTooLateAlready
+	}
+	return nil
+}
+
 // missesDeadline reports whether the first event is expected after the deadline of a request that
 // was not sent yet. Such a request is refused at once instead of being held in vain. The client
 // is asked to retry when the replicas will have worked off enough for a request with the same
--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -31,6 +31,7 @@
 	keptNoBudget   = "kept: no budget"
 	keptTooLate    = "kept: no larger model in time"
 	keptOnTrial    = "kept: sent on trial"
+	keptOverShare  = "kept: customer over its share"
 )
 
 // maybeEscalate drops the answer of a small model with a low confidence, provided that a larger
@@ -52,6 +53,11 @@
 		w.result.Escalation = keptOnTrial
 		return nil
 	}
+	if a.assignment.share.over {
+		w.result.Escalation = keptOverShare
+		w.reportShare(a.assignment, ShareNotEscalated)
+		return nil
+	}
 	w.result.Escalation = w.escalate(ctx, c)
 	if w.result.Escalation != escalated {
 		return nil
@@ -123,7 +129,10 @@
 	w.modelIndex, w.tried = model, nil
 	p := w.assignReplica(ctx)
 	result := keptTooLate
-	if p != nil && w.answersInTime(p, confidence) {
+	if p != nil && p.share.over {
+		result = keptOverShare
+		w.reportShare(p, ShareNotEscalated)
+	} else if p != nil && w.answersInTime(p, confidence) {
 		if w.r.takeOpaqueRetry(w.result.Service, escalationReserve) {
 			w.nextAssignment, w.escalatedFrom = p, from
 			return escalated
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -107,6 +107,10 @@
 		w.cause = err
 		return w.stopIf(true, "too late already")
 	}
+	if errors.Is(err, errOverShare) {
+		w.cause = err
+		return w.stopIf(true, "over its share")
+	}
 	isLate := !w.r.clock().Before(w.q.effectiveDeadline())
 	if errors.Is(err, errCallerGone) || errors.Is(ctx.Err(), context.Canceled) && !isLate {
 		return w.stopIf(true, "the client left")
@@ -180,13 +184,13 @@
 		w.quarantineCheck.cancelTrial()
 		return errors.CombineErrors(errNoAttemptLeft, w.cause)
 	}
-	if w.missesDeadline(p) {
+	if err := w.refusal(p); err != nil {
 		w.quarantineCheck.cancelTrial()
 		w.releaseAssignment(p)
-		return errTooLateAlready
+		return err
 	}
 	b := p.replica
-	d := Dispatch{Request: w.q, LastEventID: w.lastEventID, Deadline: w.q.effectiveDeadline(), Priority: w.q.priority()}
+	d := Dispatch{Request: w.q, LastEventID: w.lastEventID, Deadline: w.q.effectiveDeadline(), Priority: w.dispatchPriority(p)}
 	if w.modelIndex >= 0 {
 		d.Model = w.q.Route.Models[w.modelIndex]
 	}
--- a/entry/hooks.go
+++ b/entry/hooks.go
@@ -36,6 +36,15 @@
 	RequestStarted func(customer string, at time.Time)
 	// AttemptJudged is called with the verdict of an attempt on its service's release.
 	AttemptJudged func(service, release, verdict string)
+	// ShareDecided is called when a request is served later, not escalated or refused because its
+	// customer is over its share.
+	ShareDecided func(ShareDecision)
+}
+
+func (e *Hooks) shareDecided(d ShareDecision) {
+	if e.ShareDecided != nil {
+		e.ShareDecided(d)
+	}
 }
 
 func (e *Hooks) attemptJudged(service, release, verdict string) {
--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -108,6 +108,9 @@
 	Dropped []DroppedAnswer
 	// Escalation states whether the last answer with a low confidence was replaced, and why not.
 	Escalation string
+	// Share is the last decision on the request because its customer was over its share; nil if
+	// there was none.
+	Share *ShareDecision
 	// SkippedCount is how often a replica was skipped because it advertises a limit, or is or may
 	// be cold, and had no permit left. Skipped holds the preferred replica of each refused permit
 	// request.
--- a/entry/router.go
+++ b/entry/router.go
@@ -81,6 +81,11 @@
 	acceptConfidence float64
 	// completionPause is described in Ports.
 	completionPause time.Duration
+	// finishDelays learns the ratio of the time to the complete answer to the owner's estimate, by
+	// kind of request and model, in the same way as firstEventDelays for the first event.
+	finishDelays *timing.FirstEventDelays
+	// localShares decides on shares where no owner answers.
+	localShares *localShares
 }
 
 // Ports are the dependencies and settings of a Router.
@@ -145,6 +150,7 @@
 		upstream: p.Upstream, activeForwards: newActiveForwards(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, prefillTimes: timing.NewPrefillTimes(), slotTimes: timing.NewSlotTimes(), outputTokens: timing.NewOutputTokens(), confidenceGains: newConfidenceGains(), answerSizes: newAnswerSizes(), firstEventDelays: timing.NewFirstEventDelays(), tokenTimes: newTokenTimes(),
 		releases: newReleases(p.Clock()), retryWindows: map[string]*admission.RetryWindow{}, retries: p.Retries, fleetSize: p.FleetSize,
 		acceptConfidence: p.AcceptConfidence, completionPause: p.CompletionPause, coldBound: p.ColdBound, quota: p.Quota, notices: p.Notices,
+		localShares: newLocalShares(), finishDelays: timing.NewFirstEventDelays(),
 	}
 }
 
