--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -23,6 +23,7 @@
 			n.logEvent("stream_moved", "request", m.Request, "service", m.Service, "from", m.From, "to", m.To, "events", m.Events, "interval", m.Interval, "silence", m.DecidedAt.Sub(m.SilentSince), "events_left", m.EventsLeft, "time_left", m.Deadline.Sub(m.DecidedAt), "reason", m.Reason)
 		},
 		RequestStarted: n.requestStartedHook(),
+		ShareDecided:   n.shareDecidedHook(),
 		AttemptJudged:  func(service, release, verdict string) { judged.WithLabelValues(service, release, verdict).Inc() },
 		AttemptFailed: func(f entry.FailedAttempt) {
 			broken.WithLabelValues(f.Service, strconv.FormatBool(f.AnswerStarted)).Inc()
@@ -98,7 +99,7 @@
 			n.staleAnswers.WithLabelValues("routed").Inc()
 		}
 		n.logEvent("routed", "request", q.ID, "content", f.Fingerprint, "route", q.Route.Name, "customer", q.Customer.Name, "session", q.Session, "config", q.Table.Version, "config_age", age,
-			"service", f.Service, "replica", f.Replica, "tried", f.Tried, "left_out", f.Excluded, "release", f.Release, "model", f.Model, "confidence", f.Confidence, "dropped", f.Dropped, "doubt", f.Escalation,
+			"service", f.Service, "replica", f.Replica, "tried", f.Tried, "left_out", f.Excluded, "release", f.Release, "model", f.Model, "confidence", f.Confidence, "dropped", f.Dropped, "doubt", f.Escalation, "over_share", shareOutcome(f.Share),
 			"prompt", q.Prompt.InputTokens, "most", q.Prompt.MaxOutputTokens, "limited", f.SkippedCount, "passed_over", f.Skipped, "sends", f.Sends, "runs", f.Runs, "events", f.Events, "status", f.Status, "code", code, "run", f.Outcome, "cause", errorText(f.Cause), "stopped", f.StopReason, "moved", f.Moves, "move_declined", f.MoveDeclined,
 			"first", elapsed(f.FirstByteAt, q.ArrivedAt), "took", f.EndedAt.Sub(q.ArrivedAt), "allowed", q.Deadline.Sub(q.ArrivedAt))
 	}
--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -32,6 +32,7 @@
 	keptTooLate    = "kept: no larger model in time"
 	keptIncomplete = "kept: no larger model complete in time"
 	keptOnTrial    = "kept: sent on trial"
+	keptOverShare  = "kept: customer over its share"
 )
 
 // maybeEscalate drops the answer of a small model with a low confidence, provided that a larger
@@ -53,6 +54,11 @@
 		w.result.Escalation = keptOnTrial
 		return nil
 	}
+	if a.assignment.share.over {
+		w.result.Escalation = keptOverShare
+		w.reportShare(a.assignment, ShareNotEscalated)
+		return nil
+	}
 	w.result.Escalation = w.escalate(ctx, c)
 	if w.result.Escalation != escalated {
 		return nil
@@ -138,7 +144,14 @@
 // mayEscalateTo decides whether the assignment's model is asked, and takes the retry if it is. p may
 // be nil.
 func (w *forwarding) mayEscalateTo(p *assignment, confidence float64) string {
-	if p == nil || !w.answersInTime(p, confidence) {
+	if p == nil {
+		return keptTooLate
+	}
+	if p.share.over {
+		w.reportShare(p, ShareNotEscalated)
+		return keptOverShare
+	}
+	if !w.answersInTime(p, confidence) {
 		return keptTooLate
 	}
 	if inTime, known := w.completesInTime(p); known && !inTime {
--- a/entry/hooks.go
+++ b/entry/hooks.go
@@ -39,6 +39,9 @@
 	// StreamMoved is called when the run of a stream was ended in order to continue it on another
 	// replica.
 	StreamMoved func(StreamMove)
+	// ShareDecided is called when a request is served later, not escalated or refused because its
+	// customer is over its share.
+	ShareDecided func(ShareDecision)
 }
 
 func (e *Hooks) streamMoved(m StreamMove) {
@@ -47,6 +50,12 @@
 	}
 }
 
+func (e *Hooks) shareDecided(d ShareDecision) {
+	if e.ShareDecided != nil {
+		e.ShareDecided(d)
+	}
+}
+
 func (e *Hooks) attemptJudged(service, release, verdict string) {
 	if e.AttemptJudged != nil {
 		e.AttemptJudged(service, release, verdict)
