placement: bound the expected end of runs, withdraw prefill that did not happen

Cause: review of the cost by completion. The prefill of an aborted or withdrawn prompt stayed in the replica's prefill fraction for seconds. The prefill of prompts that are not placed by completion was missing there. A run whose prefill report was lost kept its pending prefill after its end. An overloaded replica's runs had expected ends hours away, so that one whose end was not reported was counted as long. A choice among 48 candidates with 10 runs each took 24 us.

Change: Aborted subtracts the prefill, all prompts count theirs, Ended closes the ticket, and the expected end is at most the deadline and ten minutes. The ends of a replica's runs are kept as numbers beside the runs. An owner counts at most 8192 runs.

An instance also keeps its own open runs and reports them to a new owner of their group (message field w), when the list of members changes or the owner does not answer. A new owner that is told of a silent one, which does not answer it either, asks all members for their runs. Ends are reported to all owners that know the run. A run is identified by its ticket, so that it is counted once at an owner.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 	./$(BIN)/fieldvale-measure --plots docs/measures
 
 bench:
-	go test -run '^$$' -bench . -benchmem ./entry ./policy
+	go test -run '^$$' -bench . -benchmem ./entry ./placement ./policy
 
 fuzz:
 	go test -run '^$$' -fuzz FuzzOpen -fuzztime 10s ./session
--- a/placement/node.go
+++ b/placement/node.go
@@ -29,6 +29,9 @@
 	members []peer.Member
 	// avoidUntil has, by id, the owners that did not answer.
 	avoidUntil map[string]time.Time
+
+	open     *openRuns
+	takeover *takeovers
 }
 
 // NewNode returns the node of the instance with the given id, without other
@@ -36,14 +39,18 @@
 func NewNode(self string, start uint64, net Transport, clock func() time.Time, log func(event string, fields ...any)) *Node {
 	return &Node{
 		self: self, tracker: NewLoadTracker(start), net: net, clock: clock, log: log, avoidUntil: map[string]time.Time{}, waiting: reply.New[Choice](start),
+		open: newOpenRuns(), takeover: newTakeovers(),
 	}
 }
 
-// SetMembers replaces the list of the fleet's instances.
+// SetMembers replaces the list of the fleet's instances, and reports the open runs of
+// groups whose owner changes by that.
 func (n *Node) SetMembers(m []peer.Member) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
+	old := n.members
 	n.members = m
+	n.mu.Unlock()
+	n.followMembers(old, m)
 }
 
 // Members returns the fleet's instances.
@@ -59,6 +66,7 @@
 	owner string
 	addr  string
 	id    uint64
+	group string
 }
 
 // Choose asks the group's owner for a replica for the prompt. It returns false if
@@ -67,17 +75,18 @@
 	o, ok := n.owner(group)
 	if !ok || o.ID == n.self {
 		c := n.tracker.Choose(r, n.clock())
-		return c, Ticket{owner: n.self, id: c.Ticket}, c.Index >= 0
+		return c, n.placed(group, peer.Member{ID: n.self}, r, c), c.Index >= 0
 	}
 	c, ok := n.ask(ctx, o, r)
 	if !ok {
 		n.avoidOwner(o)
+		n.followSilence(group, o, r)
 		return Choice{}, Ticket{}, false
 	}
 	if c.Index < 0 || c.Index >= len(r.Replicas) {
 		return Choice{}, Ticket{}, false
 	}
-	return c, Ticket{owner: o.ID, addr: o.Addr, id: c.Ticket}, true
+	return c, n.placed(group, o, r, c), true
 }
 
 // ReportPrefilled reports that the replica has prefilled the prompt.
@@ -91,16 +100,19 @@
 // ReportEnded reports that the run of the prompt has ended.
 func (n *Node) ReportEnded(t Ticket) { n.report(t, message{Ended: t.id}) }
 
-// report sends the state of the ticket to its owner.
+// report sends the state of the ticket to the owners that know its run.
 func (n *Node) report(t Ticket, m message) {
-	switch t.owner {
-	case "":
-	case n.self:
-		n.endTicket(m)
-	default:
+	if t.owner == "" {
+		return
+	}
+	for _, o := range n.open.update(t, m) {
+		if o.ID == n.self {
+			n.endTicket(m)
+			continue
+		}
 		// If the datagram is lost, the owner's load tracker drops the work after
 		// a timeout.
-		_ = n.net.Send(t.addr, encode(m))
+		_ = n.net.Send(o.Addr, encode(m))
 	}
 }
 
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -4,9 +4,9 @@
 // service are divided into groups. One instance, the group's owner, tracks the
 // prompts that all instances have placed there and that are not yet prefilled.
 // Each prompt costs one exchange of datagrams, whatever the size of the fleet.
-// The tracked load is not replicated: when an owner is lost, the next one starts
-// with an empty load tracker, and an instance that gets no answer chooses by its
-// own load.
+// The tracked load is not replicated: when an owner is lost, the instances report
+// their open runs to the next one, and an instance that gets no answer chooses by
+// its own load.
 package placement
 
 import (
@@ -48,6 +48,7 @@
 type placedPrompt struct {
 	replica   string
 	prefillMs float64
+	placedAt  time.Time
 	expiresAt time.Time
 	// slot is the slot that the prompt will hold, nil if it is not known for how
 	// long.
@@ -82,10 +83,12 @@
 	cached map[cachedPart]time.Time
 	// work is the work by replica, and runs the runs by ticket, of requests that were
 	// placed by completion.
-	work       map[string]*replicaWork
-	runs       map[uint64]*run
-	lastTicket uint64
-	nextSweep  time.Time
+	work map[string]*replicaWork
+	runs map[uint64]*run
+	// recentlyEnded has tickets whose run ended lately.
+	recentlyEnded endedTickets
+	lastTicket    uint64
+	nextSweep     time.Time
 }
 
 // NewLoadTracker returns an empty tracker. Tickets are numbered from start, so
@@ -154,10 +157,13 @@
 // record counts the prompt at the replica chosen for it.
 func (l *LoadTracker) record(r Request, c Choice, now time.Time) {
 	id := r.Replicas[c.Index]
-	p := placedPrompt{replica: id, parts: r.SharedPrefix, prefillMs: c.PrefillMs, expiresAt: now.Add(expiryFactor*milliseconds(c.WaitMs+c.PrefillMs) + expiryMargin)}
+	p := placedPrompt{replica: id, parts: r.SharedPrefix, prefillMs: c.PrefillMs, placedAt: now, expiresAt: now.Add(expiryFactor*milliseconds(c.WaitMs+c.PrefillMs) + expiryMargin)}
 	if r.ByCompletion {
 		l.startRun(r, c, now)
-	} else if r.SlotMs > 0 {
+	} else {
+		l.countPrefill(id, c.PrefillMs, now)
+	}
+	if !r.ByCompletion && r.SlotMs > 0 {
 		p.slot = &slotUse{replica: id, endsAt: now.Add(milliseconds(c.WaitMs + c.PrefillMs + r.SlotMs))}
 		l.busySlots[id]++
 		l.slots.push(p.slot)
@@ -200,10 +206,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p, ok := l.open[ticket]
+	l.recentlyEnded.add(ticket)
 	if !ok {
 		l.endRun(ticket)
 		return ""
 	}
+	l.withdrawPrefill(p, now)
 	if why != NoFault {
 		for _, part := range p.parts {
 			delete(l.cached, cachedPart{part.Key, p.replica})
--- a/placement/transport.go
+++ b/placement/transport.go
@@ -38,6 +38,8 @@
 		_ = n.net.Send(from, encode(message{RequestID: m.RequestID, Choice: (*wireChoice)(&c)}))
 	case m.Choice != nil:
 		n.deliver(from, m.RequestID, Choice(*m.Choice))
+	case m.Group != "":
+		n.receiveRuns(from, m)
 	default:
 		n.endTicket(m)
 	}
--- a/placement/wire.go
+++ b/placement/wire.go
@@ -1,10 +1,13 @@
 package placement
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // message is a datagram between instances about placement. It holds a request,
-// the choice that answers the request with the same id, or a state of a ticket:
-// prefilled, aborted with a fault, or ended.
+// the choice that answers the request with the same id, a state of a ticket
+// (prefilled, aborted with a fault, or ended), or open runs of a group.
 type message struct {
 	RequestID uint64       `json:"q,omitempty"`
 	Request   *wireRequest `json:"a,omitempty"`
@@ -15,6 +18,14 @@
 	Fault     int    `json:"f,omitempty"`
 	// Ended is the id of a ticket whose run has ended.
 	Ended uint64 `json:"e,omitempty"`
+	// Runs are open runs of Group that the sender placed. They are reported to the
+	// group's new owner after the owner SilentOwner, if any, did not answer.
+	Group       string    `json:"g,omitempty"`
+	Runs        []wireRun `json:"w,omitempty"`
+	SilentOwner string    `json:"s,omitempty"`
+	// Collector is the id of the sender if it asks for the receiver's open runs of
+	// Group.
+	Collector string `json:"o,omitempty"`
 }
 
 // wireRequest is the encoding of Request. Its JSON names are part of the
@@ -74,6 +85,33 @@
 	Ticket    uint64  `json:"Ticket"`
 }
 
+// wireRun is the encoding of reportedRun.
+type wireRun struct {
+	Ticket       uint64  `json:"Ticket"`
+	Replica      string  `json:"Replica"`
+	Pace         float64 `json:"Pace,omitempty"`
+	MemoryTokens float64 `json:"Memory,omitempty"`
+	// RemainingMs is the time until the run's expected end, negative if that has
+	// passed. It is relative because the clocks of instances differ.
+	RemainingMs float64 `json:"Left,omitempty"`
+	PrefillMs   float64 `json:"Read,omitempty"`
+	Customer    string  `json:"Customer,omitempty"`
+}
+
+func newWireRun(x reportedRun, now time.Time) wireRun {
+	return wireRun{
+		Ticket: x.ticket, Replica: x.replica, Pace: x.pace, MemoryTokens: x.memoryTokens,
+		RemainingMs: x.endsAt.Sub(now).Seconds() * 1000, PrefillMs: x.prefillMs, Customer: x.customer,
+	}
+}
+
+func (w wireRun) run(now time.Time) reportedRun {
+	return reportedRun{
+		ticket: w.Ticket, replica: w.Replica, pace: w.Pace, memoryTokens: w.MemoryTokens,
+		endsAt: now.Add(milliseconds(w.RemainingMs)), prefillMs: w.PrefillMs, customer: w.Customer,
+	}
+}
+
 // encode returns the message as JSON. It can't fail, since a message consists of
 // numbers and strings.
 func encode(m message) []byte {
--- a/placement/work.go
+++ b/placement/work.go
@@ -30,6 +30,10 @@
 	// new run, in milliseconds. The engine would preempt a run there and prefill it
 	// again later. It exceeds the usual wait.
 	preemptionPenaltyMs = 3000.0
+	// maxKnownRuns bounds the runs that an owner counts, at some 300 bytes each. It
+	// exceeds the slots of 48 replicas with 64 slots twice. Further runs are placed
+	// without being counted.
+	maxKnownRuns = 8192
 )
 
 // run is a request that is placed on a replica and has not ended.
@@ -39,16 +43,17 @@
 	pace         float64
 	memoryTokens float64
 	endsAt       time.Time
-}
-
-// remainingMs is the time for which the run is expected to go on, in milliseconds.
-func (r *run) remainingMs(now time.Time) float64 {
-	return max(minRemainingMs, r.endsAt.Sub(now).Seconds()*1000)
+	// customer is the name of the customer, empty if there is none.
+	customer string
 }
 
 // replicaWork is the work of all instances on one replica.
 type replicaWork struct {
-	runs         []*run
+	runs []*run
+	// ends has the expected end of each run, in Unix nanoseconds. Each choice reads
+	// the ends at all candidates; with time.Time, a choice among 48 candidates with 10
+	// runs each took 24 us instead of 14 us.
+	ends         []int64
 	paces        float64
 	memoryTokens float64
 	prefill      decayingSum
@@ -97,13 +102,27 @@
 	before, after := stepMs(w.paces), stepMs(w.paces+r.Pace)
 	generateMs := r.OutputTokens * after / (1 - w.prefillFraction(now))
 	c := completion{finishMs: waitMs + prefillMs + generateMs}
-	slowdown := after/before - 1
-	for _, x := range w.runs {
-		c.othersMs += prefillMs + slowdown*min(x.remainingMs(now), generateMs)
-	}
+	c.othersMs = prefillMs*float64(len(w.runs)) + (after/before-1)*w.overlapMs(generateMs, now)
 	return c
 }
 
+// overlapMs is the sum, over the runs, of the time for which each goes on while a new
+// run generates its answer, in milliseconds.
+func (w *replicaWork) overlapMs(generateMs float64, now time.Time) float64 {
+	sum, nowNs := 0.0, now.UnixNano()
+	for _, e := range w.ends {
+		ms := float64(e-nowNs) * (1 / float64(time.Millisecond))
+		if ms < minRemainingMs {
+			ms = minRemainingMs
+		}
+		if ms > generateMs {
+			ms = generateMs
+		}
+		sum += ms
+	}
+	return sum
+}
+
 // fits reports whether the replica's memory holds the new run beside the others.
 func (w *replicaWork) fits(r Request) bool {
 	return r.ReplicaMemoryTokens <= 0 || w.memoryTokens+r.MemoryTokens <= r.ReplicaMemoryTokens
@@ -112,11 +131,18 @@
 // add counts a run and the prefill of its prompt.
 func (w *replicaWork) add(x *run, prefillMs float64, now time.Time) {
 	w.runs = append(w.runs, x)
+	w.ends = append(w.ends, x.endsAt.UnixNano())
 	w.paces += x.pace
 	w.memoryTokens += x.memoryTokens
 	w.prefill = w.prefill.with(prefillMs, now)
 }
 
+// withdrawPrefill subtracts the prefill of a prompt that was counted at the given time.
+func (w *replicaWork) withdrawPrefill(prefillMs float64, counted, now time.Time) {
+	d := decayingSum{sum: prefillMs, asOf: counted}
+	w.prefill = decayingSum{sum: max(0, w.prefill.at(now)-d.at(now)), asOf: now}
+}
+
 // remove subtracts a run.
 func (w *replicaWork) remove(x *run) {
 	for i, y := range w.runs {
@@ -126,6 +152,8 @@
 		last := len(w.runs) - 1
 		w.runs[i], w.runs[last] = w.runs[last], nil
 		w.runs = w.runs[:last]
+		w.ends[i] = w.ends[last]
+		w.ends = w.ends[:last]
 		w.paces -= x.pace
 		w.memoryTokens -= x.memoryTokens
 		break
@@ -156,17 +184,34 @@
 	return &idleWork
 }
 
-// startRun counts the run of a placed request.
-func (l *LoadTracker) startRun(r Request, c Choice, now time.Time) {
-	id := r.Replicas[c.Index]
-	w, ok := l.work[id]
+// replicaWorkOf returns the work of the replica for writing.
+func (l *LoadTracker) replicaWorkOf(replica string) *replicaWork {
+	w, ok := l.work[replica]
 	if !ok {
 		w = &replicaWork{}
-		l.work[id] = w
+		l.work[replica] = w
+	}
+	return w
+}
+
+// startRun counts the run of a placed request.
+func (l *LoadTracker) startRun(r Request, c Choice, now time.Time) {
+	// A run that another owner placed and that was reported to this one may have the
+	// same number.
+	l.closeTicket(c.Ticket)
+	l.endRun(c.Ticket)
+	l.countRun(c.Ticket, &run{
+		replica: r.Replicas[c.Index], pace: r.Pace, memoryTokens: r.MemoryTokens, endsAt: r.expectedEnd(c, now), customer: r.Customer,
+	}, c.PrefillMs, now)
+}
+
+// countRun adds the run and its prefill to its replica's work, unless too many are known.
+func (l *LoadTracker) countRun(ticket uint64, x *run, prefillMs float64, now time.Time) {
+	if len(l.runs) >= maxKnownRuns {
+		return
 	}
-	x := &run{replica: id, pace: r.Pace, memoryTokens: r.MemoryTokens, endsAt: now.Add(milliseconds(c.FinishMs))}
-	w.add(x, c.PrefillMs, now)
-	l.runs[c.Ticket] = x
+	l.replicaWorkOf(x.replica).add(x, prefillMs, now)
+	l.runs[ticket] = x
 }
 
 // endRun subtracts the run of the ticket, if there is one.
@@ -179,6 +224,20 @@
 	l.work[x.replica].remove(x)
 }
 
+// countPrefill counts the prefill of a prompt that was not placed by completion.
+func (l *LoadTracker) countPrefill(replica string, prefillMs float64, now time.Time) {
+	w := l.replicaWorkOf(replica)
+	w.prefill = w.prefill.with(prefillMs, now)
+}
+
+// withdrawPrefill subtracts the prefill of a prompt that its replica did not prefill.
+// Otherwise refused and withdrawn prompts would make the replica look busy.
+func (l *LoadTracker) withdrawPrefill(p placedPrompt, now time.Time) {
+	if w, ok := l.work[p.replica]; ok {
+		w.withdrawPrefill(p.prefillMs, p.placedAt, now)
+	}
+}
+
 // sweepWork drops runs whose end was not reported, and idle replicas.
 func (l *LoadTracker) sweepWork(now time.Time) {
 	for t, x := range l.runs {
@@ -193,9 +252,12 @@
 	}
 }
 
-// Ended removes the run of a ticket whose request has ended or whose answer was dropped.
+// Ended removes the run of a ticket whose request has ended or whose answer was dropped,
+// and its pending prefill if the report of its end was lost.
 func (l *LoadTracker) Ended(ticket uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.recentlyEnded.add(ticket)
+	l.closeTicket(ticket)
 	l.endRun(ticket)
 }
