--- a/adapter/metrics/metrics.go
+++ b/adapter/metrics/metrics.go
@@ -44,6 +44,11 @@
 	r.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "fieldvale", Name: name, Help: help}, f))
 }
 
+// CounterFunc registers a counter whose value f returns at each scrape.
+func (r *Registry) CounterFunc(name, help string, f func() float64) {
+	r.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "fieldvale", Name: name, Help: help}, f))
+}
+
 // GaugeVecFunc registers a gauge with one label. f returns its values by label value at each scrape.
 func (r *Registry) GaugeVecFunc(name, help, label string, f func() map[string]float64) {
 	d := prometheus.NewDesc("fieldvale_"+name, help, []string{label}, nil)
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -129,6 +129,7 @@
 	}
 	n.lease = lease.New(time.Duration(confirmationFraction*float64(s.RevokedKeyTTL)), s.MaxApplyDelay, keyExpiryRule(s), n.clock())
 	n.placer = placement.NewNode(s.ID, startID(), taggedTransport{n, tagPlacement}, n.clock, n.logEvent)
+	n.registerPlacementMetrics()
 	n.store = platform.NewStore(exchange.New(c.Now), s.StoreAddr, c.Now).WithCallObserver(n.registerStoreMetrics())
 	n.traffic = n.newTraffic()
 	n.pendingHeld = make(chan heldChange, pendingHeldLimit)
--- a/cmd/fieldvale-node/periodic.go
+++ b/cmd/fieldvale-node/periodic.go
@@ -61,6 +61,7 @@
 func (n *node) tick() {
 	n.checkSuspension()
 	n.state.Tick()
+	n.placer.Tick()
 	n.quarantine.Tick()
 	n.quota.Tick()
 	n.notices.Sweep(pool.IDs(n.view.Get().Replicas))
--- a/placement/failover.go
+++ b/placement/failover.go
@@ -79,7 +79,7 @@
 		ticket: c.Ticket, replica: r.Replicas[c.Index], pace: r.Pace, memoryTokens: r.MemoryTokens,
 		endsAt: r.expectedEnd(c, now), prefillMs: c.PrefillMs, customer: r.Customer,
 	}
-	if report, moved := n.open.add(group, owner, x, now); moved {
+	if report, moved := n.open.add(group, owner, x, n.isAvoided(owner.ID), now); moved {
 		n.sendRuns(report, "")
 	}
 	return t
@@ -92,7 +92,7 @@
 	if !r.ByCompletion {
 		return
 	}
-	if report, moved := n.open.moveTo(group, silent, n.ownerOrSelf(group), n.clock()); moved {
+	if report, moved := n.open.moveTo(group, silent, n.ownerOrSelf(group), true, n.clock()); moved {
 		n.sendRuns(report, silent.ID)
 	}
 }
@@ -114,7 +114,7 @@
 		if hasMember(members, was.ID) && hasMember(old, o.ID) {
 			continue
 		}
-		if report, moved := n.open.moveTo(group, was, o, n.clock()); moved {
+		if report, moved := n.open.moveTo(group, was, o, false, n.clock()); moved {
 			n.sendRuns(report, "")
 		}
 	}
@@ -309,19 +309,23 @@
 	n.probeOwners(now)
 }
 
-// probeOwners probes the owners of groups whose open runs another instance knows, such
-// as after their silence, and reports the runs to those that answer.
+// probeOwners probes the owners of groups for which another instance stands in since
+// they were silent, and reports the open runs to those that answer.
 func (n *Node) probeOwners(now time.Time) {
-	for group, was := range n.open.owners() {
+	for group, was := range n.open.displaced(now) {
 		o := n.ownerOrSelf(group)
-		if !n.open.startProbe(group, o.ID, now) {
+		if o.ID == was.ID {
+			if !n.avoidsAny(now) {
+				n.open.settle(group, was)
+			}
 			continue
 		}
+		n.open.setProbe(group, now.Add(avoidOwnerFor))
 		go func() {
 			if o.ID != n.self && !n.probe(o) {
 				return
 			}
-			if r, moved := n.open.moveTo(group, was, o, n.clock()); moved {
+			if r, moved := n.open.moveTo(group, was, o, false, n.clock()); moved {
 				n.sendRuns(r, "")
 			}
 		}()
@@ -344,3 +348,15 @@
 	defer n.mu.Unlock()
 	return n.clock().Before(n.avoidUntil[id])
 }
+
+// avoidsAny reports whether any owner is avoided.
+func (n *Node) avoidsAny(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, t := range n.avoidUntil {
+		if now.Before(t) {
+			return true
+		}
+	}
+	return false
+}
--- a/placement/node.go
+++ b/placement/node.go
@@ -79,8 +79,11 @@
 	}
 	c, ok := n.ask(ctx, o, r)
 	if !ok {
-		n.avoidOwner(o)
-		n.followSilence(group, o, r)
+		// A request that ended while it waited says nothing about the owner.
+		if ctx.Err() == nil {
+			n.avoidOwner(o)
+			n.followSilence(group, o, r)
+		}
 		return Choice{}, Ticket{}, false
 	}
 	if c.Index < 0 || c.Index >= len(r.Replicas) {
--- a/placement/openruns.go
+++ b/placement/openruns.go
@@ -40,9 +40,11 @@
 	runs  map[uint64]*openRun
 	// repeatAt is when the runs are to be reported once more; zero if they are not.
 	repeatAt time.Time
-	// probeAt is the earliest time for the next probe of another owner.
-	probeAt time.Time
-	usedAt  time.Time
+	// displaced is set while owner stands in for a silent one, which is probed from
+	// probeAt on.
+	displaced bool
+	probeAt   time.Time
+	usedAt    time.Time
 }
 
 // openRuns has this instance's open runs by group. It is safe for concurrent use.
@@ -78,15 +80,24 @@
 }
 
 // add keeps a run that the owner placed. If another owner is the one that knows the
-// group's other runs, add returns their report to this one.
-func (o *openRuns) add(group string, owner peer.Member, x reportedRun, now time.Time) (runReport, bool) {
+// group's other runs, add returns their report to this one. If this one is avoided
+// since it left another request unanswered, the run is reported to the other owner with
+// the next repeat, so that the owner does not change with each answer that arrives late.
+func (o *openRuns) add(group string, owner peer.Member, x reportedRun, avoided bool, now time.Time) (runReport, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	g := o.use(group, owner, now)
 	if g == nil {
 		return runReport{}, false
 	}
-	r, moved := o.move(g, group, owner, now)
+	var r runReport
+	moved := false
+	switch {
+	case !avoided:
+		r, moved = o.move(g, group, owner, false, now)
+	case g.repeatAt.IsZero() && g.owner.ID != owner.ID:
+		g.repeatAt = now.Add(repeatDelay)
+	}
 	if o.count < maxOpenRuns {
 		g.runs[x.ticket] = &openRun{reportedRun: x, owners: []peer.Member{owner}}
 		o.count++
@@ -96,25 +107,26 @@
 
 // moveTo makes another instance the owner that knows the group's runs, and returns
 // their report to it. It returns false if it is the owner already. oldOwner is the
-// owner so far of a group that has not been used here.
-func (o *openRuns) moveTo(group string, oldOwner, owner peer.Member, now time.Time) (runReport, bool) {
+// owner so far of a group that has not been used here, and displaced is set if it is
+// silent.
+func (o *openRuns) moveTo(group string, oldOwner, owner peer.Member, displaced bool, now time.Time) (runReport, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	g := o.use(group, oldOwner, now)
 	if g == nil {
 		return runReport{}, false
 	}
-	return o.move(g, group, owner, now)
+	return o.move(g, group, owner, displaced, now)
 }
 
 // move is moveTo for a group with the lock held.
-func (o *openRuns) move(g *openGroup, group string, owner peer.Member, now time.Time) (runReport, bool) {
+func (o *openRuns) move(g *openGroup, group string, owner peer.Member, displaced bool, now time.Time) (runReport, bool) {
 	if g.owner.ID == owner.ID {
 		g.owner = owner
 		return runReport{}, false
 	}
 	old := g.owner.ID
-	g.owner = owner
+	g.owner, g.displaced = owner, displaced
 	g.repeatAt = now.Add(repeatDelay)
 	return runReport{group: group, oldOwner: old, to: owner, runs: g.report(owner)}, true
 }
@@ -150,7 +162,7 @@
 		return runReport{}, false
 	}
 	old := g.owner.ID
-	g.owner = collector
+	g.owner, g.displaced = collector, true
 	return runReport{group: group, oldOwner: old, to: collector, runs: g.report(collector)}, true
 }
 
@@ -214,16 +226,34 @@
 	return due
 }
 
-// startProbe reports whether the owner other than the one that knows the group's runs
-// is to be probed now, which is at most once per avoidOwnerFor and only while runs are
-// open.
-func (o *openRuns) startProbe(group, owner string, now time.Time) bool {
+// displaced returns the owners that stand in for silent ones, by group, of the groups
+// with open runs whose owner may be probed now.
+func (o *openRuns) displaced(now time.Time) map[string]peer.Member {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	g, ok := o.groups[group]
-	if !ok || len(g.runs) == 0 || g.owner.ID == owner || now.Before(g.probeAt) {
-		return false
+	var m map[string]peer.Member
+	for k, g := range o.groups {
+		if g.displaced && len(g.runs) > 0 && !now.Before(g.probeAt) {
+			m = withEntry(m, k, g.owner)
+		}
+	}
+	return m
+}
+
+// setProbe sets the time of the next probe of the group's owner.
+func (o *openRuns) setProbe(group string, at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if g, ok := o.groups[group]; ok {
+		g.probeAt = at
+	}
+}
+
+// settle notes that the owner that knows the group's runs does not stand in for another.
+func (o *openRuns) settle(group string, owner peer.Member) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if g, ok := o.groups[group]; ok && g.owner.ID == owner.ID {
+		g.displaced = false
 	}
-	g.probeAt = now.Add(avoidOwnerFor)
-	return true
 }
