--- a/placement/share.go
+++ b/placement/share.go
@@ -166,7 +166,7 @@
 		w := l.pendingMs[id]
 		waitMs = min(waitMs, w)
 		first := w + r.UnsharedMs
-		for _, p := range l.uncached(r, id, now) {
+		for _, p := range l.uncached(&r, id, now) {
 			first += p.PrefillMs
 		}
 		firstMs = min(firstMs, first)
@@ -179,7 +179,7 @@
 
 // waitMs is the prefill work queued at the replica before the request, in milliseconds.
 // Engines prefill demoted prompts after the others.
-func (l *LoadTracker) waitMs(r Request, replica string) float64 {
+func (l *LoadTracker) waitMs(r *Request, replica string) float64 {
 	w := l.pendingMs[replica]
 	if !r.ByCompletion || r.demoted {
 		return w
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -4,9 +4,9 @@
 // service are divided into groups. One instance, the group's owner, tracks the
 // prompts that all instances have placed there and that are not yet prefilled.
 // Each prompt costs one exchange of datagrams, whatever the size of the fleet.
-// The tracked load is not replicated: when an owner is lost, the next one starts
-// with an empty load tracker, and an instance that gets no answer chooses by its
-// own load.
+// The tracked load is not replicated: when an owner is lost, the instances report
+// their open runs to the next one, and an instance that gets no answer chooses by
+// its own load.
 package placement
 
 import (
@@ -48,6 +48,7 @@
 type placedPrompt struct {
 	replica   string
 	prefillMs float64
+	placedAt  time.Time
 	expiresAt time.Time
 	// slot is the slot that the prompt will hold, nil if it is not known for how
 	// long.
@@ -55,6 +56,9 @@
 	// parts are the prefix parts that the replica caches by prefilling the
 	// prompt.
 	parts []PrefixPart
+	// uncachedParts are those of the parts that the replica did not have cached, of a
+	// prompt that was placed by completion.
+	uncachedParts []PrefixPart
 	// shared is the prompt's work in its customer's share; nil if none is kept.
 	shared *sharedWork
 }
@@ -84,11 +88,14 @@
 	cached map[cachedPart]time.Time
 	// work is the work by replica, and runs the runs by ticket, of requests that were
 	// placed by completion.
-	work       map[string]*replicaWork
-	runs       map[uint64]*run
-	shares     groupShares
-	lastTicket uint64
-	nextSweep  time.Time
+	work map[string]*replicaWork
+	runs map[uint64]*run
+	// shares has the work of customers by group.
+	shares groupShares
+	// recentlyEnded has tickets whose run ended lately.
+	recentlyEnded endedTickets
+	lastTicket    uint64
+	nextSweep     time.Time
 }
 
 // NewLoadTracker returns an empty tracker. Tickets are numbered from start, so
@@ -130,7 +137,7 @@
 func (l *LoadTracker) best(r Request, now time.Time) Choice {
 	best, least := Choice{Index: -1}, 0.0
 	for i := range r.Replicas {
-		if c, cost := l.evaluate(r, i, now); best.Index < 0 || cost < least {
+		if c, cost := l.evaluate(&r, i, now); best.Index < 0 || cost < least {
 			best, least = c, cost
 		}
 	}
@@ -141,7 +148,7 @@
 // cost is the time to the end of prefill, or to the end of the answer if the request
 // is placed by completion, plus what the choice takes from other requests and the
 // penalties for faults, distance and lateness.
-func (l *LoadTracker) evaluate(r Request, i int, now time.Time) (Choice, float64) {
+func (l *LoadTracker) evaluate(r *Request, i int, now time.Time) (Choice, float64) {
 	id := r.Replicas[i]
 	c := Choice{Index: i, WaitMs: l.waitMs(r, id), PrefillMs: r.UnsharedMs}
 	cost := l.faults[id].penaltyMs(now) + r.remotePenalty(i)
@@ -159,17 +166,21 @@
 	if !w.fits(r) {
 		cost += preemptionPenaltyMs
 	}
-	return c, cost + x.finishMs + x.othersMs
+	return c, cost + x.costMs()
 }
 
 // record counts the prompt at the replica chosen for it.
 func (l *LoadTracker) record(r Request, c Choice, now time.Time) {
 	id := r.Replicas[c.Index]
-	p := placedPrompt{replica: id, parts: r.SharedPrefix, prefillMs: c.PrefillMs, expiresAt: now.Add(expiryFactor*milliseconds(c.WaitMs+c.PrefillMs) + expiryMargin)}
+	p := placedPrompt{replica: id, parts: r.SharedPrefix, prefillMs: c.PrefillMs, placedAt: now, expiresAt: now.Add(expiryFactor*milliseconds(c.WaitMs+c.PrefillMs) + expiryMargin)}
 	if r.ByCompletion {
 		l.startRun(r, c, now)
 		p.shared = l.shares.place(r, c, now)
-	} else if r.SlotMs > 0 {
+		p.uncachedParts = l.uncached(&r, id, now)
+	} else {
+		l.countPrefill(id, c.PrefillMs, now)
+	}
+	if !r.ByCompletion && r.SlotMs > 0 {
 		p.slot = &slotUse{replica: id, endsAt: now.Add(milliseconds(c.WaitMs + c.PrefillMs + r.SlotMs))}
 		l.busySlots[id]++
 		l.slots.push(p.slot)
@@ -185,7 +196,7 @@
 
 // uncached returns the parts of the shared prefix that the replica has to
 // prefill: the first one that is not assumed to be cached there and all after it.
-func (l *LoadTracker) uncached(r Request, replica string, now time.Time) []PrefixPart {
+func (l *LoadTracker) uncached(r *Request, replica string, now time.Time) []PrefixPart {
 	for i, p := range r.SharedPrefix {
 		if !now.Before(l.cached[cachedPart{p.Key, replica}]) {
 			return r.SharedPrefix[i:]
@@ -212,14 +223,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p, ok := l.open[ticket]
+	l.recentlyEnded.add(ticket)
 	if !ok {
 		l.endRun(ticket)
 		return ""
 	}
-	if why != NoFault {
-		for _, part := range p.parts {
-			delete(l.cached, cachedPart{part.Key, p.replica})
-		}
+	l.withdrawPrefill(p, now)
+	if why == NoFault {
+		l.forgetParts(p.replica, p.uncachedParts)
+	} else {
+		l.forgetParts(p.replica, p.parts)
 		if l.recordFault(p.replica, why, now) {
 			avoided = p.replica
 		}
@@ -231,6 +244,13 @@
 	return avoided
 }
 
+// forgetParts drops the cache entries of the parts at the replica.
+func (l *LoadTracker) forgetParts(replica string, parts []PrefixPart) {
+	for _, p := range parts {
+		delete(l.cached, cachedPart{p.Key, replica})
+	}
+}
+
 // recordFault counts a fault of the replica and reports whether it takes the
 // fault probability over avoidedThreshold.
 func (l *LoadTracker) recordFault(replica string, why Fault, now time.Time) bool {
