entry: read answers ahead of slow clients into a buffer

An instance read one event from the replica and wrote it to the client before it read the next, so that a client that does not read held the replica's slot. With [limits] answer_buffer_kb above 0 the answer goes through a queue that a goroutine of its own writes to the client. The attempt ends when the replica's answer was read; a client that reads nothing until its deadline is cut. Metrics and a bounded log line tell of clients that were cut or found no room. Tested: go test ./entry; go test -race of the new tests, 5 times; go test ./adapter/settings.

--- a/adapter/settings/node.go
+++ b/adapter/settings/node.go
@@ -34,6 +34,9 @@
 	MemoryMB int64
 	// LinkMbps is the capacity of the instance's network link in Mbit/s; 0 if unknown.
 	LinkMbps float64
+	// AnswerBufferKB is the memory in KB that the part of one answer may use that its client has
+	// not read yet; 0 for none.
+	AnswerBufferKB int64
 	// RevokedKeyTTL bounds how long an API key is accepted after it was revoked.
 	RevokedKeyTTL time.Duration
 	// LenientKeys lifts the bound on accepting revoked keys while the instance can't confirm
@@ -131,10 +134,7 @@
 	case "node":
 		n.readNode(s)
 	case "limits":
-		if m := s.Int64("memory_mb"); m > 0 {
-			n.MemoryMB = m
-		}
-		n.LinkMbps = s.Float64("link_mbps", 0)
+		n.readLimits(s)
 	case "keys":
 		n.RevokedKeyTTL = s.Duration("honour_for", defaultRevokedKeyTTL)
 		n.LenientKeys = !s.Bool("strict", true)
@@ -159,6 +159,26 @@
 	}
 }
 
+// AnswerBuffersDivisor is the part of the instance's memory that all answer buffers together may
+// use: one divided by it. The process keeps well below its memory, and buffers are not needed
+// while clients read.
+const AnswerBuffersDivisor = 16
+
+// AnswerBuffersBytes is the most memory that all answer buffers together may use.
+func (n Node) AnswerBuffersBytes() int64 { return n.MemoryMB << 20 / AnswerBuffersDivisor }
+
+// readLimits reads the section with the instance's resources.
+func (n *Node) readLimits(s *inifile.Section) {
+	if m := s.Int64("memory_mb"); m > 0 {
+		n.MemoryMB = m
+	}
+	n.LinkMbps = s.Float64("link_mbps", 0)
+	n.AnswerBufferKB = s.Int64("answer_buffer_kb")
+	if most := n.AnswerBuffersBytes() >> 10; n.AnswerBufferKB < 0 || n.AnswerBufferKB > most {
+		s.AddError("answer_buffer_kb", "must be from 0 to %d, which is 1/%d of memory_mb", most, AnswerBuffersDivisor)
+	}
+}
+
 // readModels reads the section that controls when an answer of a smaller model is accepted.
 func (n *Node) readModels(s *inifile.Section) {
 	n.AcceptConfidence = s.Float64("accept_confidence", defaultAcceptConfidence)
--- a/adapter/settings/settings_test.go
+++ b/adapter/settings/settings_test.go
@@ -117,3 +117,29 @@
 		}
 	}
 }
+
+// An answer buffer must be rejected if it is negative or exceeds the memory of all buffers, and be
+// off by default: instances without the setting must serve as before.
+func TestAnswerBufferIsChecked(t *testing.T) {
+	const node = "[node]\nid = x\ndata_centre = d\nlisten = 127.0.0.1:1\nready_listen = 127.0.0.1:2\nmetrics_listen = 127.0.0.1:3\npeers_listen = 127.0.0.1:4\nstore = 127.0.0.1:5\n[limits]\nmemory_mb = 16\n"
+	for _, c := range []struct {
+		line string
+		want int64
+		err  string
+	}{
+		{"", 0, ""},
+		{"answer_buffer_kb = 64\n", 64, ""},
+		{"answer_buffer_kb = 1024\n", 1024, ""},
+		{"answer_buffer_kb = 1025\n", 0, "[limits] answer_buffer_kb: must be from 0 to 1024, which is 1/16 of memory_mb"},
+		{"answer_buffer_kb = -1\n", 0, "[limits] answer_buffer_kb: must be from 0 to 1024"},
+		{"answer_buffer_kb = 1.5\n", 0, "[limits] answer_buffer_kb: \"1.5\" is not a whole number"},
+	} {
+		n, e := settings.LoadNode(writeFile(t, node+c.line))
+		switch {
+		case c.err == "" && (len(e) > 0 || n.AnswerBufferKB != c.want):
+			t.Errorf("%q: got %d and errors %v, want %d and none", c.line, n.AnswerBufferKB, e, c.want)
+		case c.err != "" && (len(e) != 1 || !strings.Contains(e[0].Error(), c.err)):
+			t.Errorf("%q: got errors %v, want %s", c.line, e, c.err)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/fieldvale-node/answerbuffer.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"sync"
+	"time"
+
+	"fieldvale/answerbuffer"
+	"fieldvale/entry"
+)
+
+// maxSlowClientLines bounds the log lines of slow clients in a second. Many clients are slow at
+// once if they share a slow link; the metrics count all of them.
+const maxSlowClientLines = 5
+
+// newAnswerBuffers returns the memory for answers that clients have not read yet; nil where the
+// settings have none.
+func (n *node) newAnswerBuffers() *answerbuffer.Budget {
+	if n.settings.AnswerBufferKB == 0 {
+		return nil
+	}
+	b := answerbuffer.NewBudget(n.settings.AnswerBuffersBytes(), n.settings.AnswerBufferKB<<10)
+	n.metrics.GaugeFunc("answer_buffer_bytes", "Memory of answers that clients have not read yet.", func() float64 { return float64(b.Held()) })
+	return b
+}
+
+// clientSlowHook returns the hook that counts and logs the clients that were slower than their
+// replicas.
+func (n *node) clientSlowHook() func(entry.SlowClient) {
+	if n.settings.AnswerBufferKB == 0 {
+		return nil
+	}
+	full := n.metrics.Counter("answers_without_room_total", "Answers that found no room in the buffer for slow clients, by the limit that was reached first: of the answer or of the instance.", "limit")
+	cut := n.metrics.Counter("clients_cut_total", "Answers broken off because the client read nothing until its deadline, by service.", "service")
+	l := &lineLimit{most: maxSlowClientLines}
+	return func(s entry.SlowClient) {
+		if s.Shortage != answerbuffer.None {
+			full.WithLabelValues(s.Shortage.String()).Inc()
+		}
+		if s.IsCut {
+			cut.WithLabelValues(s.Service).Inc()
+		}
+		if ok, omitted := l.allow(n.clock()); ok {
+			n.logEvent("client_slow", "request", s.Request, "service", s.Service, "cut", s.IsCut, "no_room", s.Shortage, "unwritten_bytes", s.UnwrittenBytes, "lines_omitted", omitted)
+		}
+	}
+}
+
+// lineLimit bounds the log lines of one kind in a second. It is safe for concurrent use.
+type lineLimit struct {
+	most int
+
+	mu      sync.Mutex
+	endsAt  time.Time
+	written int
+	omitted int
+}
+
+// allow reports whether a line may be written now, and how many were omitted since the last one.
+func (l *lineLimit) allow(now time.Time) (ok bool, omitted int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !now.Before(l.endsAt) {
+		l.endsAt, l.written = now.Add(time.Second), 0
+	}
+	if l.written >= l.most {
+		l.omitted++
+		return false, 0
+	}
+	l.written++
+	omitted, l.omitted = l.omitted, 0
+	return true, omitted
+}
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -190,7 +190,7 @@
 	u := platform.NewUpstream(n.pool, n.clock, n.quota, n.logUnknownHeader).WithNotices(n.notices)
 	return entry.Ports{
 		View: n.view, Clock: n.clock, Self: n.settings.ID, DataCentre: n.settings.DataCentre, Regions: n.settings.Regions, Placer: n.placer, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Hooks: n.routerHooks(),
-		Upstream: u, Prober: u, Quarantine: n.quarantine, AcceptConfidence: n.settings.AcceptConfidence, CompletionPause: n.settings.CompletionPause,
+		Upstream: u, Prober: u, Quarantine: n.quarantine, AcceptConfidence: n.settings.AcceptConfidence, CompletionPause: n.settings.CompletionPause, AnswerBuffers: n.newAnswerBuffers(),
 		Quota: n.quota, Notices: n.notices, ColdBound: quota.ColdBound{Overage: n.settings.ColdLimitFactor, Slack: n.settings.ColdLimitSlack},
 		FleetSize: n.relay.FleetSize, Retries: admission.RetryLimit{Ratio: retryRatioMargin * n.settings.RetryFraction, Burst: retryBurstMargin * n.settings.RetryBurst},
 	}
--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -18,6 +18,7 @@
 	broken := n.metrics.Counter("attempts_failed_total", "Attempts at backend servers that came to nothing, by service and whether an answer had begun.", "service", "began")
 	return &entry.Hooks{
 		RequestStarted: n.requestStartedHook(),
+		ClientSlow:     n.clientSlowHook(),
 		AttemptJudged:  func(service, release, verdict string) { judged.WithLabelValues(service, release, verdict).Inc() },
 		AttemptFailed: func(f entry.FailedAttempt) {
 			broken.WithLabelValues(f.Service, strconv.FormatBool(f.AnswerStarted)).Inc()
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -28,6 +28,8 @@
 	q      *OpaqueRequest
 	out    ForwardSink
 	result *ForwardResult
+	// clientWriter buffers the answer for the client; nil if answers are not buffered.
+	clientWriter *clientWriter
 
 	tried    []string
 	refusals int
@@ -42,7 +44,7 @@
 	escalatedFrom int
 	// answerStarted is set once a part of the answer was written to the client.
 	answerStarted bool
-	// lastEventID is the id of the last event written to the client.
+	// lastEventID is the id of the last event written to the client or buffered for it.
 	lastEventID     string
 	quarantineCheck quarantineCheck
 	// startReported is set once the RequestStarted hook was called.
@@ -68,7 +70,8 @@
 	r.activeForwards.add(w, cancel)
 	defer r.activeForwards.remove(w)
 	r.countRequest(w.result.Service)
-	err := w.run(x)
+	w.bufferAnswer(ctx, x, cancel)
+	err := w.endAnswer(w.run(x))
 	w.result.EndedAt = r.clock()
 	if err == nil {
 		return w.result, nil
--- a/entry/hooks.go
+++ b/entry/hooks.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fieldvale/answerbuffer"
 	"fieldvale/claim"
 	"fieldvale/rollout"
 	"time"
@@ -20,6 +21,19 @@
 	Err           error
 }
 
+// SlowClient describes an answer that its client read more slowly than the replica sent it.
+type SlowClient struct {
+	Request string
+	Service string
+	// IsCut reports that the answer was broken off because the client read nothing until its
+	// deadline.
+	IsCut bool
+	// Shortage is the limit for which a part of the answer found no room in the buffer.
+	Shortage answerbuffer.Shortage
+	// UnwrittenBytes is the part of the answer that was discarded.
+	UnwrittenBytes int
+}
+
 // Hooks are callbacks for logs and metrics. Each may be nil, and none may block.
 type Hooks struct {
 	// AttemptFailed is called for a failed attempt at a backend server.
@@ -36,6 +50,15 @@
 	RequestStarted func(customer string, at time.Time)
 	// AttemptJudged is called with the verdict of an attempt on its service's release.
 	AttemptJudged func(service, release, verdict string)
+	// ClientSlow is called at the end of an answer that found no room in the buffer, or whose
+	// client was cut.
+	ClientSlow func(SlowClient)
+}
+
+func (e *Hooks) clientSlow(s SlowClient) {
+	if e.ClientSlow != nil {
+		e.ClientSlow(s)
+	}
 }
 
 func (e *Hooks) attemptJudged(service, release, verdict string) {
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -97,6 +97,14 @@
 	Head(h Head) error
 	// Event writes one event of a stream and flushes it.
 	Event(b []byte) error
-	// Body writes a complete body.
+	// Body writes a complete body, or the next part of one.
 	Body(b []byte) error
 }
+
+// InterruptibleSink is a ForwardSink whose writes can be ended. Answers are buffered only for
+// clients with such a sink.
+type InterruptibleSink interface {
+	ForwardSink
+	// Interrupt makes a blocked write fail, and all later ones. It may be called during a write.
+	Interrupt()
+}
--- a/entry/router.go
+++ b/entry/router.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"fieldvale/admission"
+	"fieldvale/answerbuffer"
 	"fieldvale/bill"
 	"fieldvale/biller"
 	"fieldvale/cascade"
@@ -81,6 +82,8 @@
 	acceptConfidence float64
 	// completionPause is described in Ports.
 	completionPause time.Duration
+	// answerBuffers is described in Ports.
+	answerBuffers *answerbuffer.Budget
 }
 
 // Ports are the dependencies and settings of a Router.
@@ -115,6 +118,9 @@
 	// CompletionPause is the pause between events from which a route's requests are placed by the
 	// time until the whole answer is complete; 0 for none.
 	CompletionPause time.Duration
+	// AnswerBuffers is the memory for answers that clients have not read yet. It may be nil; an
+	// answer is then read from the replica no faster than its client reads it.
+	AnswerBuffers *answerbuffer.Budget
 	// Self is this instance's id.
 	Self string
 	// DataCentre is the data centre of this instance. Among equivalent replicas, local ones are
@@ -144,7 +150,7 @@
 		cascadeLearner: cascade.NewLearner(), hooks: e,
 		upstream: p.Upstream, activeForwards: newActiveForwards(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, prefillTimes: timing.NewPrefillTimes(), slotTimes: timing.NewSlotTimes(), outputTokens: timing.NewOutputTokens(), confidenceGains: newConfidenceGains(), answerSizes: newAnswerSizes(), firstEventDelays: timing.NewFirstEventDelays(), tokenTimes: newTokenTimes(),
 		releases: newReleases(p.Clock()), retryWindows: map[string]*admission.RetryWindow{}, retries: p.Retries, fleetSize: p.FleetSize,
-		acceptConfidence: p.AcceptConfidence, completionPause: p.CompletionPause, coldBound: p.ColdBound, quota: p.Quota, notices: p.Notices,
+		acceptConfidence: p.AcceptConfidence, completionPause: p.CompletionPause, answerBuffers: p.AnswerBuffers, coldBound: p.ColdBound, quota: p.Quota, notices: p.Notices,
 	}
 }
 
