tests: memory granted at a write, metrics of a cut client

A grant that arrives when the piece was written already was not covered: without its release the shared memory shrinks. Tested: go test -race ./answerbuffer; go test ./cmd/fieldvale-node -run CutsStalled, 3 times.

--- a/answerbuffer/queue_test.go
+++ b/answerbuffer/queue_test.go
@@ -235,3 +235,30 @@
 	}
 	q.Close()
 }
+
+// Memory that is granted at the moment when the waiting piece was written must be given back;
+// otherwise the shared memory shrinks until no answer finds room.
+func TestGrantAtWriteIsGivenBack(t *testing.T) {
+	b := answerbuffer.NewBudget(1200, 1200)
+	for range 5000 {
+		other, q := b.NewQueue(), b.NewQueue()
+		if err := other.Put(t.Context(), make([]byte, 1000)); err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan error, 1)
+		go func() { done <- q.Put(t.Context(), make([]byte, 1000)) }()
+		if _, err := q.Next(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		var g sync.WaitGroup
+		g.Go(func() { other.Stop(io.ErrClosedPipe) })
+		g.Go(func() { q.Close(); _, _ = q.Next(t.Context()) })
+		g.Wait()
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		if b.Held() != 0 {
+			t.Fatalf("got %d bytes held after both answers ended, want 0", b.Held())
+		}
+	}
+}
--- a/cmd/fieldvale-node/answerbuffer_test.go
+++ b/cmd/fieldvale-node/answerbuffer_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -100,6 +101,17 @@
 	if l := s.logs.String(); strings.Contains(l, "attempt_failed") || strings.Count(l, "client_slow") != 1 {
 		t.Errorf("got a failed attempt, or not one line for the client:\n%s", l)
 	}
+	r, err := http.Get("http://" + s.node.settings.MetricsListen + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	m, _ := io.ReadAll(r.Body)
+	for _, want := range []string{`fieldvale_clients_cut_total{service="svc"} 1`, "fieldvale_answer_buffer_bytes 0"} {
+		if !strings.Contains(string(m), want) {
+			t.Errorf("got metrics without %q", want)
+		}
+	}
 }
 
 // Many slow clients at once must not fill the log; the lines that were left out must be counted.
