--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -24,6 +24,7 @@
 		},
 		RequestStarted: n.requestStartedHook(),
 		ShareDecided:   n.shareDecidedHook(),
+		ClientSlow:     n.clientSlowHook(),
 		AttemptJudged:  func(service, release, verdict string) { judged.WithLabelValues(service, release, verdict).Inc() },
 		AttemptFailed: func(f entry.FailedAttempt) {
 			broken.WithLabelValues(f.Service, strconv.FormatBool(f.AnswerStarted)).Inc()
--- a/cmd/fieldvale-node/shares_test.go
+++ b/cmd/fieldvale-node/shares_test.go
@@ -9,13 +9,13 @@
 // Guards against logs and metrics that grow with the load or with the number of customers.
 func TestShareDecisionsAreBounded(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
-	l := &lineLimit{perSecond: 3}
+	l := &lineLimit{most: 3}
 	for i := range 10 {
-		if ok, _ := l.take(now); ok != (i < 3) {
+		if ok, _ := l.allow(now); ok != (i < 3) {
 			t.Errorf("line %d in a second: got %t", i, ok)
 		}
 	}
-	if ok, dropped := l.take(now.Add(time.Second)); !ok || dropped != 7 {
+	if ok, dropped := l.allow(now.Add(time.Second)); !ok || dropped != 7 {
 		t.Errorf("in the next second: got %t with %d dropped lines, want a line with 7", ok, dropped)
 	}
 	s, values := newLabelSet(2, "(others)"), map[string]bool{}
--- a/entry/hooks.go
+++ b/entry/hooks.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fieldvale/answerbuffer"
 	"fieldvale/claim"
 	"fieldvale/rollout"
 	"time"
@@ -20,6 +21,19 @@
 	Err           error
 }
 
+// SlowClient describes an answer that its client read more slowly than the replica sent it.
+type SlowClient struct {
+	Request string
+	Service string
+	// IsCut reports that the answer was broken off because the client read nothing until its
+	// deadline.
+	IsCut bool
+	// Shortage is the limit for which a part of the answer found no room in the buffer.
+	Shortage answerbuffer.Shortage
+	// UnwrittenBytes is the part of the answer that was discarded.
+	UnwrittenBytes int
+}
+
 // Hooks are callbacks for logs and metrics. Each may be nil, and none may block.
 type Hooks struct {
 	// AttemptFailed is called for a failed attempt at a backend server.
@@ -42,6 +56,9 @@
 	// ShareDecided is called when a request is served later, not escalated or refused because its
 	// customer is over its share.
 	ShareDecided func(ShareDecision)
+	// ClientSlow is called at the end of an answer that found no room in the buffer, or whose
+	// client was cut.
+	ClientSlow func(SlowClient)
 }
 
 func (e *Hooks) streamMoved(m StreamMove) {
@@ -56,6 +73,12 @@
 	}
 }
 
+func (e *Hooks) clientSlow(s SlowClient) {
+	if e.ClientSlow != nil {
+		e.ClientSlow(s)
+	}
+}
+
 func (e *Hooks) attemptJudged(service, release, verdict string) {
 	if e.AttemptJudged != nil {
 		e.AttemptJudged(service, release, verdict)
