load, entry: choose replicas by the load that they report

Replicas of some services report their load in each answer. Choices used only this instance's own requests, which are few where many instances share a service. Package load parses the reports and keeps the newest by replica; the choice for plain services, and for prompts without an owner, draws two candidates and takes the one with less reported work. Without reports the choice and its random draws are unchanged. Tested: go test ./entry ./pool ./load (existing tests, unchanged).

--- a/entry/assign.go
+++ b/entry/assign.go
@@ -114,11 +114,13 @@
 
 // assignLocally chooses a replica by this instance's own load figures.
 func (w *forwarding) assignLocally(l []*pool.Replica, key string, cost float64) *assignment {
-	q := localRequest{affinityKey: key, costMs: cost, remotePenaltyMs: w.remotePenaltyMs(), dataCentre: w.r.dataCentre}
-	b := w.r.backends.takeOpaque(l, q, w.tried, w.r.clock())
+	q := localRequest{affinityKey: key, costMs: cost, remotePenaltyMs: w.remotePenaltyMs(), slotMs: w.slotMs(), dataCentre: w.r.dataCentre}
+	now := w.r.clock()
+	b := w.r.backends.takeOpaque(l, q, w.tried, now)
 	if b == nil {
 		return nil
 	}
+	w.result.ReportedLoad = w.r.recordReportUse(b, now)
 	return &assignment{replica: b, costMs: cost, promptPending: true}
 }
 
--- a/entry/backends.go
+++ b/entry/backends.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fieldvale/admission"
+	"fieldvale/load"
 	"fieldvale/notice"
 	"fieldvale/outcome"
 	"fieldvale/pool"
@@ -24,9 +25,14 @@
 	state          map[string]*backend
 	sessionChooser *pool.Chooser[sessionPolicy]
 	prefixChooser  *pool.Chooser[pool.PrefixAffinity]
+	reportChooser  *pool.Chooser[pool.ReportedWork]
 	scratch        []pool.Candidate
+	// samples are the reports that count for the candidates in scratch.
+	samples []load.Sample
 	// notices holds the drain and backoff notices of replicas, which every choice obeys.
 	notices *notice.Tracker
+	// loads holds the load reports of replicas; nil for none.
+	loads *load.Tracker
 }
 
 type backend struct {
@@ -60,6 +66,7 @@
 		notices:        n,
 		sessionChooser: pool.NewChooser(sessionPolicy{LoadFactor: sessionLoadFactor}, s),
 		prefixChooser:  pool.NewChooser(pool.PrefixAffinity{SlackMs: affinitySlackMs}, s),
+		reportChooser:  pool.NewChooser(pool.ReportedWork{SlackMs: affinitySlackMs}, s),
 	}
 }
 
@@ -82,6 +89,7 @@
 			break
 		}
 	}
+	b.addReports(now)
 	i := b.sessionChooser.Choose(a, b.scratch)
 	if i < 0 {
 		return nil
--- a/entry/candidates.go
+++ b/entry/candidates.go
@@ -20,7 +20,9 @@
 	costMs float64
 	// remotePenaltyMs is the cost added to replicas in other data centres, in milliseconds.
 	remotePenaltyMs float64
-	dataCentre      string
+	// slotMs is the expected time in a slot, in milliseconds. It is used with load reports only.
+	slotMs     float64
+	dataCentre string
 }
 
 // takeOpaque chooses a replica for an opaque request and counts the request there; nil if none is
@@ -34,7 +36,13 @@
 			b.scratch[i].RemotePenaltyMs = q.remotePenaltyMs
 		}
 	}
-	i := b.prefixChooser.Choose(pool.Request{AffinityKey: q.affinityKey}, b.scratch)
+	a := pool.Request{AffinityKey: q.affinityKey, SlotMs: q.slotMs}
+	i := 0
+	if b.addReports(now) {
+		i = b.reportChooser.Choose(a, b.scratch)
+	} else {
+		i = b.prefixChooser.Choose(a, b.scratch)
+	}
 	if i < 0 {
 		return nil
 	}
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -197,6 +197,7 @@
 			v = r.quota.AcquirePermit(ctx, r.permitRequest(service, []*pool.Replica{b}, 0, priority, false))
 		}
 		if v.Index == 0 && r.notices.AdmitRequest(b.ID, r.clock()) {
+			r.recordReportUse(b, r.clock())
 			return b, retryAt
 		}
 		r.quota.ReleasePermit(v.Ticket)
--- a/entry/router.go
+++ b/entry/router.go
@@ -15,6 +15,7 @@
 	"fieldvale/biller"
 	"fieldvale/cascade"
 	"fieldvale/config"
+	"fieldvale/load"
 	"fieldvale/notice"
 	"fieldvale/outcome"
 	"fieldvale/policy"
@@ -74,6 +75,8 @@
 	retries      admission.RetryLimit
 	quota        Quota
 	notices      *notice.Tracker
+	// loads is described in Ports.
+	loads *load.Tracker
 	// coldBound is the fleet-wide bound on the requests to a cold replica.
 	coldBound quota.ColdBound
 	// acceptConfidence is the confidence, from 0 to 100, that a smaller model must report in its
@@ -107,6 +110,8 @@
 	Quota Quota
 	// Notices may be nil; drain and backoff notices of replicas are then ignored.
 	Notices *notice.Tracker
+	// Loads holds the load reports of replicas. It may be nil; choices then use none.
+	Loads *load.Tracker
 	// ColdBound is the bound on the requests to a cold replica from all instances.
 	ColdBound quota.ColdBound
 	// AcceptConfidence is the confidence, from 0 to 100, that a smaller model must report in its
@@ -136,15 +141,18 @@
 	if p.Quota == nil {
 		p.Quota = noQuota{}
 	}
+	b := newBackends(p.Rand, p.Notices)
+	b.loads = p.Loads
+	p.Loads.CountOwn(b.countAt)
 	return &Router{
 		view: p.View, engines: p.Engines, services: p.Services, claims: p.Claims, rater: p.Rater,
 		biller: p.Biller, clock: p.Clock, self: p.Self, dataCentre: p.DataCentre, regions: p.Regions,
-		backends: newBackends(p.Rand, p.Notices), evidence: newEvidence(p.Rater),
+		backends: b, evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, retryBudget: admission.NewRetryBudget(),
 		cascadeLearner: cascade.NewLearner(), hooks: e,
 		upstream: p.Upstream, activeForwards: newActiveForwards(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, prefillTimes: timing.NewPrefillTimes(), slotTimes: timing.NewSlotTimes(), outputTokens: timing.NewOutputTokens(), confidenceGains: newConfidenceGains(), answerSizes: newAnswerSizes(), firstEventDelays: timing.NewFirstEventDelays(), tokenTimes: newTokenTimes(),
 		releases: newReleases(p.Clock()), retryWindows: map[string]*admission.RetryWindow{}, retries: p.Retries, fleetSize: p.FleetSize,
-		acceptConfidence: p.AcceptConfidence, completionPause: p.CompletionPause, coldBound: p.ColdBound, quota: p.Quota, notices: p.Notices,
+		acceptConfidence: p.AcceptConfidence, completionPause: p.CompletionPause, coldBound: p.ColdBound, quota: p.Quota, notices: p.Notices, loads: p.Loads,
 	}
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"fieldvale/load"
 	"fieldvale/version"
 )
 
@@ -117,6 +118,10 @@
 	PendingMs float64
 	// RemotePenaltyMs is the cost of the replica for its distance, in milliseconds.
 	RemotePenaltyMs float64
+	// Reported is the load expected from reports in responses. It counts only if HasReported is set,
+	// which is set for all candidates of a choice or for none.
+	Reported    load.Expected
+	HasReported bool
 }
 
 // EstimatedRequests estimates the requests on the replica: those of other instances at the
@@ -127,8 +132,12 @@
 	return max(0, others) + c.Local
 }
 
-// LoadPerSlot returns EstimatedRequests per slot, which compares replicas of different size.
+// LoadPerSlot returns EstimatedRequests per slot, which compares replicas of different size, or the
+// load by reports.
 func (c Candidate) LoadPerSlot() float64 {
+	if c.HasReported {
+		return c.reportedLoad(0)
+	}
 	return float64(c.EstimatedRequests()) / float64(max(1, c.Replica.Slots))
 }
 
--- a/pool/rule.go
+++ b/pool/rule.go
@@ -11,6 +11,9 @@
 	// AffinityKey identifies state that replicas cache for the request, such as its session
 	// or the prefix of its prompt. It is empty if there is none.
 	AffinityKey string
+	// SlotMs is the expected time in a slot at the usual speed, in milliseconds. Only ReportedWork
+	// uses it.
+	SlotMs float64
 }
 
 // Rule chooses one of the candidates, of which there is at least one. It returns its index.
@@ -92,7 +95,7 @@
 	if j >= i {
 		j++
 	}
-	if c[j].LoadPerSlot() < c[i].LoadPerSlot() {
+	if c[j].loadWithRequest() < c[i].loadWithRequest() {
 		return j
 	}
 	return i
