platform, adapter/backend: read the load that replicas report

The header X-Fieldvale-Replica-Load, and X-Replica-Load on the product's own interface, is parsed from answers that echo the request's id and kept by replica. The stand-ins can send it. Reports are counted by result and age, and the routed line has the report of the chosen replica. Tested: go build, go vet.

--- a/adapter/backend/limit.go
+++ b/adapter/backend/limit.go
@@ -37,13 +37,15 @@
 	LogInvalidHeader(replica, header string, err error)
 }
 
-// responseObservers receive the limits and notices in responses; each may be nil.
+// responseObservers receive the limits, notices and loads in responses; each may be nil.
 type responseObservers struct {
 	limits  LimitObserver
 	notices NoticeObserver
+	loads   LoadObserver
 }
 
-// observe passes on the limit and the notice in the response to a request sent at sentAt.
+// observe passes on the limit, the notice and the load in the response to a request sent at
+// sentAt.
 func (h responseObservers) observe(r *pool.Replica, request string, p *fasthttp.Response, sentAt time.Time) {
 	if h.limits != nil {
 		observeLimit(h.limits, r, p, sentAt)
@@ -51,6 +53,9 @@
 	if h.notices != nil {
 		observeNotice(h.notices, r, request, p, sentAt)
 	}
+	if h.loads != nil {
+		observeLoad(h.loads, r, p, sentAt)
+	}
 }
 
 // observeNotice passes on a response's draining flag and, with status 503, its requested
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -24,6 +24,7 @@
 	"fieldvale/clock"
 	"fieldvale/entry"
 	"fieldvale/lease"
+	"fieldvale/load"
 	"fieldvale/notice"
 	"fieldvale/peer"
 	"fieldvale/placement"
@@ -104,6 +105,8 @@
 	// notices tracks which replicas reported to this instance that they are draining or
 	// requested backoff.
 	notices *notice.Tracker
+	// loads holds the load that replicas reported to this instance.
+	loads   *load.Tracker
 	traffic peerTraffic
 	// staleAnswers counts requests that were answered by an outdated configuration.
 	staleAnswers *prometheus.CounterVec
@@ -142,6 +145,7 @@
 	n.registerQuotaMetrics()
 	n.notices = notice.NewTracker(n.clock, n.settings.DrainPeriod, n.logEvent)
 	n.registerNoticeMetrics()
+	n.loads = load.NewTracker(n.clock, n.logEvent, n.metrics.LoadHooks())
 	n.state = state.New(n.view, n.lease, n.clock, n.logEvent, n.setMembers)
 	n.registerConfigMetrics()
 	n.metrics.GaugeFunc("replicas_cold", "Replicas that have just started, as this instance knows.", func() float64 { return float64(n.state.ColdCount()) })
@@ -187,11 +191,11 @@
 
 // routerPorts returns the components and settings that the router uses.
 func (n *node) routerPorts() entry.Ports {
-	u := platform.NewUpstream(n.pool, n.clock, n.quota, n.logUnknownHeader).WithNotices(n.notices)
+	u := platform.NewUpstream(n.pool, n.clock, n.quota, n.logUnknownHeader).WithNotices(n.notices).WithLoads(n.loads)
 	return entry.Ports{
 		View: n.view, Clock: n.clock, Self: n.settings.ID, DataCentre: n.settings.DataCentre, Regions: n.settings.Regions, Placer: n.placer, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Hooks: n.routerHooks(),
 		Upstream: u, Prober: u, Quarantine: n.quarantine, AcceptConfidence: n.settings.AcceptConfidence, CompletionPause: n.settings.CompletionPause,
-		Quota: n.quota, Notices: n.notices, ColdBound: quota.ColdBound{Overage: n.settings.ColdLimitFactor, Slack: n.settings.ColdLimitSlack},
+		Quota: n.quota, Notices: n.notices, Loads: n.loads, ColdBound: quota.ColdBound{Overage: n.settings.ColdLimitFactor, Slack: n.settings.ColdLimitSlack},
 		FleetSize: n.relay.FleetSize, Retries: admission.RetryLimit{Ratio: retryRatioMargin * n.settings.RetryFraction, Burst: retryBurstMargin * n.settings.RetryBurst},
 	}
 }
--- a/cmd/fieldvale-standin/main.go
+++ b/cmd/fieldvale-standin/main.go
@@ -130,6 +130,8 @@
 type backendsCommand struct {
 	Engines  int `long:"engines" default:"3" description:"model engines of each team"`
 	Services int `long:"services" default:"2" description:"replicas of each plain service"`
+	// ReportLoad makes the answers of all backend servers report their load.
+	ReportLoad bool `long:"report-load" description:"report the load in each answer"`
 }
 
 // Execute implements flags.Commander.
@@ -147,7 +149,7 @@
 	for team, teamModels := range engineModels {
 		for n := range b.Engines {
 			id := fmt.Sprintf("engine-%s-%d", team, n+1)
-			modelEngine := engine.New(engine.Settings{ID: id, Slots: replicaSlots, QueueSize: engineQueue, Models: teamModels, ChecksFencingToken: n%2 == 0})
+			modelEngine := engine.New(engine.Settings{ID: id, Slots: replicaSlots, QueueSize: engineQueue, Models: teamModels, ChecksFencingToken: n%2 == 0, ReportsLoad: b.ReportLoad})
 			if err := addInstance(list.Instance{ID: id, Kind: "engine", Slots: replicaSlots, ChecksFencingToken: n%2 == 0}, modelEngine.Handle); err != nil {
 				return err
 			}
@@ -156,7 +158,11 @@
 	for _, name := range serviceNames {
 		for n := range b.Services {
 			id := fmt.Sprintf("service-%s-%d", name, n+1)
-			if err := addInstance(list.Instance{ID: id, Kind: "service", Service: name, Slots: replicaSlots}, service.New(serviceTime, false).Handle); err != nil {
+			plainService := service.New(serviceTime, false)
+			if b.ReportLoad {
+				plainService.Slots = replicaSlots
+			}
+			if err := addInstance(list.Instance{ID: id, Kind: "service", Service: name, Slots: replicaSlots}, plainService.Handle); err != nil {
 				return err
 			}
 		}
--- a/entry/backends.go
+++ b/entry/backends.go
@@ -27,8 +27,10 @@
 	prefixChooser  *pool.Chooser[pool.PrefixAffinity]
 	reportChooser  *pool.Chooser[pool.ReportedWork]
 	scratch        []pool.Candidate
-	// samples are the reports that count for the candidates in scratch.
-	samples []load.Sample
+	// reports are the reports that may count for the candidates in scratch.
+	reports []load.Drawn
+	// rand draws which reports count. It shares its source with the choosers.
+	rand *rand.Rand
 	// notices holds the drain and backoff notices of replicas, which every choice obeys.
 	notices *notice.Tracker
 	// loads holds the load reports of replicas; nil for none.
@@ -66,6 +68,7 @@
 		notices:        n,
 		sessionChooser: pool.NewChooser(sessionPolicy{LoadFactor: sessionLoadFactor}, s),
 		prefixChooser:  pool.NewChooser(pool.PrefixAffinity{SlackMs: affinitySlackMs}, s),
+		rand:           rand.New(s),
 		reportChooser:  pool.NewChooser(pool.ReportedWork{SlackMs: affinitySlackMs}, s),
 	}
 }
--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -119,7 +119,7 @@
 	Verdict     quarantine.Verdict
 	// Tried are the replicas that the request was sent to, in order.
 	Tried []string
-	// ReportedLoad is the load report that counted at the last choice by such reports.
+	// ReportedLoad is the load report of the replica that was last chosen without the placer.
 	ReportedLoad ReportedLoad
 	// Excluded counts the replicas that were draining or backing off at the last choice.
 	Excluded string
--- a/entry/reported.go
+++ b/entry/reported.go
@@ -9,12 +9,20 @@
 
 // ReportedLoad is the report of the chosen replica at the time of the choice, for the log.
 type ReportedLoad struct {
-	// Counted is set if a report of that replica counted in the choice.
-	Counted bool
+	// Known is set if the replica had a report that was new enough to count.
+	Known bool
 	load.Report
 	Age time.Duration
 }
 
+// String formats the report for the log as the fields of the header; empty if there is none.
+func (l ReportedLoad) String() string {
+	if !l.Known {
+		return ""
+	}
+	return l.Report.String()
+}
+
 // addReports adds the expected load to the candidates in b.scratch, and reports whether any report
 // counts. A replica without a report of its own is expected to be as loaded as the mean of those with
 // one: without this, one whose load is unknown would always be preferred.
@@ -22,13 +30,13 @@
 	if b.loads == nil {
 		return false
 	}
-	b.samples = b.samples[:0]
+	b.reports = b.reports[:0]
 	for _, c := range b.scratch {
 		if s, ok := b.loads.Newest(c.Replica.ID, now); ok {
-			b.samples = append(b.samples, s)
+			b.reports = append(b.reports, s.Draw(now, b.rand))
 		}
 	}
-	mean, ok := load.Mean(b.samples, now)
+	mean, ok := load.Mean(b.reports)
 	if !ok {
 		return false
 	}
@@ -36,9 +44,9 @@
 	for i := range b.scratch {
 		c := &b.scratch[i]
 		c.HasReported, c.Reported = true, mean
-		// The samples are in the order of the candidates.
-		if next < len(b.samples) && b.samples[next].Replica == c.Replica.ID {
-			c.Reported = mean.WithSample(b.samples[next], now)
+		// The reports are in the order of the candidates.
+		if next < len(b.reports) && b.reports[next].Replica == c.Replica.ID {
+			c.Reported = mean.WithReport(b.reports[next])
 			next++
 		}
 	}
@@ -66,12 +74,13 @@
 	return w.r.slotTimes.ExpectedMs(w.slotTimeKey())
 }
 
-// recordReportUse records the report of the chosen replica for the log and the metrics, if it counts.
+// recordReportUse records the report of the chosen replica for the log and the metrics, if it has one
+// that is new enough to count.
 func (r *Router) recordReportUse(b *pool.Replica, now time.Time) ReportedLoad {
 	s, ok := r.loads.Newest(b.ID, now)
 	if !ok {
 		return ReportedLoad{}
 	}
 	r.loads.RecordUse(s, now)
-	return ReportedLoad{Counted: true, Report: s.Report, Age: s.Age(now)}
+	return ReportedLoad{Known: true, Report: s.Report, Age: s.Age(now)}
 }
--- a/load/expected.go
+++ b/load/expected.go
@@ -1,6 +1,50 @@
 package load
 
-import "time"
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// maxAge is the age from which a report counts for nothing.
+const maxAge = time.Second
+
+const (
+	// requestsDecay and slownessDecay are the ages at which the two parts of a report count with
+	// probability 1/e. All callers react to the same queue, so that it changes within the time of a few
+	// requests; the slowness does not depend on choices. Twice these times were worse for short
+	// requests with reports 200 ms old, half of them for long ones.
+	requestsDecay = 200 * time.Millisecond
+	slownessDecay = 400 * time.Millisecond
+)
+
+// Age returns the time since the report arrived.
+func (s Sample) Age(now time.Time) time.Duration { return max(0, now.Sub(s.ReceivedAt)) }
+
+// IsCurrent reports whether the report may count.
+func (s Sample) IsCurrent(now time.Time) bool { return s.Age(now) < maxAge }
+
+// weight is how much a part of a report counts that ages with the given decay: 1 on arrival, less as
+// it ages, 0 from maxAge on.
+func (s Sample) weight(decay time.Duration, now time.Time) float64 {
+	if !s.IsCurrent(now) {
+		return 0
+	}
+	return math.Exp(-s.Age(now).Seconds() / decay.Seconds())
+}
+
+// Drawn is a report with the parts of it that count in one choice.
+type Drawn struct {
+	Sample
+	UsesRequests, UsesSlowness bool
+}
+
+// Draw draws whether the parts of the report count in a choice, by their weights. If they counted in
+// each choice with a lower value instead, all callers would still make the same choice by the same
+// old report, and answers would take longer than without reports.
+func (s Sample) Draw(now time.Time, r *rand.Rand) Drawn {
+	return Drawn{Sample: s, UsesRequests: r.Float64() < s.weight(requestsDecay, now), UsesSlowness: r.Float64() < s.weight(slownessDecay, now)}
+}
 
 // Expected is the load that is expected at a replica from reports.
 type Expected struct {
@@ -12,30 +56,38 @@
 	Slots int
 }
 
-// Mean returns the mean load in the samples by their weights. ok is false if none of them counts.
-func Mean(l []Sample, now time.Time) (e Expected, ok bool) {
-	sum := 0.0
-	for _, s := range l {
-		w := s.Weight(now)
-		sum += w
-		e.OthersPerSlot += w * s.OthersPerSlot()
-		e.Slowness += w * s.Slowness
+// Mean returns the mean load in the reports. ok is false if no part of any report counts.
+func Mean(l []Drawn) (e Expected, ok bool) {
+	e.Slowness = 1
+	var others, slowness float64
+	var requestCount, slownessCount int
+	for _, d := range l {
+		if d.UsesRequests {
+			others += d.OthersPerSlot()
+			requestCount++
+		}
+		if d.UsesSlowness {
+			slowness += d.Slowness
+			slownessCount++
+		}
+	}
+	if requestCount > 0 {
+		e.OthersPerSlot = others / float64(requestCount)
 	}
-	if sum == 0 {
-		return Expected{}, false
+	if slownessCount > 0 {
+		e.Slowness = slowness / float64(slownessCount)
 	}
-	return Expected{OthersPerSlot: e.OthersPerSlot / sum, Slowness: e.Slowness / sum}, true
+	return e, requestCount+slownessCount > 0
 }
 
-// WithSample returns e corrected by the replica's own report, as far as that counts.
-func (e Expected) WithSample(s Sample, now time.Time) Expected {
-	w := s.Weight(now)
-	if w == 0 {
-		return e
+// WithReport returns e with the parts of the replica's own report that count.
+func (e Expected) WithReport(d Drawn) Expected {
+	e.Slots = d.Slots
+	if d.UsesRequests {
+		e.OthersPerSlot = d.OthersPerSlot()
 	}
-	return Expected{
-		OthersPerSlot: w*s.OthersPerSlot() + (1-w)*e.OthersPerSlot,
-		Slowness:      w*s.Slowness + (1-w)*e.Slowness,
-		Slots:         s.Slots,
+	if d.UsesSlowness {
+		e.Slowness = d.Slowness
 	}
+	return e
 }
--- a/load/load.go
+++ b/load/load.go
@@ -5,6 +5,7 @@
 package load
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -77,6 +78,11 @@
 	return r, true, nil
 }
 
+// String formats the report as Parse reads it.
+func (r Report) String() string {
+	return fmt.Sprintf("%d,%d,%d,%.0f", r.Running, r.Waiting, r.Slots, r.Slowness*usualSlowness)
+}
+
 // parseInt parses an integer in decimal digits from least to most. Blanks around it are ignored.
 func parseInt(s string, least, most int) (int, error) {
 	s = strings.Trim(s, " \t")
@@ -94,6 +100,8 @@
 type Sample struct {
 	Report
 	Replica, Service string
+	// Refused is true if the replica turned the request away.
+	Refused bool
 	// SentAt is when the request was sent, ReceivedAt when the response headers arrived.
 	SentAt, ReceivedAt time.Time
 	// Own is the number of this instance's requests at the replica when the response arrived. They
@@ -101,24 +109,12 @@
 	Own int
 }
 
-// maxAge is the age from which a report counts for nothing. The slowness of a replica changes many
-// times a second, and its queue within the time of a few requests.
-const maxAge = time.Second
-
 // WithOwn returns s with the number of this instance's requests at the replica.
 func (s Sample) WithOwn(n int) Sample {
 	s.Own = n
 	return s
 }
 
-// Age returns the time since the report arrived.
-func (s Sample) Age(now time.Time) time.Duration { return max(0, now.Sub(s.ReceivedAt)) }
-
-// Weight returns how much the report counts: 1 on arrival, less as it ages, 0 from maxAge on.
-func (s Sample) Weight(now time.Time) float64 {
-	return max(0, 1-s.Age(now).Seconds()/maxAge.Seconds())
-}
-
 // OthersPerSlot returns the requests of the other instances per slot at the time of the report.
 func (s Sample) OthersPerSlot() float64 {
 	return float64(max(0, s.Running+s.Waiting-s.Own)) / float64(s.Slots)
--- a/load/tracker.go
+++ b/load/tracker.go
@@ -24,7 +24,8 @@
 type Hooks struct {
 	// Reported is called for each report.
 	Reported func(Result)
-	// Used is called with the age of the chosen replica's report for each choice in which it counts.
+	// Used is called for each choice with the age of the chosen replica's report, if that is new enough
+	// to count.
 	Used func(age time.Duration)
 }
 
@@ -78,7 +79,7 @@
 		s = s.WithOwn(t.countOwn(s.Replica))
 	}
 	r := t.put(s)
-	if r == Kept && s.Service != "" {
+	if r == Kept && s.Service != "" && !s.Refused {
 		t.observeServiceTime(s)
 	}
 	t.reported(r)
@@ -117,7 +118,7 @@
 	}
 }
 
-// Newest returns the newest report of the replica. ok is false if it has none that counts now.
+// Newest returns the newest report of the replica. ok is false if it has none that may count now.
 func (t *Tracker) Newest(replica string, now time.Time) (s Sample, ok bool) {
 	if t == nil {
 		return Sample{}, false
@@ -125,7 +126,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok = t.samples[replica]
-	return s, ok && s.Weight(now) > 0
+	return s, ok && s.IsCurrent(now)
 }
 
 // RecordUse records that a choice used the report.
--- a/process/entry.go
+++ b/process/entry.go
@@ -24,6 +24,7 @@
 	"fieldvale/biller"
 	"fieldvale/claim"
 	"fieldvale/entry"
+	"fieldvale/load"
 	"fieldvale/notice"
 	"fieldvale/pool"
 	"fieldvale/quarantine"
@@ -50,6 +51,8 @@
 	// notices tracks which backend servers reported to this entry that they are draining
 	// or requested backoff.
 	notices *notice.Tracker
+	// loads holds the load that backend servers reported to this entry.
+	loads *load.Tracker
 }
 
 // backendDrainTime is how long a backend server goes on serving requests after it reported
@@ -73,11 +76,14 @@
 	e.notices = notice.NewTracker(time.Now, backendDrainTime, func(event string, f ...any) {
 		l.WithFields(logging.Fields(f...)).Info(event)
 	})
+	e.loads = load.NewTracker(time.Now, func(event string, f ...any) {
+		l.WithFields(logging.Fields(f...)).Info(event)
+	}, e.metrics.LoadHooks())
 	e.router = entry.NewRouter(entry.Ports{
-		View: e.view, Engines: backend.NewEngines(h).WithLimits(e.quota).WithNotices(e.notices), Services: backend.NewServices(h).WithLimits(e.quota).WithNotices(e.notices), Claims: k,
+		View: e.view, Engines: backend.NewEngines(h).WithLimits(e.quota).WithNotices(e.notices).WithLoads(e.loads), Services: backend.NewServices(h).WithLimits(e.quota).WithNotices(e.notices).WithLoads(e.loads), Claims: k,
 		Rater: platform.New(h, "", s.RatingAddr), Biller: e.biller, Clock: time.Now, Self: s.ID,
 		Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Hooks: e.routerHooks(),
-		Quarantine: e.quarantine, Prober: backend.Prober{}, Quota: e.quota, Notices: e.notices,
+		Quarantine: e.quarantine, Prober: backend.Prober{}, Quota: e.quota, Notices: e.notices, Loads: e.loads,
 	})
 	e.syncer = NewSyncer(k, e.view, e.router, e.biller, e.incarnation, func(event string, f ...any) {
 		l.WithFields(logging.Fields(f...)).Info(event)
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -93,6 +93,7 @@
 	c.Response.Header.Set("X-Request-Id", id)
 	if q.Stream {
 		n, _ := strconv.Atoi(string(c.Request.Header.Peek("X-Resume-Chunks")))
+		e.reportLoad(c)
 		c.SetContentType("text/event-stream")
 		c.SetBodyStreamWriter(func(w *bufio.Writer) {
 			defer e.finishRun()
@@ -102,6 +103,7 @@
 	}
 	defer e.finishRun()
 	time.Sleep(time.Duration(len(t)) * e.Models[q.Model].PerToken)
+	e.reportLoad(c)
 	serve.JSON(c, completion(id, q.Model, t, len(p)))
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -41,6 +41,8 @@
 	// ChecksFencingToken makes the engine reject orders with a fencing token below the
 	// highest one that it has received.
 	ChecksFencingToken bool
+	// ReportsLoad makes the answers of runs report the load.
+	ReportsLoad bool
 }
 
 // Run is one request that the engine started. AttemptID is its X-Request-Id.
@@ -168,6 +170,16 @@
 	e.runs = append(e.runs, r)
 }
 
+// reportLoad adds the load report, if any, to the answer of a run.
+func (e *Engine) reportLoad(c *fasthttp.RequestCtx) {
+	if !e.ReportsLoad {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	serve.ReportLoad(c, e.running, e.queued, e.Slots, 100)
+}
+
 // finishRun releases the slot of a run.
 func (e *Engine) finishRun() {
 	<-e.slots
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -19,18 +19,23 @@
 	// ChecksIdempotencyKey makes the service deduplicate calls by idempotency key: a second
 	// call with the same key is answered without a second run.
 	ChecksIdempotencyKey bool
-	// Work is the duration of one call.
-	Work   time.Duration
+	// Work is the duration of one call at the usual speed.
+	Work time.Duration
+	// Slots makes the answers report the load; 0 for no report. It does not limit the calls.
+	Slots  int
 	Faults *fault.Injector
 
 	mu       sync.Mutex
 	runs     map[string]int
 	draining bool
+	running  int
+	// slowness is the duration of a call in percent of Work.
+	slowness int
 }
 
 // New returns a service whose calls take work.
 func New(work time.Duration, checksKey bool) *Service {
-	return &Service{ChecksIdempotencyKey: checksKey, Work: work, Faults: &fault.Injector{}, runs: map[string]int{}}
+	return &Service{ChecksIdempotencyKey: checksKey, Work: work, Faults: &fault.Injector{}, runs: map[string]int{}, slowness: 100}
 }
 
 // Runs returns the number of runs by "call/key".
@@ -55,6 +60,8 @@
 		s.mu.Lock()
 		s.draining = c.QueryArgs().GetBool("leaving")
 		s.mu.Unlock()
+	case "/standin/slowness":
+		s.SetSlowness(c.QueryArgs().GetUintOrZero("percent"))
 	case "/load":
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -81,7 +88,10 @@
 	if !s.ChecksIdempotencyKey || s.runs[k] == 0 {
 		s.runs[k]++
 	}
+	s.running++
+	work := s.Work * time.Duration(s.slowness) / 100
 	s.mu.Unlock()
-	time.Sleep(s.Work)
+	time.Sleep(work)
+	s.finishCall(c)
 	serve.JSON(c, map[string]any{"call": call, "key": string(c.Request.Header.Peek("Idempotency-Key")), "done": true, "echo": string(c.PostBody())})
 }
