--- a/load/expected.go
+++ b/load/expected.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -24,13 +23,10 @@
 // IsCurrent reports whether the report may count.
 func (s Sample) IsCurrent(now time.Time) bool { return s.Age(now) < maxAge }
 
-// weight is how much a part of a report counts that ages with the given decay: 1 on arrival, less as
-// it ages, 0 from maxAge on.
-func (s Sample) weight(decay time.Duration, now time.Time) float64 {
-	if !s.IsCurrent(now) {
-		return 0
-	}
-	return math.Exp(-s.Age(now).Seconds() / decay.Seconds())
+// drawCounts draws whether a part of a report counts at the age: always on arrival, with a
+// probability of 1/e at the decay.
+func drawCounts(age, decay time.Duration, r *rand.Rand) bool {
+	return r.ExpFloat64()*float64(decay) >= float64(age)
 }
 
 // Drawn is a report with the parts of it that count in one choice.
@@ -39,11 +35,12 @@
 	UsesRequests, UsesSlowness bool
 }
 
-// Draw draws whether the parts of the report count in a choice, by their weights. If they counted in
-// each choice with a lower value instead, all callers would still make the same choice by the same
+// Draw draws whether the parts of a current report count in a choice. If they counted in each choice
+// with a lower value instead, all callers would still make the same choice by the same
 // old report, and answers would take longer than without reports.
 func (s Sample) Draw(now time.Time, r *rand.Rand) Drawn {
-	return Drawn{Sample: s, UsesRequests: r.Float64() < s.weight(requestsDecay, now), UsesSlowness: r.Float64() < s.weight(slownessDecay, now)}
+	age := s.Age(now)
+	return Drawn{Sample: s, UsesRequests: drawCounts(age, requestsDecay, r), UsesSlowness: drawCounts(age, slownessDecay, r)}
 }
 
 // Expected is the load that is expected at a replica from reports.
