--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,7 @@
 	go test -run '^$$' -fuzz FuzzReceive -fuzztime 10s ./quarantine
 	go test -run '^$$' -fuzz FuzzReceive -fuzztime 10s ./quota
 	go test -run '^$$' -fuzz FuzzWord -fuzztime 10s ./quota
+	go test -run '^$$' -fuzz FuzzParse -fuzztime 10s ./load
 	go test -run '^$$' -fuzz FuzzRest -fuzztime 10s ./notice
 	go test -run '^$$' -fuzz FuzzConfig -fuzztime 10s ./platform
 	go test -run '^$$' -fuzz FuzzReplica -fuzztime 10s ./platform
