--- a/cmd/fieldvale-node/answerbuffer_test.go
+++ b/cmd/fieldvale-node/answerbuffer_test.go
@@ -53,7 +53,9 @@
 	return done
 }
 
-func withLargeAnswerBuffer(n *settings.Node) { n.MemoryMB, n.AnswerBufferKB, n.CompletionPause = 1024, 32<<10, 2*time.Second }
+func withLargeAnswerBuffer(n *settings.Node) {
+	n.MemoryMB, n.AnswerBufferKB, n.CompletionPause = 1024, 32<<10, 2*time.Second
+}
 
 // A planned stop must write the answers in the buffer before the process ends: their replicas
 // have ended, so that no other instance could get the rest.
--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -122,6 +122,8 @@
 	Verdict     quarantine.Verdict
 	// Tried are the replicas that the request was sent to, in order.
 	Tried []string
+	// ReportedLoad is the load report of the replica that was last chosen without the placer.
+	ReportedLoad ReportedLoad
 	// Excluded counts the replicas that were draining or backing off at the last choice.
 	Excluded string
 	// Moves are the decisions to continue the stream on another replica. MoveDeclined states why
