pace: move for slowness in the second half of the time, and leave retries for larger models

Change: the rate decides from the middle of the time on, and moves for slowness leave 0.35 of the retry budget.

--- a/entry/streammonitor.go
+++ b/entry/streammonitor.go
@@ -59,7 +59,7 @@
 	x, cancel := context.WithCancelCause(ctx)
 	m := &streamMonitor{
 		a: a, parent: parent, ctx: x, cancel: cancel, resumed: w.answerStarted,
-		policy:  pace.Policy{AllowedPause: w.q.Route.PauseTarget, Deadline: w.q.effectiveDeadline()},
+		policy:  pace.Policy{AllowedPause: w.q.Route.PauseTarget, ArrivedAt: w.q.ArrivedAt, Deadline: w.q.effectiveDeadline()},
 		tracker: pace.New(a.sentAt).WithExpectedWait(w.r.firstEventDelays.Expect(w.result.Service, a.assignment.firstEventMs)),
 	}
 	a.monitor = m
--- a/entry/streammove.go
+++ b/entry/streammove.go
@@ -57,8 +57,9 @@
 	// them by 0.23.
 	completionMargin = 1.25
 	// slowMoveReserve is the part of the retry budget that moves of slow streams leave for retries
-	// of failed requests. A slow stream may still end in time.
-	slowMoveReserve = 0.1
+	// of failed requests and for larger models. A slow stream may still end in time, while a
+	// request without a retry fails or keeps a wrong answer.
+	slowMoveReserve = 0.35
 	// moveDecisionInterval is the least time between two decisions about the same stream. Each asks
 	// the owner of the replicas' group, whose answer changes little within a second.
 	moveDecisionInterval = time.Second
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -121,8 +121,8 @@
 	// AllowedPause is the longest pause between two events that the callers of the route
 	// accept.
 	AllowedPause time.Duration
-	// Deadline is when the answer has to be complete.
-	Deadline time.Time
+	// ArrivedAt is when the request arrived, Deadline when its answer has to be complete.
+	ArrivedAt, Deadline time.Time
 }
 
 // SilentAt returns when the stream's current silence becomes too long. That is after
@@ -153,7 +153,10 @@
 	return Keep
 }
 
-// misses reports whether the stream is far from meeting its deadline at its current rate.
+// misses reports whether the stream is far from meeting its deadline at its current rate. That is
+// not decided in the first half of the time: most streams that look late then speed up when
+// a peak of the load is over, and the second half suffices for another replica.
 func (p Policy) misses(t Tracker, eventsLeft float64, now time.Time) bool {
-	return t.EndsAt(eventsLeft/slowFactor, now).After(p.Deadline)
+	isFirstHalf := now.Sub(p.ArrivedAt) < p.Deadline.Sub(now)
+	return !isFirstHalf && t.EndsAt(eventsLeft/slowFactor, now).After(p.Deadline)
 }
