--- a/load/expected.go
+++ b/load/expected.go
@@ -18,10 +18,10 @@
 )
 
 // Age returns the time since the report arrived.
-func (s Sample) Age(now time.Time) time.Duration { return max(0, now.Sub(s.ReceivedAt)) }
+func (s *Sample) Age(now time.Time) time.Duration { return max(0, now.Sub(s.ReceivedAt)) }
 
 // IsCurrent reports whether the report may count.
-func (s Sample) IsCurrent(now time.Time) bool { return s.Age(now) < maxAge }
+func (s *Sample) IsCurrent(now time.Time) bool { return s.Age(now) < maxAge }
 
 // drawCounts draws whether a part of a report counts at the age: always on arrival, with a
 // probability of 1/e at the decay.
@@ -31,14 +31,14 @@
 
 // Drawn is a report with the parts of it that count in one choice.
 type Drawn struct {
-	Sample
+	*Sample
 	UsesRequests, UsesSlowness bool
 }
 
 // Draw draws whether the parts of a current report count in a choice. If they counted in each choice
 // with a lower value instead, all callers would still make the same choice by the same
 // old report, and answers would take longer than without reports.
-func (s Sample) Draw(now time.Time, r *rand.Rand) Drawn {
+func (s *Sample) Draw(now time.Time, r *rand.Rand) Drawn {
 	age := s.Age(now)
 	return Drawn{Sample: s, UsesRequests: drawCounts(age, requestsDecay, r), UsesSlowness: drawCounts(age, slownessDecay, r)}
 }
--- a/load/load.go
+++ b/load/load.go
@@ -116,6 +116,6 @@
 }
 
 // OthersPerSlot returns the requests of the other instances per slot at the time of the report.
-func (s Sample) OthersPerSlot() float64 {
+func (s *Sample) OthersPerSlot() float64 {
 	return float64(max(0, s.Running+s.Waiting-s.Own)) / float64(s.Slots)
 }
--- a/load/tracker.go
+++ b/load/tracker.go
@@ -44,7 +44,7 @@
 	serviceMs *means.RunningMeans
 
 	mu        sync.Mutex
-	samples   map[string]Sample
+	samples   map[string]*Sample
 	nextSweep time.Time
 	// nextInvalidLog is the earliest time for the next log line about an invalid report.
 	nextInvalidLog time.Time
@@ -52,7 +52,7 @@
 
 // NewTracker returns a tracker without reports.
 func NewTracker(clock func() time.Time, log Log, h Hooks) *Tracker {
-	return &Tracker{clock: clock, log: log, hooks: h, serviceMs: means.NewFastStart(serviceTimeWeight, 1), samples: map[string]Sample{}}
+	return &Tracker{clock: clock, log: log, hooks: h, serviceMs: means.NewFastStart(serviceTimeWeight, 1), samples: map[string]*Sample{}}
 }
 
 // CountOwn makes the tracker call f for the number of this instance's requests at a replica. It must
@@ -96,7 +96,7 @@
 	if !known && len(t.samples) >= maxSamples {
 		return NoRoom
 	}
-	t.samples[s.Replica] = s
+	t.samples[s.Replica] = &s
 	return Kept
 }
 
@@ -118,19 +118,20 @@
 	}
 }
 
-// Newest returns the newest report of the replica. ok is false if it has none that may count now.
-func (t *Tracker) Newest(replica string, now time.Time) (s Sample, ok bool) {
+// Newest returns the newest report of the replica, which the caller must not change. ok is false if
+// it has none that may count now.
+func (t *Tracker) Newest(replica string, now time.Time) (s *Sample, ok bool) {
 	if t == nil {
-		return Sample{}, false
+		return nil, false
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	s, ok = t.samples[replica]
+	t.mu.Unlock()
 	return s, ok && s.IsCurrent(now)
 }
 
 // RecordUse records that a choice used the report.
-func (t *Tracker) RecordUse(s Sample, now time.Time) {
+func (t *Tracker) RecordUse(s *Sample, now time.Time) {
 	if t.hooks.Used != nil {
 		t.hooks.Used(s.Age(now))
 	}
