--- a/load/expected.go
+++ b/load/expected.go
@@ -11,8 +11,8 @@
 const (
 	// requestsDecay and slownessDecay are the ages at which the two parts of a report count with
 	// probability 1/e. All callers react to the same queue, so that it changes within the time of a few
-	// requests; the slowness does not depend on choices. Twice these times were worse for short
-	// requests with reports 200 ms old, half of them for long ones.
+	// requests; the slowness does not depend on choices. With reports 200 ms old, 300 ms for
+	// both lengthened requests of 20 ms, and 100 and 300 ms lengthened those of 250 ms.
 	requestsDecay = 200 * time.Millisecond
 	slownessDecay = 400 * time.Millisecond
 )
