placement: exclude a replica that fails consecutive prompts from placement by completion

Change: for requests placed by completion a certain fault costs 6,000 ms, and three consecutive failed prompts exclude the replica as connection failures do. Other requests as before. A test has a replica that fails all: 167 of 300 prompts before, at most 30 now.

--- a/placement/fault.go
+++ b/placement/fault.go
@@ -25,6 +25,10 @@
 	// to fail. It exceeds the usual wait for a sound replica, and is low enough
 	// for the faulty one to be retried when all others wait longer.
 	faultPenaltyMs = 1500.0
+	// completionFaultPenaltyMs is that cost for requests that are placed by completion. It
+	// exceeds the time of most answers: a replica that fails all its prompts has no runs,
+	// so that its whole answer seems to be complete seconds before that of the others.
+	completionFaultPenaltyMs = 6000.0
 	// faultHalfLife is the time in which the fault probability of a replica
 	// halves. A replica that is avoided gets few prompts that could show that it
 	// has recovered, so the estimate has to decay by time.
@@ -51,6 +55,11 @@
 	exclusionThreshold = 2
 	firstExclusion     = 250 * time.Millisecond
 	maxExclusion       = 4 * time.Second
+	// failureExclusionThreshold is the number of consecutive prompts that a replica accepted and
+	// failed from which it is excluded in the same way for requests that are placed by
+	// completion. It is higher than exclusionThreshold, as a replica that fails a part of
+	// its prompts still serves the others.
+	failureExclusionThreshold = 3
 	// exclusionPenaltyMs is the cost of an excluded replica, in milliseconds. It
 	// exceeds any wait, so that such a replica is chosen only if all are
 	// excluded.
@@ -87,6 +96,10 @@
 	// replica, which is excluded until excludedUntil because of them.
 	unreachable   int
 	excludedUntil time.Time
+	// failed counts the consecutive prompts that the replica accepted and failed, which
+	// excludes it until failedUntil from requests that are placed by completion.
+	failed      int
+	failedUntil time.Time
 }
 
 // at returns the fault probability at the given time.
@@ -101,23 +114,52 @@
 func (f faultEstimate) withFault(why Fault, now time.Time) faultEstimate {
 	p := f.at(now)
 	f.probability, f.asOf = p+faultWeights[why]*(1-p), now
-	if why != Unreachable {
-		return f
-	}
-	f.unreachable++
-	if n := f.unreachable - exclusionThreshold; n >= 0 {
-		f.excludedUntil = now.Add(min(maxExclusion, firstExclusion<<min(n, maxDoublings)))
+	switch why {
+	case Unreachable:
+		f.unreachable++
+		f.excludedUntil = later(f.excludedUntil, exclusionEnd(f.unreachable-exclusionThreshold, now))
+	case Failed:
+		f.failed++
+		f.failedUntil = later(f.failedUntil, exclusionEnd(f.failed-failureExclusionThreshold, now))
 	}
 	return f
 }
 
+// exclusionEnd is the end of an exclusion after n faults more than its threshold; zero if n is
+// negative.
+func exclusionEnd(n int, now time.Time) time.Time {
+	if n < 0 {
+		return time.Time{}
+	}
+	return now.Add(min(maxExclusion, firstExclusion<<min(n, maxDoublings)))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // maxDoublings keeps the exclusion time from overflowing; maxExclusion is
 // reached long before.
 const maxDoublings = 8
 
 // penaltyMs is the cost of the replica for its faults, in milliseconds.
-func (f faultEstimate) penaltyMs(now time.Time) float64 {
-	c := faultPenaltyMs * f.at(now)
+func (f faultEstimate) penaltyMs(now time.Time) float64 { return f.penaltyOf(faultPenaltyMs, now) }
+
+// completionPenaltyMs is that cost for requests that are placed by completion.
+func (f faultEstimate) completionPenaltyMs(now time.Time) float64 {
+	c := f.penaltyOf(completionFaultPenaltyMs, now)
+	if now.Before(f.failedUntil) {
+		c += exclusionPenaltyMs
+	}
+	return c
+}
+
+// penaltyOf is the cost of the replica if one that is certain to fail costs certainMs.
+func (f faultEstimate) penaltyOf(certainMs float64, now time.Time) float64 {
+	c := certainMs * f.at(now)
 	if now.Before(f.excludedUntil) {
 		c += exclusionPenaltyMs
 	}
@@ -126,7 +168,7 @@
 
 // isExpired reports whether the estimate no longer affects any choice.
 func (f faultEstimate) isExpired(now time.Time) bool {
-	return f.at(now) < negligibleFault && !now.Before(f.excludedUntil.Add(maxExclusion))
+	return f.at(now) < negligibleFault && !now.Before(later(f.excludedUntil, f.failedUntil).Add(maxExclusion))
 }
 
 // withSuccess returns the estimate after the replica has prefilled a prompt. It
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -151,14 +151,14 @@
 func (l *LoadTracker) evaluate(r *Request, i int, now time.Time) (Choice, float64) {
 	id := r.Replicas[i]
 	c := Choice{Index: i, WaitMs: l.waitMs(r, id), PrefillMs: r.UnsharedMs}
-	cost := l.faults[id].penaltyMs(now) + r.remotePenalty(i)
+	cost := r.remotePenalty(i)
 	for _, p := range l.uncached(r, id, now) {
 		c.PrefillMs += p.PrefillMs
 		cost += p.ReprefillPenaltyMs
 	}
 	cost += r.latePenalty(c.WaitMs + c.PrefillMs)
 	if !r.ByCompletion {
-		return c, cost + c.WaitMs + c.PrefillMs + slotSlowdown*r.SlotMs*float64(l.busySlots[id])
+		return c, cost + l.faults[id].penaltyMs(now) + c.WaitMs + c.PrefillMs + slotSlowdown*r.SlotMs*float64(l.busySlots[id])
 	}
 	w := l.workOf(id)
 	x := w.completionOn(r, c.WaitMs, c.PrefillMs, now)
@@ -166,7 +166,7 @@
 	if !w.fits(r) {
 		cost += preemptionPenaltyMs
 	}
-	return c, cost + x.costMs()
+	return c, cost + l.faults[id].completionPenaltyMs(now) + x.costMs()
 }
 
 // record counts the prompt at the replica chosen for it.
--- a/placement/work_test.go
+++ b/placement/work_test.go
@@ -120,3 +120,33 @@
 		t.Errorf("prefill after a prompt was read takes %v ms, want 10", c.PrefillMs)
 	}
 }
+
+// TestFailingReplicaIsNotTakenForAnIdleOne guards against a replica that resets each prompt and gets
+// most of them, because it has no runs and its answers seem to be complete first.
+func TestFailingReplicaIsNotTakenForAnIdleOne(t *testing.T) {
+	const requests, most = 300, 30
+	l := placement.NewLoadTracker(1)
+	q := stream("bad")
+	q.Replicas, q.UnsharedMs, q.OutputTokens, q.ReplicaMemoryTokens = []string{"bad", "a", "b", "c"}, 100, 300, 0
+	failed, ends := 0, map[uint64]time.Time{}
+	for i := range requests {
+		now := noon.Add(time.Duration(i) * 100 * time.Millisecond)
+		for k, e := range ends {
+			if !e.After(now) {
+				l.Ended(k)
+				delete(ends, k)
+			}
+		}
+		c := l.Choose(q, now)
+		if c.Index == 0 {
+			failed++
+			l.Aborted(c.Ticket, placement.Failed, now)
+			continue
+		}
+		l.Prefilled(c.Ticket, now)
+		ends[c.Ticket] = now.Add(time.Duration(c.FinishMs) * time.Millisecond)
+	}
+	if failed > most {
+		t.Errorf("%d of %d prompts went to a replica that fails all of them, want %d at most", failed, requests, most)
+	}
+}
