--- a/load/expected.go
+++ b/load/expected.go
@@ -11,8 +11,7 @@
 const (
 	// requestsDecay and slownessDecay are the ages at which the two parts of a report count with
 	// probability 1/e. All callers react to the same queue, so that it changes within the time of a few
-	// requests; the slowness does not depend on choices. Twice these times were worse for short
-	// requests with reports 200 ms old, half of them for long ones.
+	// requests; the slowness does not depend on choices.
 	requestsDecay = 200 * time.Millisecond
 	slownessDecay = 400 * time.Millisecond
 )
--- a/placement/share.go
+++ b/placement/share.go
@@ -19,9 +19,8 @@
 	// reason, as after a failed attempt, doesn't make its group short.
 	minShortWaitMs = 500.0
 	// lateFinishFraction is the part of a request's time left from which its group is short if
-	// the whole answer takes longer. Streams slow down further as others follow. A group
-	// may be short of capacity for generation with little prefill queued: with prefill as the only
-	// criterion, a tenth of the answers of customers at their usual rate was late there.
+	// the whole answer takes longer. A group may be short of capacity for generation with little
+	// prefill queued, and its streams slow down further as others follow.
 	lateFinishFraction = 0.75
 	// faultyPenaltyMs is the penalty for faults from which a replica doesn't count for
 	// whether its group is short, in milliseconds: nothing waits at a failed replica.
--- a/placement/work.go
+++ b/placement/work.go
@@ -32,10 +32,8 @@
 	preemptionPenaltyMs = 3000.0
 	// fullDelayMs is the time to the end of an answer from which the delay of other
 	// streams counts fully; below, it counts in proportion to that time. If it always
-	// counts fully, short answers wait behind long prompts in order to spare streams
-	// that are slowed by a small fraction: in the load of played_test.go their mean
-	// time rises by up to 17% above that of placement by prefill. With 500 ms it still
-	// rises by up to 2%; with 2 s the other answers take 1 to 3% longer than with 1 s.
+	// counted fully, short answers would wait behind long prompts in order to spare
+	// streams that are slowed by a small fraction.
 	fullDelayMs = 1000.0
 	// maxKnownRuns bounds the runs that an owner counts, at some 300 bytes each. It
 	// exceeds the slots of 48 replicas with 64 slots twice. Further runs are placed
@@ -58,8 +56,7 @@
 type replicaWork struct {
 	runs []*run
 	// ends has the expected end of each run, in Unix nanoseconds. Each choice reads
-	// the ends at all candidates; with time.Time, a choice among 48 candidates with 10
-	// runs each took 24 us instead of 14 us.
+	// the ends at all candidates, which with time.Time takes more than half as long again.
 	ends         []int64
 	paces        float64
 	memoryTokens float64
--- a/share/account.go
+++ b/share/account.go
@@ -5,8 +5,8 @@
 // shortfall is the part of the placed work by which the capacity of a short group is taken to be
 // smaller. How much smaller it is isn't known, as replicas slow down and fail. While the group
 // stays short, the customers with the most work get less in steps, so that the shares approach
-// those of the actual capacity. With 5%, customers at their usual rate were over their shares
-// at times, beside one that had sent several times its usual rate.
+// those of the actual capacity. Larger steps would also put customers at their usual rate over
+// their shares.
 const shortfall = 0.02
 
 // Account is the work by customer that was placed in a group of replicas. It tells which
