placement: runs placed by completion hold slots

Cause: only requests that are not placed by completion were counted as busy slots. On a service with routes of both kinds, those not placed by completion no longer saw the streams of the others and were sent to replicas full of them, unlike before placement by completion.

Change: each placed request with an expected slot time holds a slot. The cost of placement by completion does not depend on slots.

--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -180,7 +180,7 @@
 	} else {
 		l.countPrefill(id, c.PrefillMs, now)
 	}
-	if !r.ByCompletion && r.SlotMs > 0 {
+	if r.SlotMs > 0 {
 		p.slot = &slotUse{replica: id, endsAt: now.Add(milliseconds(c.WaitMs + c.PrefillMs + r.SlotMs))}
 		l.busySlots[id]++
 		l.slots.push(p.slot)
--- a/placement/work_test.go
+++ b/placement/work_test.go
@@ -37,6 +37,21 @@
 	}
 }
 
+// Guards against prompts that are not placed by completion being sent to a replica full of
+// streams, because the slots of those that are placed by completion are not counted.
+func TestRunsHoldSlots(t *testing.T) {
+	l := placement.NewLoadTracker(0)
+	for range 10 {
+		r := stream("a")
+		r.SlotMs = 5000
+		l.Prefilled(l.Choose(r, noon).Ticket, noon)
+	}
+	r := placement.Request{Replicas: []string{"a", "b"}, UnsharedMs: 100, SlotMs: 5000}
+	if c := l.Choose(r, noon); c.Index != 1 {
+		t.Errorf("got replica %d, want 1, where no slot is in use", c.Index)
+	}
+}
+
 // Guards against pending prefill that outlasts its run because the report of its end was
 // lost.
 func TestEndedRunsLeaveNoPendingPrefill(t *testing.T) {
