placement: a late answer of an idle group doesn't show that it is short

Cause: a group counted as short if the whole answer took most of the time left on the best candidate, also if that candidate was idle. A long answer, or a request sent shortly before its deadline, was then demoted and refused with 503, as the customer with the most work is always over its share of a short group.

Change: the criterion needs an answer that would take less than that on an idle replica.

Test: TestLateAnswerOfIdleGroupIsNotDemoted; entry's tests of shares.

--- a/placement/share.go
+++ b/placement/share.go
@@ -147,9 +147,11 @@
 }
 
 // finishesLate reports whether the group is short of capacity for generation: on its best
-// candidate the answer takes most of the time left.
+// candidate the answer takes most of the time left. It doesn't show that if it takes as long on an
+// idle replica.
 func (r Request) finishesLate(c Choice) bool {
-	return r.ByCompletion && r.DeadlineMs > 0 && c.FinishMs > lateFinishFraction*r.DeadlineMs
+	most := lateFinishFraction * r.DeadlineMs
+	return r.ByCompletion && r.DeadlineMs > 0 && c.FinishMs > most && c.PrefillMs+r.OutputTokens*stepMs(r.Pace) <= most
 }
 
 // isShort reports whether the group is short of capacity: even its least loaded candidate
--- a/placement/share_test.go
+++ b/placement/share_test.go
@@ -44,6 +44,19 @@
 	}
 }
 
+// Guards against refusals for a share of an idle group: a request whose answer is late on an idle
+// replica as well, as it is long or was sent late, doesn't show that the group is short.
+func TestLateAnswerOfIdleGroupIsNotDemoted(t *testing.T) {
+	l := placement.NewLoadTracker(0)
+	r := sharedRequest("g", "hot")
+	r.UnsharedMs, r.OutputTokens, r.DeadlineMs = 1, 1000, 20_000
+	l.Ended(l.Choose(r, noon).Ticket)
+	r.DeadlineMs = 2000
+	if c := l.Choose(r, noon); c.Demoted {
+		t.Errorf("with %.0f ms of work before it: got %+v, want no demotion", c.WaitMs, c)
+	}
+}
+
 // Guards against answers that are all late, while no prompts wait, since too many streams run at
 // all replicas.
 func TestGroupWithSlowStreamsDemotes(t *testing.T) {
