placement: don't count implausible numbers of other instances

Cause: times, paces and token counts in datagrams were counted as they were. Two prefill times of 1e308 ms left an infinite wait at a replica until the owner restarted; answers with infinity can't be encoded, so that the owner looked silent to all. Negative values made replicas look empty. Large times overflowed durations, and runs with a far deadline were dropped at once.

Change: requests, reported runs and choices with numbers out of range are not used; the sender of such a request gets no choice, and chooses by its own load. Conversions to durations saturate.

Test: TestImplausibleNumbersAreNotCounted, TestFarDeadlineDoesNotOverflow, TestImplausibleChoiceIsNotUsed.

--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -25,7 +25,8 @@
 
 // isPlausible reports whether the run's numbers can be counted.
 func (x reportedRun) isPlausible(now time.Time) bool {
-	return x.ticket != 0 && x.replica != "" && x.pace >= 0 && x.memoryTokens >= 0 && x.prefillMs >= 0 &&
+	return x.ticket != 0 && x.replica != "" &&
+		isWithin(x.pace, maxPaceMs) && isWithin(x.memoryTokens, maxTokens) && isWithin(x.prefillMs, maxPromptMs) &&
 		!now.After(x.endsAt.Add(runExpiry))
 }
 
--- a/placement/node.go
+++ b/placement/node.go
@@ -89,7 +89,7 @@
 		}
 		return Choice{}, Ticket{}, false
 	}
-	if c.Index < 0 || c.Index >= len(r.Replicas) {
+	if c.Index < 0 || c.Index >= len(r.Replicas) || !c.isPlausible() {
 		return Choice{}, Ticket{}, false
 	}
 	return c, n.placed(group, o, r, c), true
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -300,5 +300,7 @@
 	}
 }
 
-// milliseconds converts a number of milliseconds to a duration.
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// milliseconds converts a number of milliseconds, of which maxTimeMs count, to a duration.
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(max(-maxTimeMs, min(ms, maxTimeMs)) * float64(time.Millisecond))
+}
--- a/placement/transport.go
+++ b/placement/transport.go
@@ -34,7 +34,7 @@
 	}
 	switch {
 	case m.Request != nil:
-		c := n.tracker.Choose(m.Request.request(), n.clock())
+		c := n.chooseFor(from, m.Request.request())
 		_ = n.net.Send(from, encode(message{RequestID: m.RequestID, Choice: (*wireChoice)(&c)}))
 	case m.Choice != nil:
 		n.deliver(from, m.RequestID, Choice(*m.Choice))
@@ -45,6 +45,16 @@
 	}
 }
 
+// chooseFor places the request of another instance. There is no choice for one with implausible
+// numbers; that instance then chooses by its own load.
+func (n *Node) chooseFor(from string, r Request) Choice {
+	if !r.isPlausible() {
+		n.log("datagram_unreadable", "from", from, "error", errImplausible)
+		return Choice{Index: -1}
+	}
+	return n.tracker.Choose(r, n.clock())
+}
+
 // deliver passes a choice to the caller that waits for it. If the caller has
 // timed out, it has placed the prompt elsewhere, so the owner is sent an abort
 // of the ticket and stops counting the work.
