placement: count an open run once per ticket

Cause: a choice with the ticket of an open run replaced it, but was counted as one more. The count was never reduced, and at 1,024 the instance kept no open runs for new owners.

Change: the run with the same ticket is removed first.

Test: TestRepeatedTicketIsOneOpenRun.

--- a/placement/openruns.go
+++ b/placement/openruns.go
@@ -98,6 +98,9 @@
 	case g.repeatAt.IsZero() && g.owner.ID != owner.ID:
 		g.repeatAt = now.Add(repeatDelay)
 	}
+	if g.runs[x.ticket] != nil {
+		o.remove(g, x.ticket)
+	}
 	if o.count < maxOpenRuns {
 		g.runs[x.ticket] = &openRun{reportedRun: x, owners: []peer.Member{owner}}
 		o.count++
--- a/placement/plausible_test.go
+++ b/placement/plausible_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"fieldvale/peer"
 	"fieldvale/placement"
 )
 
@@ -76,6 +77,24 @@
 	})
 }
 
+// Guards against an instance that keeps no open runs any more, because answers with the same ticket
+// were counted each time.
+func TestRepeatedTicketIsOneOpenRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var n *placement.Node
+		n = placement.NewNode("x", 0, answering{&n, `{"Index":0,"Ticket":5}`}, time.Now, func(string, ...any) {})
+		n.SetMembers([]peer.Member{{ID: "a", Addr: "a"}})
+		var k placement.Ticket
+		for range 3 {
+			_, k, _ = n.Choose(context.Background(), group, placement.Request{Replicas: []string{replica}, UnsharedMs: 1, ByCompletion: true})
+		}
+		n.ReportEnded(k)
+		if o := n.OpenRuns(); o != 0 {
+			t.Errorf("after the end: got %d open runs, want 0", o)
+		}
+	})
+}
+
 // discard loses all datagrams.
 type discard struct{}
 
