entry: an answer cut off early doesn't shorten the expected finish

Cause: an attempt that its deadline ended counted as an answer that took the time until then. One that began shortly before the deadline made the expected time of all answers of its kind shorter, so that requests over their shares were sent although their answers would be late.

Change: such an attempt counts only if it took longer than was expected.

Test: TestEndByDeadlineDoesNotShortenEstimate.

--- a/entry/demotion_test.go
+++ b/entry/demotion_test.go
@@ -15,6 +15,7 @@
 	"fieldvale/prompt"
 	"fieldvale/rollout"
 	"fieldvale/route"
+	"fieldvale/timing"
 )
 
 // choicePlacer chooses the first candidate, always with the same estimates.
@@ -95,6 +96,25 @@
 	}
 }
 
+// Guards against estimates that become too short as attempts begun shortly before their deadline are
+// ended by it: such an attempt shows that the answer takes at least as long, and not that it takes less.
+func TestEndByDeadlineDoesNotShortenEstimate(t *testing.T) {
+	now := time.Now()
+	r := &Router{clock: func() time.Time { return now }, finishDelays: timing.NewFirstEventDelays()}
+	a := &attempt{w: &forwarding{r: r, q: &OpaqueRequest{Deadline: now, TimeoutAt: now}}, assignment: &assignment{byCompletion: true, finishMs: 4000}, slotTimeKey: "k"}
+	for _, c := range []struct {
+		took   time.Duration
+		longer bool
+	}{{time.Second, false}, {8 * time.Second, true}} {
+		before := r.finishDelays.Expect("k", 4000)
+		a.sentAt = now.Add(-c.took)
+		a.recordFinish()
+		if d := r.finishDelays.Expect("k", 4000); d < before || (d > before) != c.longer {
+			t.Errorf("ended after %s: got an estimate of %s after %s, want longer: %t", c.took, d, before, c.longer)
+		}
+	}
+}
+
 // Guards against an instance without an owner that takes a customer to be over its share by
 // chance, or when replicas were slow some time ago.
 func TestLocalSharesNeedEvidence(t *testing.T) {
--- a/entry/share.go
+++ b/entry/share.go
@@ -109,11 +109,14 @@
 }
 
 // recordFinish records how long the complete answer took in relation to what was expected. One
-// that was ended by its deadline took at least that long.
+// that was ended by its deadline would have taken longer, which shows nothing unless that is more than
+// was expected.
 func (a *attempt) recordFinish() {
-	now := a.w.r.clock()
-	if a.assignment.byCompletion && (a.succeeded && !a.escalated || !now.Before(a.w.q.effectiveDeadline())) {
-		a.w.r.finishDelays.Observe(a.slotTimeKey, a.assignment.finishMs, now.Sub(a.sentAt))
+	now, p, d := a.w.r.clock(), a.assignment, a.w.r.finishDelays
+	took := now.Sub(a.sentAt)
+	isCutOff := !now.Before(a.w.q.effectiveDeadline()) && took > d.Expect(a.slotTimeKey, p.finishMs)
+	if p.byCompletion && (a.succeeded && !a.escalated || isCutOff) {
+		d.Observe(a.slotTimeKey, p.finishMs, took)
 	}
 }
 
