placement: count the prefill of runs beyond the bound on runs

Cause: an owner that knew 8,192 runs counted further ones neither as runs nor as prefill, but subtracted their prefill when they were aborted. Replicas that prefilled all the time looked idle.

Change: the prefill is counted in any case. It takes no memory for each run.

Test: TestPrefillOfUncountedRunsIsCounted.

--- a/placement/work.go
+++ b/placement/work.go
@@ -214,9 +214,11 @@
 	}, c.PrefillMs, now)
 }
 
-// countRun adds the run and its prefill to its replica's work, unless too many are known.
+// countRun adds the run and its prefill to its replica's work; the prefill alone if too many runs are
+// known.
 func (l *LoadTracker) countRun(ticket uint64, x *run, prefillMs float64, now time.Time) {
 	if len(l.runs) >= maxKnownRuns {
+		l.countPrefill(x.replica, prefillMs, now)
 		return
 	}
 	l.replicaWorkOf(x.replica).add(x, prefillMs, now)
--- a/placement/work_test.go
+++ b/placement/work_test.go
@@ -37,6 +37,25 @@
 	}
 }
 
+// Guards against replicas that look idle although they prefill all the time, since withdrawn prompts
+// are subtracted that were not counted, as too many runs are known.
+func TestPrefillOfUncountedRunsIsCounted(t *testing.T) {
+	l := placement.NewLoadTracker(0)
+	r := stream("a")
+	r.UnsharedMs, r.OutputTokens = 0.1, 1e6
+	for range 8192 {
+		l.Prefilled(l.Choose(r, noon).Ticket, noon)
+	}
+	before := l.WorkAt("b", noon)
+	r.Replicas, r.UnsharedMs = []string{"b"}, 1000
+	l.Prefilled(l.Choose(r, noon).Ticket, noon)
+	one := l.WorkAt("b", noon)
+	l.Aborted(l.Choose(r, noon).Ticket, placement.NoFault, noon)
+	if w := l.WorkAt("b", noon); before.PrefillFraction != 0 || one.PrefillFraction != 0.25 || w.PrefillFraction != 0.25 || w.Runs != 0 {
+		t.Errorf("got %+v, %+v after a prompt and %+v after one that was withdrawn, want fractions of 0, 0.25 and 0.25", before, one, w)
+	}
+}
+
 // Guards against prompts that are not placed by completion being sent to a replica full of
 // streams, because the slots of those that are placed by completion are not counted.
 func TestRunsHoldSlots(t *testing.T) {
