placement: forget owners that were silent and left

Cause: the time until which a silent owner is avoided was kept for good, so that each instance that was ever lost took memory at all others, and time in each search for avoided owners.

Change: times that have passed are dropped when the list of members changes.

Test: TestLostOwnersAreForgotten.

--- a/placement/export_test.go
+++ b/placement/export_test.go
@@ -30,6 +30,13 @@
 	return n.open.count
 }
 
+// AvoidedOwners returns the number of owners that the node keeps as silent.
+func (n *Node) AvoidedOwners() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.avoidUntil)
+}
+
 // ReportRun reports a run of another owner to the tracker.
 func (l *LoadTracker) ReportRun(ticket uint64, replica string, pace, memory, prefillMs float64, endsAt, now time.Time) bool {
 	return l.adopt([]reportedRun{{ticket: ticket, replica: replica, pace: pace, memoryTokens: memory, prefillMs: prefillMs, endsAt: endsAt}}, now) == 1
--- a/placement/node.go
+++ b/placement/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -49,6 +50,8 @@
 	n.mu.Lock()
 	old := n.members
 	n.members = m
+	now := n.clock()
+	maps.DeleteFunc(n.avoidUntil, func(_ string, t time.Time) bool { return !now.Before(t) })
 	n.mu.Unlock()
 	n.followMembers(old, m)
 }
