placement: datagrams that arrive twice neither drop nor double a run

Cause: an answer for which no request waited was taken to be late, and its ticket was aborted. If it was the second copy of an answer in use, the owner stopped counting a running request and took it out of its customer's work. The answer to a second copy of the request was ignored if the first was not read yet, so that the owner counted the run twice.

Change: the latest answered requests are kept with their tickets. The same ticket again is ignored, another one is aborted.

--- a/placement/node.go
+++ b/placement/node.go
@@ -25,6 +25,8 @@
 	log     func(event string, fields ...any)
 	// waiting are the requests that were sent to owners and not yet answered.
 	waiting *reply.Pending[Choice]
+	// answered are the latest requests that were answered.
+	answered answeredRequests
 
 	mu      sync.Mutex
 	members []peer.Member
--- a/placement/transport.go
+++ b/placement/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"fieldvale/peer"
@@ -58,8 +59,41 @@
 // deliver passes a choice to the caller that waits for it. If the caller has
 // timed out, it has placed the prompt elsewhere, so the owner is sent an abort
 // of the ticket and stops counting the work.
+//
+// A datagram may arrive twice. The second copy of an answer is ignored, since the ticket may be in
+// use. The answer to a second copy of the request has another ticket, which is aborted.
 func (n *Node) deliver(from string, requestID uint64, c Choice) {
-	if !n.waiting.Deliver(requestID, c) && c.Index >= 0 {
+	ticket, isRepeated := n.answered.add(requestID, c.Ticket)
+	if isRepeated && ticket == c.Ticket {
+		return
+	}
+	if (isRepeated || !n.waiting.Deliver(requestID, c)) && c.Index >= 0 {
 		_ = n.net.Send(from, encode(message{Aborted: c.Ticket}))
 	}
 }
+
+// answeredRequests has the latest requests for which a choice arrived, with its ticket. It is safe
+// for concurrent use. The number is that of a second at an instance with 256 requests a second, which
+// is far more than second copies are late by.
+type answeredRequests struct {
+	mu      sync.Mutex
+	latest  [256]answeredRequest
+	nextPos int
+}
+
+type answeredRequest struct{ id, ticket uint64 }
+
+// add records the ticket of the first choice for the request. For further ones it returns that
+// ticket and true.
+func (a *answeredRequests) add(id, ticket uint64) (first uint64, isRepeated bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, x := range a.latest {
+		if x.id == id && id != 0 {
+			return x.ticket, true
+		}
+	}
+	a.latest[a.nextPos] = answeredRequest{id, ticket}
+	a.nextPos = (a.nextPos + 1) % len(a.latest)
+	return ticket, false
+}
