--- a/placement/node.go
+++ b/placement/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	log     func(event string, fields ...any)
 	// waiting are the requests that were sent to owners and not yet answered.
 	waiting *reply.Pending[Choice]
+	// answered are the latest requests that were answered.
+	answered answeredRequests
 
 	mu      sync.Mutex
 	members []peer.Member
@@ -49,6 +52,8 @@
 	n.mu.Lock()
 	old := n.members
 	n.members = m
+	now := n.clock()
+	maps.DeleteFunc(n.avoidUntil, func(_ string, t time.Time) bool { return !now.Before(t) })
 	n.mu.Unlock()
 	n.followMembers(old, m)
 }
@@ -89,7 +94,7 @@
 		}
 		return Choice{}, Ticket{}, false
 	}
-	if c.Index < 0 || c.Index >= len(r.Replicas) {
+	if c.Index < 0 || c.Index >= len(r.Replicas) || !c.isPlausible() {
 		return Choice{}, Ticket{}, false
 	}
 	return c, n.placed(group, o, r, c), true
--- a/placement/share.go
+++ b/placement/share.go
@@ -19,9 +19,8 @@
 	// reason, as after a failed attempt, doesn't make its group short.
 	minShortWaitMs = 500.0
 	// lateFinishFraction is the part of a request's time left from which its group is short if
-	// the whole answer takes longer. Streams slow down further as others follow. A group
-	// may be short of capacity for generation with little prefill queued: with prefill as the only
-	// criterion, a tenth of the answers of customers at their usual rate was late there.
+	// the whole answer takes longer. A group may be short of capacity for generation with little
+	// prefill queued, and its streams slow down further as others follow.
 	lateFinishFraction = 0.75
 	// faultyPenaltyMs is the penalty for faults from which a replica doesn't count for
 	// whether its group is short, in milliseconds: nothing waits at a failed replica.
@@ -148,9 +147,11 @@
 }
 
 // finishesLate reports whether the group is short of capacity for generation: on its best
-// candidate the answer takes most of the time left.
+// candidate the answer takes most of the time left. It doesn't show that if it takes as long on an
+// idle replica.
 func (r Request) finishesLate(c Choice) bool {
-	return r.ByCompletion && r.DeadlineMs > 0 && c.FinishMs > lateFinishFraction*r.DeadlineMs
+	most := lateFinishFraction * r.DeadlineMs
+	return r.ByCompletion && r.DeadlineMs > 0 && c.FinishMs > most && c.PrefillMs+r.OutputTokens*stepMs(r.Pace) <= most
 }
 
 // isShort reports whether the group is short of capacity: even its least loaded candidate
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -180,7 +180,7 @@
 	} else {
 		l.countPrefill(id, c.PrefillMs, now)
 	}
-	if !r.ByCompletion && r.SlotMs > 0 {
+	if r.SlotMs > 0 {
 		p.slot = &slotUse{replica: id, endsAt: now.Add(milliseconds(c.WaitMs + c.PrefillMs + r.SlotMs))}
 		l.busySlots[id]++
 		l.slots.push(p.slot)
@@ -300,5 +300,7 @@
 	}
 }
 
-// milliseconds converts a number of milliseconds to a duration.
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// milliseconds converts a number of milliseconds, of which maxTimeMs count, to a duration.
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(max(-maxTimeMs, min(ms, maxTimeMs)) * float64(time.Millisecond))
+}
--- a/share/account.go
+++ b/share/account.go
@@ -5,10 +5,15 @@
 // shortfall is the part of the placed work by which the capacity of a short group is taken to be
 // smaller. How much smaller it is isn't known, as replicas slow down and fail. While the group
 // stays short, the customers with the most work get less in steps, so that the shares approach
-// those of the actual capacity. With 5%, customers at their usual rate were over their shares
-// at times, beside one that had sent several times its usual rate.
+// those of the actual capacity. Larger steps would also put customers at their usual rate over
+// their shares.
 const shortfall = 0.02
 
+// equalMargin is the multiple of an equal part of the work up to which a customer is never over
+// its share. Requests arrive in bursts, so that customers with equal rates have unequal work in
+// a window, and where all are alike, or there is only one, there is nobody to protect.
+const equalMargin = 1.5
+
 // Account is the work by customer that was placed in a group of replicas. It tells which
 // customers are over their shares if the group is short of capacity. It is not safe for concurrent
 // use.
@@ -52,7 +57,8 @@
 	}
 	used, level := a.placed.Used(customer, now), a.placed.Level((1-shortfall)*total, now)
 	s := Standing{Used: used / total}
-	if s.Over = exceeds(used, level); s.Over {
+	equal := total / float64(a.placed.Customers(now))
+	if s.Over = exceeds(used, level) && used > equalMargin*equal; s.Over {
 		s.Fair = level / total
 	}
 	return s
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -67,6 +67,13 @@
 	return 0
 }
 
+// Customers returns the number of customers with work in the window, of which those
+// without a name of their own count as one.
+func (l *Ledger) Customers(now time.Time) int {
+	l.advance(now)
+	return len(l.work)
+}
+
 // Total returns the work of all customers in the window.
 func (l *Ledger) Total(now time.Time) float64 {
 	l.advance(now)
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -160,3 +160,20 @@
 		a.Standing("c1", noon)
 	}
 }
+
+// Guards against customers that are demoted although nobody else gets less than they do: a sole
+// customer, and customers that have equal rates and arrive in bursts.
+func TestCustomersAlikeAreNotOver(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, n := range []int{1, 2, 24} {
+		a := share.NewAccount(5 * time.Second)
+		for i := range n {
+			a.Place(fmt.Sprint("c", i), 100+20*float64(i%3), now)
+		}
+		for i := range n {
+			if s := a.Standing(fmt.Sprint("c", i), now); s.Over {
+				t.Errorf("customer %d of %d with nearly equal work is over its share", i, n)
+			}
+		}
+	}
+}
