entry: lock the random source of the trial tests

The replicas of trialFleet draw from its source while they hold the lock; run and send drew from it without. go test -race -run TestShortSlowReleaseIsFound reported the race. All draws hold the lock now.

--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -91,9 +91,16 @@
 	}
 }
 
+// intN draws a number below n. Send draws from the same source in other goroutines.
+func (f *trialFleet) intN(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rand.IntN(n)
+}
+
 // send sends a request to an instance; its client disconnects after the patience.
 func (f *trialFleet) send(id string, r *route.Route, patience time.Duration) {
-	n := f.routers[f.rand.IntN(len(f.routers))]
+	n := f.routers[f.intN(len(f.routers))]
 	f.requests.Go(func() {
 		ctx, cancel := context.WithTimeoutCause(f.t.Context(), patience, context.Canceled)
 		defer cancel()
@@ -122,7 +129,7 @@
 	end := time.Now().Add(d)
 	lastExchange := time.Now()
 	for n := 0; time.Now().Before(end); n++ {
-		f.send(fmt.Sprint(name, n), a[f.rand.IntN(len(a))], patience)
+		f.send(fmt.Sprint(name, n), a[f.intN(len(a))], patience)
 		time.Sleep(time.Second / time.Duration(rate))
 		if time.Since(lastExchange) < 400*time.Millisecond {
 			continue
