entry: deliver a plain answer late that did not fit into the buffer

A plain answer without room in the buffer waited for its client with the context of the run. At the deadline the wait ended with an error, and the connection was aborted although the rest was written to the client afterwards. The body is in the queue by then, so that the end of the run is no error of it; clientWriter.finish still reports a client that left or was cut.

Test: TestLargePlainAnswerIsDeliveredLate.

--- a/entry/clientwriter.go
+++ b/entry/clientwriter.go
@@ -64,10 +64,14 @@
 // Event implements ForwardSink.
 func (c *clientWriter) Event(b []byte) error { return c.put(b) }
 
-// Body implements ForwardSink.
+// Body implements ForwardSink. The body is the only piece of its answer, which is in the queue from the start, so that the
+// end of the run ends only the wait for it: finish decides whether the client still gets the rest.
 func (c *clientWriter) Body(b []byte) error {
 	c.isBody = true
-	return c.put(b)
+	if err := c.put(b); c.run.Err() == nil {
+		return err
+	}
+	return nil
 }
 
 func (c *clientWriter) put(b []byte) error {
--- a/entry/clientwriter_test.go
+++ b/entry/clientwriter_test.go
@@ -355,6 +355,25 @@
 	}
 }
 
+// Guards against a complete plain answer that is broken off because its client, which reads slowly, has not got all of it
+// by the deadline. It is too large for the buffer, so that the request waits for the client.
+func TestLargePlainAnswerIsDeliveredLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const parts = 13
+		body := strings.Repeat("0123456789abcdef", parts*bodyPartBytes/16)
+		c := newBufferTest(t, largeBudget(), route.Route{Kind: route.Repeatable, MaxAttempts: 1}, scriptedReply{status: 200, events: []string{body}})
+		s := newSlowSink()
+		done := c.forward(t.Context(), s)
+		s.readEach(parts, time.Second)
+		if f := <-done; f.err != nil || f.took <= c.timeout || f.result.StopReason != "" || strings.Join(s.received(), "") != body {
+			t.Errorf("got error %v after %s, stopped for %q, %d bytes, want all %d after more than %s", f.err, f.took, f.result.StopReason, len(strings.Join(s.received(), "")), len(body), c.timeout)
+		}
+		if len(c.failed) != 0 || c.budget.Held() != 0 {
+			t.Errorf("got failed attempts %v and %d bytes held, want none", c.failed, c.budget.Held())
+		}
+	})
+}
+
 // A failure before the head must go the usual way, without an answer to the client.
 func TestFailureBeforeHeadIsNotBuffered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
