entry: write nothing to a client that has left

The writer passed on all pieces that were in the queue until a write failed, also after the context of the client had ended. It checks the context before each write now.

Test: TestNothingIsWrittenAfterClientLeft.

--- a/entry/clientwriter.go
+++ b/entry/clientwriter.go
@@ -103,24 +103,33 @@
 	}
 }
 
-// write writes one event or a body.
+// write writes one event or a body, unless the client has left.
 func (c *clientWriter) write(b []byte) error {
 	if !c.isBody {
-		defer c.recordWrite()
-		return c.out.Event(b)
+		return c.writePart(b, c.out.Event)
 	}
 	for {
 		n := min(len(b), bodyPartBytes)
-		if err := c.out.Body(b[:n]); err != nil {
+		if err := c.writePart(b[:n], c.out.Body); err != nil {
 			return err
 		}
-		c.recordWrite()
 		if b = b[n:]; len(b) == 0 {
 			return nil
 		}
 	}
 }
 
+func (c *clientWriter) writePart(b []byte, write func([]byte) error) error {
+	if err := c.client.Err(); err != nil {
+		return err
+	}
+	if err := write(b); err != nil {
+		return err
+	}
+	c.recordWrite()
+	return nil
+}
+
 func (c *clientWriter) recordWrite() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/clientwriter_test.go
+++ b/entry/clientwriter_test.go
@@ -374,6 +374,39 @@
 	})
 }
 
+// leavingSink is a client that leaves during its first write.
+type leavingSink struct {
+	leave  context.CancelFunc
+	writes int
+}
+
+func (s *leavingSink) Head(Head) error     { return nil }
+func (s *leavingSink) Event([]byte) error  { s.writes++; s.leave(); return nil }
+func (s *leavingSink) Body(b []byte) error { return s.Event(b) }
+func (s *leavingSink) Interrupt()          {}
+
+// Guards against buffered events, or further parts of a body, that are written after the client left.
+func TestNothingIsWrittenAfterClientLeft(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		route route.Route
+		reply scriptedReply
+	}{
+		{"stream", streamRoute, scriptedReply{status: 200, events: numbered(9)}},
+		{"body", route.Route{Kind: route.Repeatable, MaxAttempts: 1}, scriptedReply{status: 200, events: []string{strings.Repeat("x", 3*bodyPartBytes)}}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBufferTest(t, largeBudget(), c.route, c.reply)
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			s := &leavingSink{leave: leave}
+			if f := <-b.forward(ctx, s); f.err == nil || s.writes != 1 {
+				t.Errorf("%s: got error %v after %d writes, want one after the first", c.name, f.err, s.writes)
+			}
+		})
+	}
+}
+
 // A failure before the head must go the usual way, without an answer to the client.
 func TestFailureBeforeHeadIsNotBuffered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
