entry: keep the status that the client got when a resumed run fails

An error response to a resumed stream replaced the status of the answer that the client was already reading. attempt.done takes a status of 500 or above for that of its own replica, so that the next replica counted as faulty for its breaker and its release if the client left during the next run. The status is recorded only while no answer has started. Resumed streams of other routes change in the same way, and only after such an error.

Test: TestErrorOfResumedRunIsNotThatOfTheNext.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -25,12 +25,12 @@
 	}
 	a.failureComplete = true
 	w := a.w
-	w.result.Status = h.Status
 	w.failureAnswer = &failureAnswer{head: h, body: b}
 	w.reportStarted(a.sentAt)
 	if w.answerStarted {
 		return outcome.New(outcome.Unknown, stepAnswer, a.replica.ID, errors.Newf("the replica answered with status %d instead of resuming the stream", h.Status)).WithStatus(h.Status)
 	}
+	w.result.Status = h.Status
 	if w.q.Route.AllowsRetry() && w.result.Runs < w.q.Route.MaxAttempts && h.Status >= 500 && w.takeRetry() {
 		w.mayHaveRun = true
 		return w.markRetryGranted(outcome.New(outcome.Unknown, stepAnswer, a.replica.ID, errors.Newf("the replica answered with status %d", h.Status)).WithStatus(h.Status))
--- a/entry/streammonitor_test.go
+++ b/entry/streammonitor_test.go
@@ -76,6 +76,8 @@
 	onChoose, onSend func(n int, leave context.CancelFunc)
 	// onCancel is called when a run is cancelled, onClose when it is closed.
 	onCancel, onClose func(leave context.CancelFunc)
+	// onEvent is called with the number of each event that is written to the client.
+	onEvent func(n int, leave context.CancelFunc)
 	// clock may be nil.
 	clock Clock
 }
@@ -237,7 +239,13 @@
 func (f *streamFleet) Head(Head) error { f.heads++; return nil }
 
 // Event implements ForwardSink.
-func (f *streamFleet) Event(b []byte) error { f.got = append(f.got, string(b)); return nil }
+func (f *streamFleet) Event(b []byte) error {
+	f.got = append(f.got, string(b))
+	if f.onEvent != nil {
+		f.onEvent(len(f.got), f.leave)
+	}
+	return nil
+}
 
 // Body implements ForwardSink.
 func (f *streamFleet) Body([]byte) error { f.bodies++; return nil }
@@ -399,6 +407,21 @@
 	}
 }
 
+// Guards against a healthy replica that counts as faulty, and a wrong status, if another one answered with an error instead of
+// resuming the stream and the client then left.
+func TestErrorOfResumedRunIsNotThatOfTheNext(t *testing.T) {
+	s := newScenario(silentAfter(5), fakeRun{status: http.StatusInternalServerError}, complete(50*time.Millisecond))
+	s.onEvent = func(n int, leave context.CancelFunc) {
+		if n == 8 {
+			leave()
+		}
+	}
+	f, x, err := s.run(t)
+	if len(f.faults) > 0 || err == nil || len(f.failed) != 2 || x.Status != http.StatusOK {
+		t.Errorf("%v, %v, failed attempts %v, status %d, want the first two and the status that the client got", f.faults, err, f.failed, x.Status)
+	}
+}
+
 // Guards against a healthy replica that is found silent because this process was suspended: the
 // event that ends the silence has arrived but was not read yet.
 func TestSuspensionIsNoSilence(t *testing.T) {
