entry: do not move a stream for the time that its client took

The wait for an event began after the client had taken the previous one, but the time left to the deadline included the wait for the client: a replica with an even pace counted as slow, or a short silence as too long, once a slow client had used up the time. Moving such a stream has its prompt read again and helps nobody. The time for which events wait for the client is now added to the deadline that the replica is judged by. The decision for the other replica uses the real deadline as before.

Test: TestSlowClientDoesNotMoveStream.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -34,6 +34,9 @@
 	// events is the number of events relayed, bytes their total size.
 	events int
 	bytes  int
+	// clientWait is the time for which events waited until the client, or its buffer, had taken
+	// them. The replica is not slow for that.
+	clientWait time.Duration
 	// clientLeft is set if the client disconnected during the attempt; a broken connection is
 	// then not the replica's fault.
 	clientLeft bool
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -141,9 +141,11 @@
 	if err := a.sendHead(reply); err != nil {
 		return err
 	}
+	acceptedFrom := a.w.r.clock()
 	if err := a.w.out.Event(e.Data); err != nil {
 		return callerGone(err)
 	}
+	a.clientWait += a.w.r.clock().Sub(acceptedFrom)
 	a.w.result.Events++
 	a.events++
 	a.bytes += len(e.Data)
--- a/entry/streammonitor.go
+++ b/entry/streammonitor.go
@@ -162,7 +162,7 @@
 	m.move = &StreamMove{
 		Request: w.q.ID, Service: w.result.Service, From: m.a.replica.ID, To: p.replica.ID, Reason: v,
 		Events: m.tracker.Events(), EventsLeft: left, Interval: m.tracker.Interval(), SilentSince: m.tracker.SilentSince(),
-		DecidedAt: now, Deadline: m.policy.Deadline,
+		DecidedAt: now, Deadline: w.q.effectiveDeadline(),
 	}
 	return true
 }
@@ -235,6 +235,8 @@
 	}
 	if m.tracker.Events() > 0 {
 		m.tracker = m.tracker.WithWait(m.a.w.r.clock())
+		// The replica is judged by the time that it would have if the client had read at once.
+		m.policy.Deadline = m.a.w.q.effectiveDeadline().Add(m.a.clientWait)
 		if m.decide() {
 			return Event{}, m.result(m.cause())
 		}
--- a/entry/streammonitor_test.go
+++ b/entry/streammonitor_test.go
@@ -407,6 +407,35 @@
 	}
 }
 
+// Guards against a stream that is moved because its client took the time that was left. The replica sends at an even pace and
+// would complete the answer in time.
+func TestSlowClientDoesNotMoveStream(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		run  fakeRun
+	}{
+		{"mean interval", complete(200 * time.Millisecond)},
+		{"short silence", fakeRun{first: 50 * time.Millisecond, interval: 50 * time.Millisecond, stopAfter: 20, pause: 1900 * time.Millisecond}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScenario(c.run, complete(50*time.Millisecond))
+			s.events, s.expected, s.finish = 30, 60, time.Second
+			s.onEvent = func(n int, _ context.CancelFunc) {
+				if n == 18 {
+					time.Sleep(13 * time.Second)
+				}
+			}
+			if c.run.stopAfter != neverStops {
+				s.timeLeft = 16500 * time.Millisecond
+			}
+			f, x, err := s.run(t)
+			if len(f.faults) > 0 || err != nil || len(x.Moves) > 0 || x.MoveDeclined != "" {
+				t.Errorf("%v, %v, moves %v, declined %q, want no decision", f.faults, err, x.Moves, x.MoveDeclined)
+			}
+		})
+	}
+}
+
 // Guards against a healthy replica that counts as faulty, and a wrong status, if another one answered with an error instead of
 // resuming the stream and the client then left.
 func TestErrorOfResumedRunIsNotThatOfTheNext(t *testing.T) {
