entry: leave the wait for a slow client out of the expected time of answers

recordFinish learned the time to the complete answer including the time for which events waited for the client. Slow clients thus raised the expected time for all, by which requests of customers over their share are refused as late.

Test: TestSlowClientDoesNotRaiseExpectedTime.

--- a/entry/share.go
+++ b/entry/share.go
@@ -108,12 +108,13 @@
 	}
 }
 
-// recordFinish records how long the complete answer took in relation to what was expected. One
-// that was ended by its deadline took at least that long.
+// recordFinish records how long the complete answer took in relation to what was expected, without
+// the time for which it waited for its client. One that was ended by its deadline took at least
+// that long.
 func (a *attempt) recordFinish() {
 	now := a.w.r.clock()
 	if a.assignment.byCompletion && (a.succeeded && !a.escalated || !now.Before(a.w.q.effectiveDeadline())) {
-		a.w.r.finishDelays.Observe(a.slotTimeKey, a.assignment.finishMs, now.Sub(a.sentAt))
+		a.w.r.finishDelays.Observe(a.slotTimeKey, a.assignment.finishMs, now.Sub(a.sentAt)-a.clientWait)
 	}
 }
 
--- a/entry/streammonitor_test.go
+++ b/entry/streammonitor_test.go
@@ -104,6 +104,7 @@
 	bodies int
 	failed []FailedAttempt
 	moved  []StreamMove
+	router *Router
 }
 
 func (f *streamFleet) fault(format string, args ...any) {
@@ -272,6 +273,7 @@
 				StreamMoved:   func(m StreamMove) { f.moved = append(f.moved, m) },
 			},
 		})
+		f.router = r
 		now := clock()
 		q := &OpaqueRequest{
 			ID: "q", Table: v.Get().Table, Prompt: prompt.Prompt{Model: "m", InputTokens: 100, EstimatedOutputTokens: s.expected},
@@ -436,6 +438,24 @@
 	}
 }
 
+// Guards against requests that are refused as late because a slow client was taken for slow replicas.
+func TestSlowClientDoesNotRaiseExpectedTime(t *testing.T) {
+	for _, left := range []time.Duration{20 * time.Second, 8 * time.Second} {
+		s := newScenario(complete(100 * time.Millisecond))
+		s.timeLeft = left
+		s.onEvent = func(n int, _ context.CancelFunc) {
+			if n == 5 {
+				time.Sleep(10 * time.Second)
+			}
+		}
+		f, x, _ := s.run(t)
+		w := &forwarding{q: x.Request, result: x, modelIndex: -1}
+		if d := f.router.finishDelays.Expect(w.slotTimeKey(), float64(s.finish.Milliseconds())); len(f.faults) > 0 || d >= s.finish {
+			t.Errorf("%s left: %v, a complete answer is expected after %s, want less than the estimate of %s", left, f.faults, d, s.finish)
+		}
+	}
+}
+
 // Guards against a healthy replica that counts as faulty, and a wrong status, if another one answered with an error instead of
 // resuming the stream and the client then left.
 func TestErrorOfResumedRunIsNotThatOfTheNext(t *testing.T) {
