entry: count the stall of a client from when there is something to write

The last write decided whether a client is cut at its deadline, also if the replica had sent nothing since. The last event of an answer that came just before the deadline, after more than two seconds without one, was dropped if the client took it a moment later, and a complete answer was broken off. The time now begins when a piece is added to an empty queue.

Test: TestClientWithoutEventsIsNotStalled.

--- a/answerbuffer/queue.go
+++ b/answerbuffer/queue.go
@@ -243,6 +243,13 @@
 	q.signal()
 }
 
+// IsEmpty reports whether no piece is in the queue or being written.
+func (q *Queue) IsEmpty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.pieces) == 0 && q.current == nil
+}
+
 // Shortage returns the limit for which the first piece without room found none.
 func (q *Queue) Shortage() Shortage {
 	q.mu.Lock()
--- a/entry/clientwriter.go
+++ b/entry/clientwriter.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// clientStallTimeout is how long after its last write a client may still be written to once
-	// its deadline has passed. Complete answers are delivered late to a client that reads.
+	// clientStallTimeout is how long after its last write, or after the answer went on, a client
+	// may still be written to once its deadline has passed. Complete answers are delivered late to
+	// a client that reads.
 	clientStallTimeout = 2 * time.Second
 	// bodyPartBytes is the size of the parts in which a complete body is written, in bytes. A
 	// client that reads slowly is seen to read by the parts that were written.
@@ -40,8 +41,9 @@
 	done chan struct{}
 	err  error
 
-	mu          sync.Mutex
-	lastWriteAt time.Time
+	mu sync.Mutex
+	// progressAt is when the client last had nothing to read, or was last written to.
+	progressAt time.Time
 }
 
 var _ ForwardSink = (*clientWriter)(nil)
@@ -75,8 +77,10 @@
 }
 
 func (c *clientWriter) put(b []byte) error {
+	if c.queue.IsEmpty() {
+		c.recordProgress()
+	}
 	if c.done == nil {
-		c.lastWriteAt = c.clock()
 		c.done = make(chan struct{})
 		go c.writePieces()
 	}
@@ -126,14 +130,14 @@
 	if err := write(b); err != nil {
 		return err
 	}
-	c.recordWrite()
+	c.recordProgress()
 	return nil
 }
 
-func (c *clientWriter) recordWrite() {
+func (c *clientWriter) recordProgress() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lastWriteAt = c.clock()
+	c.progressAt = c.clock()
 }
 
 // finish waits until the buffered answer was written. It returns an error if the client left
@@ -177,7 +181,7 @@
 func (c *clientWriter) cutAt(deadline time.Time) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t := c.lastWriteAt.Add(clientStallTimeout); t.After(deadline) {
+	if t := c.progressAt.Add(clientStallTimeout); t.After(deadline) {
 		return t
 	}
 	return deadline
--- a/entry/clientwriter_test.go
+++ b/entry/clientwriter_test.go
@@ -60,11 +60,15 @@
 	return slices.Clone(s.got)
 }
 
-// readEach reads n writes, one in each interval.
+// readEach reads n writes, one in each interval, unless it is interrupted.
 func (s *slowSink) readEach(n int, interval time.Duration) {
 	for range n {
 		time.Sleep(interval)
-		s.reads <- struct{}{}
+		select {
+		case s.reads <- struct{}{}:
+		case <-s.interrupted:
+			return
+		}
 	}
 }
 
@@ -374,6 +378,48 @@
 	})
 }
 
+// lateUpstream has the last event of each stream come after a wait.
+type lateUpstream struct {
+	*forwardScript
+	wait time.Duration
+}
+
+func (u lateUpstream) Send(ctx context.Context, r *pool.Replica, d Dispatch) (Reply, error) {
+	p, err := u.forwardScript.Send(ctx, r, d)
+	if err != nil {
+		return nil, err
+	}
+	return &lateReply{p.(*replyFake), u.wait}, nil
+}
+
+type lateReply struct {
+	*replyFake
+	wait time.Duration
+}
+
+func (r *lateReply) Next() (Event, error) {
+	if r.n == len(r.p.events)-1 {
+		time.Sleep(r.wait)
+	}
+	return r.replyFake.Next()
+}
+
+// Guards against a client that is cut at the deadline although it reads: the replica sent nothing for a while, and its last
+// event came just before.
+func TestClientWithoutEventsIsNotStalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newBufferTest(t, largeBudget(), streamRoute, scriptedReply{status: 200, events: numbered(2)})
+		c.router.upstream = lateUpstream{c.script, c.timeout - time.Millisecond}
+		s := newSlowSink()
+		done := c.forward(t.Context(), s)
+		s.readEach(1, 100*time.Millisecond)
+		s.readEach(1, c.timeout)
+		if f := <-done; f.err != nil || !slices.Equal(s.received(), numbered(2)) {
+			t.Errorf("got error %v and events %v, want none and both", f.err, s.received())
+		}
+	})
+}
+
 // leavingSink is a client that leaves during its first write.
 type leavingSink struct {
 	leave  context.CancelFunc
