entry: do not cut a client because the process was suspended

After a suspension beyond the deadline of a buffered answer, the client was cut before the writer had a chance to write to it. A cut that comes more than maxTimerDelay late is put off, once, by the time that a stalled client has.

Test: TestSuspensionDoesNotCutClient.

--- a/entry/clientwriter.go
+++ b/entry/clientwriter.go
@@ -147,9 +147,15 @@
 		return nil
 	}
 	c.queue.Close()
+	wasSuspended := false
 	for {
-		left := c.cutAt(deadline).Sub(c.clock())
-		t := time.NewTimer(left)
+		if !wasSuspended && c.clock().Sub(c.cutAt(deadline)) > maxTimerDelay {
+			// Nothing could be written while the process was suspended. This is taken into account
+			// only once, so that a busy process doesn't hold stalled clients for long.
+			wasSuspended = true
+			c.recordProgress()
+		}
+		t := time.NewTimer(c.cutAt(deadline).Sub(c.clock()))
 		select {
 		case <-c.done:
 			t.Stop()
@@ -161,7 +167,7 @@
 			return c.err
 		case <-t.C:
 		}
-		if !c.clock().Before(c.cutAt(deadline)) {
+		if late := c.clock().Sub(c.cutAt(deadline)); late >= 0 && (wasSuspended || late <= maxTimerDelay) {
 			return c.cut()
 		}
 	}
--- a/entry/clientwriter_test.go
+++ b/entry/clientwriter_test.go
@@ -420,6 +420,28 @@
 	})
 }
 
+// Guards against a client that is cut because this process was suspended and could not write.
+func TestSuspensionDoesNotCutClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newBufferTest(t, largeBudget(), streamRoute, scriptedReply{status: 200, events: numbered(9)})
+		start := time.Now()
+		c.router.clock = func() time.Time {
+			if now := time.Now(); now.Sub(start) < time.Second {
+				return now
+			}
+			return time.Now().Add(30 * time.Second)
+		}
+		s := newSlowSink()
+		done := c.forward(t.Context(), s)
+		s.readEach(2, 100*time.Millisecond)
+		time.Sleep(c.timeout)
+		s.readEach(7, 50*time.Millisecond)
+		if f := <-done; f.err != nil || !slices.Equal(s.received(), numbered(9)) {
+			t.Errorf("got error %v and events %v, want none and all", f.err, s.received())
+		}
+	})
+}
+
 // leavingSink is a client that leaves during its first write.
 type leavingSink struct {
 	leave  context.CancelFunc
