entry, admission: a declined move uses up no probe of an open breaker

A decision about a slow stream reserves a replica, which counts as an attempt for its breaker, and then often leaves the stream where it is. If the breaker was open, the next probe of the replica was postponed by another open period, up to 30 s, without a request having been sent; decisions repeat each second. The attempt is withdrawn now.

Test: TestDeclinedMoveUsesUpNoProbe.

--- a/admission/breaker.go
+++ b/admission/breaker.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// WithdrawAttempt withdraws an attempt that was recorded and then not sent. While the
+// breaker is open, the next request may probe the server at once.
+func (b *Breaker) WithdrawAttempt(now time.Time) {
+	if !b.probeAt.IsZero() {
+		b.probeAt = now
+	}
+}
+
 // RecordSuccess records a success and closes the breaker.
 func (b *Breaker) RecordSuccess() {
 	b.consecutiveFailures = 0
--- a/entry/candidates.go
+++ b/entry/candidates.go
@@ -140,3 +140,11 @@
 	defer b.mu.Unlock()
 	b.stateOf(id).running--
 }
+
+// withdrawProbe lets another request probe the replica if its breaker is open, in place of one
+// that was assigned to the replica and not sent.
+func (b *backends) withdrawProbe(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stateOf(id).breaker.WithdrawAttempt(now)
+}
--- a/entry/streammonitor.go
+++ b/entry/streammonitor.go
@@ -195,7 +195,7 @@
 		w.movedForSlowness = w.movedForSlowness || v == pace.Slow
 		return p, ""
 	}
-	w.releaseAssignment(p)
+	w.releaseUnsent(p)
 	return nil, kept
 }
 
--- a/entry/streammonitor_test.go
+++ b/entry/streammonitor_test.go
@@ -78,6 +78,8 @@
 	onCancel, onClose func(leave context.CancelFunc)
 	// onEvent is called with the number of each event that is written to the client.
 	onEvent func(n int, leave context.CancelFunc)
+	// onReady is called with the router before the request is forwarded.
+	onReady func(*Router)
 	// clock may be nil.
 	clock Clock
 }
@@ -274,6 +276,9 @@
 			},
 		})
 		f.router = r
+		if s.onReady != nil {
+			s.onReady(r)
+		}
 		now := clock()
 		q := &OpaqueRequest{
 			ID: "q", Table: v.Get().Table, Prompt: prompt.Prompt{Model: "m", InputTokens: 100, EstimatedOutputTokens: s.expected},
@@ -438,6 +443,44 @@
 	}
 }
 
+// Guards against a replica that stays excluded by its breaker because the request that may probe it is taken up by decisions
+// that leave the stream where it is.
+func TestDeclinedMoveUsesUpNoProbe(t *testing.T) {
+	s := newScenario(complete(500 * time.Millisecond))
+	s.events, s.expected, s.timeLeft, s.finish = 25, 60, 15*time.Second, 14*time.Second
+	var r *Router
+	var running string
+	forEach := func(f func(id string, x *backend)) {
+		r.backends.mu.Lock()
+		defer r.backends.mu.Unlock()
+		for i := range 8 {
+			if id := fmt.Sprint("r", i); id != running {
+				f(id, r.backends.stateOf(id))
+			}
+		}
+	}
+	s.onReady = func(x *Router) { r = x }
+	s.onSend = func(int, context.CancelFunc) {
+		for id := range r.InFlight() {
+			running = id
+		}
+		forEach(func(_ string, x *backend) { x.breaker.Open(time.Now().Add(-time.Second)) })
+	}
+	s.onEvent = func(n int, _ context.CancelFunc) {
+		if n != 24 {
+			return
+		}
+		forEach(func(id string, x *backend) {
+			if !x.breaker.Allows(time.Now()) {
+				t.Errorf("%s may not be probed, though no request was sent there", id)
+			}
+		})
+	}
+	if f, x, err := s.run(t); len(f.faults) > 0 || err != nil || x.MoveDeclined != keptNoneInTime {
+		t.Errorf("%v, %v, declined %q, want a stream that stays", f.faults, err, x.MoveDeclined)
+	}
+}
+
 // Guards against requests that are refused as late because a slow client was taken for slow replicas.
 func TestSlowClientDoesNotRaiseExpectedTime(t *testing.T) {
 	for _, left := range []time.Duration{20 * time.Second, 8 * time.Second} {
--- a/entry/streammove.go
+++ b/entry/streammove.go
@@ -88,6 +88,13 @@
 func (w *forwarding) releaseNextAssignment() {
 	if p := w.nextAssignment; p != nil {
 		w.nextAssignment = nil
-		w.releaseAssignment(p)
+		w.releaseUnsent(p)
 	}
 }
+
+// releaseUnsent releases the replica of a move that is not made. Decisions about a slow stream
+// repeat, so that each would otherwise postpone the probe of a replica whose breaker is open.
+func (w *forwarding) releaseUnsent(p *assignment) {
+	w.releaseAssignment(p)
+	w.r.backends.withdrawProbe(p.replica.ID, w.r.clock())
+}
