entry: count a crash that ends a stream while it is being moved

If the connection was reset while a move was being decided, the error was replaced by that of the move: the crash was not reported to the quarantine or counted once per replica for the release, and at a slow stream no fault of the replica was recorded at all. The closed connection stays the cause now; the stream is resumed as decided.

Test: TestCrashDuringMoveIsCounted.

--- a/entry/streammonitor.go
+++ b/entry/streammonitor.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"fieldvale/outcome"
 	"fieldvale/pace"
 )
@@ -206,11 +208,16 @@
 		return err
 	}
 	w := m.a.w
-	m.a.movedForSlowness = m.move.Reason == pace.Slow
+	cause, closed := m.cause(), outcome.IsConnectionClosed(err)
+	if closed {
+		// The replica may have crashed, whatever was decided meanwhile.
+		cause = errors.Mark(err, cause)
+	}
+	m.a.movedForSlowness = m.move.Reason == pace.Slow && !closed
 	w.mayHaveRun = true
 	w.result.Moves = append(w.result.Moves, *m.move)
 	w.r.hooks.streamMoved(*m.move)
-	return w.markRetryGranted(outcome.New(outcome.Unknown, "wait", m.a.replica.ID, m.cause()))
+	return w.markRetryGranted(outcome.New(outcome.Unknown, "wait", m.a.replica.ID, cause))
 }
 
 // send sends the request; m may be nil.
--- a/entry/streammonitor_test.go
+++ b/entry/streammonitor_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,6 +42,8 @@
 	stopAfter int
 	pause     time.Duration
 	broken    bool
+	// reset has the connection reset by the time that a silent run is cancelled.
+	reset bool
 	// buffered is the number of events, or ends, that arrive while a silent run is being cancelled.
 	buffered int
 	// refused has the replica answer that the request did not run, or with the status if that is
@@ -107,6 +110,8 @@
 	failed []FailedAttempt
 	moved  []StreamMove
 	router *Router
+	// crashes is the number of crashes that were reported to the quarantine.
+	crashes int
 }
 
 func (f *streamFleet) fault(format string, args ...any) {
@@ -133,7 +138,14 @@
 func (f *streamFleet) Check(context.Context, quarantine.Fingerprint) quarantine.Verdict {
 	return quarantine.Verdict{Decision: quarantine.AllowTrial}
 }
-func (f *streamFleet) ReportAttempt(quarantine.Fingerprint, quarantine.AttemptResult) {}
+func (f *streamFleet) ReportAttempt(_ quarantine.Fingerprint, a quarantine.AttemptResult) {
+	if a.Outcome == quarantine.ReplicaCrashed {
+		f.crashes++
+	}
+}
+
+// HasCrashed implements Prober: a replica that resets a connection is down.
+func (f *streamFleet) HasCrashed(context.Context, *pool.Replica) bool { return true }
 
 // Send implements Upstream.
 func (f *streamFleet) Send(ctx context.Context, r *pool.Replica, d Dispatch) (Reply, error) {
@@ -220,6 +232,9 @@
 		if r.f.onCancel != nil {
 			r.f.onCancel(r.f.leave)
 		}
+		if r.run.reset {
+			return partOfEvent, syscall.ECONNRESET
+		}
 		if r.run.buffered == 0 {
 			return partOfEvent, context.Cause(r.ctx)
 		}
@@ -268,7 +283,7 @@
 			clock = s.clock
 		}
 		r := NewRouter(Ports{
-			View: v, Clock: clock, Rand: rand.NewPCG(1, 1), Upstream: f, Retries: admission.RetryLimit{Burst: s.budget}, Placer: f, Quarantine: f,
+			View: v, Clock: clock, Rand: rand.NewPCG(1, 1), Upstream: f, Retries: admission.RetryLimit{Burst: s.budget}, Placer: f, Quarantine: f, Prober: f,
 			FleetSize: func() int { return 1 }, CompletionPause: completionPause, AcceptConfidence: 60,
 			Hooks: &Hooks{
 				AttemptFailed: func(a FailedAttempt) { f.failed = append(f.failed, a) },
@@ -443,6 +458,27 @@
 	}
 }
 
+// Guards against a crash that is not counted because the stream was being moved when the connection was reset.
+func TestCrashDuringMoveIsCounted(t *testing.T) {
+	slow := complete(500 * time.Millisecond)
+	slow.stopAfter = 10
+	for _, c := range []struct {
+		moves string
+		run   fakeRun
+	}{{"silent", silentAfter(5)}, {"slow", slow}} {
+		c.run.reset = true
+		s := newScenario(c.run, complete(10*time.Millisecond))
+		if c.moves == "slow" {
+			// The silence that ends the run is short for a fault, and too long for the time left.
+			s.timeLeft, s.finish = 6*time.Second, 300*time.Millisecond
+		}
+		f, x, err := s.run(t)
+		if len(f.faults) > 0 || err != nil || moves(x) != c.moves || f.crashes != 1 || len(f.failed) != 1 {
+			t.Errorf("%s: %v, %v, moves %q, %d crashes, failed attempts %v, want one", c.moves, f.faults, err, moves(x), f.crashes, f.failed)
+		}
+	}
+}
+
 // Guards against a replica that stays excluded by its breaker because the request that may probe it is taken up by decisions
 // that leave the stream where it is.
 func TestDeclinedMoveUsesUpNoProbe(t *testing.T) {
