entry: do not take a suspension of the process for a slow stream

The time for which the process was suspended counted as an interval between two events. A suspension of some seconds raised the mean interval so far that a healthy stream was moved as too slow. An event that ends a wait whose timer is more than maxTimerDelay late does not count with its interval now.

Test: TestSuspensionIsNoSlowness.

--- a/entry/streammonitor.go
+++ b/entry/streammonitor.go
@@ -33,7 +33,9 @@
 	// timerAt is the time to which the timer is set.
 	timerAt time.Time
 	waiting bool
-	tracker pace.Tracker
+	// suspended is set if the process was suspended during the current wait.
+	suspended bool
+	tracker   pace.Tracker
 	// withoutID is set if the last event has no id, so that the stream can't be resumed after it.
 	withoutID bool
 	// nextDecisionAt is the earliest time of another decision.
@@ -78,7 +80,7 @@
 func (m *streamMonitor) startWait() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.waiting = true
+	m.waiting, m.suspended = true, false
 	if m.move == nil && (m.resumed || m.tracker.Events() > 0) {
 		m.setTimer()
 	}
@@ -122,7 +124,8 @@
 	if !m.waiting || m.move != nil || m.ctx.Err() != nil {
 		return
 	}
-	if now := m.a.w.r.clock(); now.Sub(m.timerAt) > maxTimerDelay {
+	if now := m.a.w.r.clock(); m.timerIsLate(now) {
+		m.suspended = true
 		m.setTimerTo(now.Add(readDelay))
 		return
 	}
@@ -133,6 +136,20 @@
 	m.setTimer()
 }
 
+// timerIsLate reports whether the timer is so late that the process was suspended.
+func (m *streamMonitor) timerIsLate(now time.Time) bool {
+	return m.timer != nil && now.Sub(m.timerAt) > maxTimerDelay
+}
+
+// withEvent returns the tracker with an event. The time for which the process was suspended is no
+// interval of the stream.
+func (m *streamMonitor) withEvent(now time.Time) pace.Tracker {
+	if m.suspended || m.timerIsLate(now) {
+		return m.tracker.WithWait(now).WithEvent(now)
+	}
+	return m.tracker.WithEvent(now)
+}
+
 // cause is the error of the attempt whose stream is moved.
 func (m *streamMonitor) cause() error {
 	if m.move.Reason == pace.Silent {
@@ -253,7 +270,7 @@
 	m.endWait()
 	switch {
 	case err == nil:
-		m.tracker, m.withoutID = m.tracker.WithEvent(m.a.w.r.clock()), e.ID == ""
+		m.tracker, m.withoutID = m.withEvent(m.a.w.r.clock()), e.ID == ""
 	case !isStreamEnd(err):
 		err = m.result(err)
 	}
--- a/entry/streammonitor_test.go
+++ b/entry/streammonitor_test.go
@@ -571,6 +571,35 @@
 	}
 }
 
+// Guards against a replica that is found slow because this process was suspended between two events.
+func TestSuspensionIsNoSlowness(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// wait is the time to the event that ends the suspension: it arrives before or after the timer.
+		wait time.Duration
+	}{{"event read first", 50 * time.Millisecond}, {"timer first", 2050 * time.Millisecond}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScenario(fakeRun{first: 50 * time.Millisecond, interval: 50 * time.Millisecond, stopAfter: 6, pause: c.wait}, complete(20*time.Millisecond))
+			s.events, s.expected, s.finish = 40, 60, time.Second
+			var start time.Time
+			s.clock = func() time.Time {
+				now := time.Now()
+				if start.IsZero() {
+					start = now
+				}
+				if now.Sub(start) > 320*time.Millisecond {
+					now = now.Add(8 * time.Second)
+				}
+				return now
+			}
+			f, x, err := s.run(t)
+			if len(f.faults) > 0 || err != nil || len(x.Moves) > 0 {
+				t.Errorf("%v, moves %v, %v, want none", f.faults, x.Moves, err)
+			}
+		})
+	}
+}
+
 // Guards against events that are lost, sent twice or out of order, runs that overlap, and replicas
 // that stay reserved, whatever the replicas do.
 func TestMovedStreamsAreComplete(t *testing.T) {
