entry: lock the counts of the trial tests

Three tests read the number of requests of a release while replicas of trialFleet still counted, and one changes the failure rate that they read. go test -race ./entry reported the reads in TestSlowReleaseIsFoundByNewlyStartedFleet, TestReleaseFailingUnderLoadStaysWithinBound and TestReleaseFailingUnderNormalLoadIsFound in one of three runs. All accesses hold the lock now.

--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -98,6 +98,13 @@
 	return f.rand.IntN(n)
 }
 
+// receivedBy returns the number of requests that the release got. Some may still be in progress.
+func (f *trialFleet) receivedBy(release string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.received[release]
+}
+
 // send sends a request to an instance; its client disconnects after the patience.
 func (f *trialFleet) send(id string, r *route.Route, patience time.Duration) {
 	n := f.routers[f.intN(len(f.routers))]
@@ -208,7 +215,7 @@
 		}
 		const rate = 40
 		f.runRelease(rollout.NewRelease("s", "v2", 1, 20*time.Second), trialRoutes(9), rate, 2500*time.Millisecond)
-		if n := f.received["v2"]; !f.found() || n > maxBadRequests(rate) {
+		if n := f.receivedBy("v2"); !f.found() || n > maxBadRequests(rate) {
 			t.Errorf("a release whose answers take three to nine times as long got %d requests, want at most %d; found: %t", n, maxBadRequests(rate), f.found())
 		}
 		f.requests.Wait()
@@ -242,7 +249,9 @@
 		}
 		time.Sleep(time.Second)
 		f.routers = []*Router{f.router(1)}
+		f.mu.Lock()
 		rate = 0.5
+		f.mu.Unlock()
 		for i := range 6 {
 			f.run(fmt.Sprint("after", i, "-"), a, 60, 500*time.Millisecond, time.Minute)
 			for _, x := range f.routers[0].CollectTallies() {
@@ -266,7 +275,7 @@
 		f.answer = failsWhenBusy(trialSlots / 2)
 		const rate = 70
 		f.runRelease(rollout.NewRelease("s", "v2", 1, 20*time.Second), trialRoutes(3), rate, time.Minute)
-		if n := f.received["v2"]; n > maxBadRequests(rate) {
+		if n := f.receivedBy("v2"); n > maxBadRequests(rate) {
 			t.Errorf("a release that fails under load got %d requests, want at most %d", n, maxBadRequests(rate))
 		}
 		f.requests.Wait()
@@ -281,7 +290,7 @@
 		f.answer = failsWhenBusy(4)
 		const rate = 70
 		f.runRelease(rollout.NewRelease("s", "v2", 1, 20*time.Second), trialRoutes(3), rate, time.Minute)
-		if n := f.received["v2"]; !f.found() || n > maxBadRequests(rate) {
+		if n := f.receivedBy("v2"); !f.found() || n > maxBadRequests(rate) {
 			t.Errorf("a release that fails under normal load got %d requests, want at most %d; found: %t", n, maxBadRequests(rate), f.found())
 		}
 		f.requests.Wait()
