entry: move streams with slow and leaving clients in the random test

TestMovedStreamsAreComplete draws a buffer of the answer, the times that the client takes for events, and when it leaves. It checks also that nothing is written after that, that the request ends within half a second, and that the memory of the buffer is released.

--- a/entry/streammonitor_test.go
+++ b/entry/streammonitor_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,6 +19,7 @@
 	"pgregory.net/rapid"
 
 	"fieldvale/admission"
+	"fieldvale/answerbuffer"
 	"fieldvale/outcome"
 	"fieldvale/placement"
 	"fieldvale/pool"
@@ -83,6 +85,12 @@
 	onEvent func(n int, leave context.CancelFunc)
 	// onReady is called with the router before the request is forwarded.
 	onReady func(*Router)
+	// buffers has the answer go through a buffer, from which the client takes one event after
+	// each of the times, in turn. Without, there is no buffer.
+	buffers    *answerbuffer.Budget
+	writeTimes []time.Duration
+	// leaveAfter is when the client leaves; 0 for never.
+	leaveAfter time.Duration
 	// clock may be nil.
 	clock Clock
 }
@@ -268,6 +276,27 @@
 // Body implements ForwardSink.
 func (f *streamFleet) Body([]byte) error { f.bodies++; return nil }
 
+// bufferedClient is the client of a streamFleet with a buffer. A write that is interrupted is lost.
+type bufferedClient struct {
+	*streamFleet
+	client      context.Context
+	interrupted chan struct{}
+}
+
+func (c *bufferedClient) Interrupt() { close(c.interrupted) }
+
+func (c *bufferedClient) Event(b []byte) error {
+	if c.client.Err() != nil {
+		c.fault("an event is written after the client left")
+	}
+	select {
+	case <-time.After(c.writeTimes[len(c.got)%len(c.writeTimes)]):
+		return c.streamFleet.Event(b)
+	case <-c.interrupted:
+		return os.ErrDeadlineExceeded
+	}
+}
+
 // run forwards the request in a bubble of fake time and checks what holds for every stream.
 func (s streamScenario) run(t *testing.T) (f *streamFleet, x *ForwardResult, err error) {
 	f = &streamFleet{streamScenario: s}
@@ -283,7 +312,7 @@
 			clock = s.clock
 		}
 		r := NewRouter(Ports{
-			View: v, Clock: clock, Rand: rand.NewPCG(1, 1), Upstream: f, Retries: admission.RetryLimit{Burst: s.budget}, Placer: f, Quarantine: f, Prober: f,
+			View: v, Clock: clock, Rand: rand.NewPCG(1, 1), Upstream: f, Retries: admission.RetryLimit{Burst: s.budget}, Placer: f, AnswerBuffers: s.buffers, Quarantine: f, Prober: f,
 			FleetSize: func() int { return 1 }, CompletionPause: completionPause, AcceptConfidence: 60,
 			Hooks: &Hooks{
 				AttemptFailed: func(a FailedAttempt) { f.failed = append(f.failed, a) },
@@ -306,7 +335,21 @@
 		ctx, leave := context.WithCancel(t.Context())
 		defer leave()
 		f.leave = leave
-		x, err = r.Forward(ctx, q, f)
+		if s.leaveAfter > 0 {
+			defer time.AfterFunc(s.leaveAfter, leave).Stop()
+		}
+		var out ForwardSink = f
+		if s.buffers != nil {
+			out = &bufferedClient{f, ctx, make(chan struct{})}
+		}
+		start := time.Now()
+		x, err = r.Forward(ctx, q, out)
+		if s.leaveAfter > 0 && time.Since(start) > s.leaveAfter+500*time.Millisecond {
+			f.fault("the request ended %s after the client had left", time.Since(start)-s.leaveAfter)
+		}
+		if s.buffers != nil && s.buffers.Held() != 0 {
+			f.fault("%d bytes are still held", s.buffers.Held())
+		}
 		if n := r.InFlight(); len(n) > 0 {
 			f.fault("requests are still counted at %v", n)
 		}
@@ -601,7 +644,7 @@
 }
 
 // Guards against events that are lost, sent twice or out of order, runs that overlap, and replicas
-// that stay reserved, whatever the replicas do.
+// that stay reserved, whatever the replicas do and however slowly the client reads.
 func TestMovedStreamsAreComplete(t *testing.T) {
 	millis := func(low, high int) *rapid.Generator[time.Duration] {
 		return rapid.Map(rapid.IntRange(low, high), func(n int) time.Duration { return time.Duration(n) * time.Millisecond })
@@ -627,6 +670,11 @@
 				}
 			}
 		}
+		if n := rapid.SampledFrom([]int64{0, 100, 1000, 1 << 16}).Draw(u, "buffer"); n > 0 {
+			s.buffers = answerbuffer.NewBudget(n, n)
+			s.writeTimes = rapid.SliceOfN(millis(0, 1500), 1, 5).Draw(u, "writes")
+			s.leaveAfter = rapid.OneOf(rapid.Just(time.Duration(0)), millis(1, 20000)).Draw(u, "leave")
+		}
 		f, x, _ := s.run(t)
 		slowMoves := strings.Count(moves(x), "slow")
 		if len(f.faults) > 0 || slowMoves > 1 {
