entry: keep a stream where it runs if the quarantine holds its content back

A stream was closed in order to be moved before the quarantine was asked, which then refused the next attempt: a stream that was only slow or paused was broken off. The quarantine is asked with the other conditions of a move now. A trial that it grants is given up at once, since the attempt asks again.

Test: case "held content" of TestStreamsAreMoved.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -62,6 +62,19 @@
 	return errQuarantined
 }
 
+// allowsAnother reports whether the request may be sent to one more replica at present, without
+// sending it. A trial that is granted is given up, as the attempt asks again.
+func (w *quarantineCheck) allowsAnother(ctx context.Context) bool {
+	if w.quarantine == nil || w.quarantine.IsEmpty() {
+		return true
+	}
+	v := w.quarantine.Check(ctx, w.fingerprint())
+	if v.Decision == quarantine.AllowTrial {
+		w.quarantine.ReportAttempt(w.fingerprint(), quarantine.AttemptResult{Outcome: quarantine.NotRun, OnTrial: true})
+	}
+	return v.IsAllowed()
+}
+
 // cancelTrial gives up a trial whose attempt was not sent.
 func (w *quarantineCheck) cancelTrial() {
 	if w.onTrial {
--- a/entry/streammonitor.go
+++ b/entry/streammonitor.go
@@ -201,6 +201,9 @@
 	if m.withoutID {
 		return nil, keptUnresumable
 	}
+	if !w.quarantineCheck.allowsAnother(m.ctx) {
+		return nil, keptQuarantined
+	}
 	if p = w.assignReplica(m.ctx); p == nil {
 		return nil, keptWithoutReplica
 	}
--- a/entry/streammonitor_test.go
+++ b/entry/streammonitor_test.go
@@ -77,6 +77,9 @@
 	models []string
 	// withoutIDs has events without ids, onTrial the content suspected.
 	withoutIDs, onTrial bool
+	// heldFrom is the number of events after which the content is held back for crashing replicas;
+	// 0 for never.
+	heldFrom int
 	// onChoose is called with the number of each choice of the placer, onSend before each attempt.
 	onChoose, onSend func(n int, leave context.CancelFunc)
 	// onCancel is called when a run is cancelled, onClose when it is closed.
@@ -142,8 +145,12 @@
 func (f *streamFleet) ReportEnded(placement.Ticket)                    { f.settled++ }
 func (f *streamFleet) ReportAborted(placement.Ticket, placement.Fault) { f.settled++ }
 
-func (f *streamFleet) IsEmpty() bool { return !f.onTrial }
+func (f *streamFleet) isHeld() bool  { return f.heldFrom > 0 && len(f.got) >= f.heldFrom }
+func (f *streamFleet) IsEmpty() bool { return !f.onTrial && !f.isHeld() }
 func (f *streamFleet) Check(context.Context, quarantine.Fingerprint) quarantine.Verdict {
+	if f.isHeld() {
+		return quarantine.Verdict{Decision: quarantine.Held}
+	}
 	return quarantine.Verdict{Decision: quarantine.AllowTrial}
 }
 func (f *streamFleet) ReportAttempt(_ quarantine.Fingerprint, a quarantine.AttemptResult) {
@@ -426,6 +433,7 @@
 		{"attempts used up", "a stream cut off that may not run again", with(newScenario(pausing), func(s *streamScenario) { s.maxAttempts = 1 }), "", 1, 0, "", true},
 		{"events without ids", "events sent twice because the replica does not know where to resume", with(newScenario(pausing), func(s *streamScenario) { s.withoutIDs = true }), "", 1, 0, keptUnresumable, true},
 		{"on trial", "a trial that is cut off and shows nothing about the content", with(newScenario(pausing), func(s *streamScenario) { s.onTrial = true }), "", 1, 0, "", true},
+		{"held content", "a stream cut off that the quarantine does not let run again", with(newScenario(pausing), func(s *streamScenario) { s.heldFrom = 3 }), "", 1, 0, keptQuarantined, true},
 		{"not placed by completion", "other routes served differently", with(newScenario(pausing), func(s *streamScenario) { s.pauseTarget = time.Second }), "", 1, 0, "", true},
 		{"slow and short of time", "a healthy stream that is cut off by a small silence shortly before its deadline", with(newScenario(complete(400*ms)), func(s *streamScenario) { s.events, s.expected, s.timeLeft = 3, 3, 1700*ms }), "", 1, 0, keptNoneInTime, true},
 	} {
--- a/entry/streammove.go
+++ b/entry/streammove.go
@@ -49,6 +49,7 @@
 	keptWithoutReplica = "kept: no other replica"
 	keptNoneInTime     = "kept: no other replica in time"
 	keptWithoutBudget  = "kept: no budget"
+	keptQuarantined    = "kept: the content is quarantined"
 )
 
 const (
