entry: a refusal that arrives while a stream is being moved is a refusal

A resumed run that was refused, or whose connection was not made, while its stream was being moved on counted as a run that failed: it used up an attempt, raised the failure rate of the breaker and kept its permit. The error is left unchanged, so that the usual rules apply to it; the replica reserved for the move takes the next attempt or is released.

Test: TestRefusalDuringMoveIsNoRun.

--- a/entry/streammonitor.go
+++ b/entry/streammonitor.go
@@ -222,9 +222,10 @@
 }
 
 // result returns the error of an attempt that failed with err. If the attempt was ended in order
-// to move its stream, the move is reported and the next attempt is already granted.
+// to move its stream, the move is reported and the next attempt is already granted. A run that did
+// not begin is not moved: the usual rules apply, and the replica that was chosen is used.
 func (m *streamMonitor) result(err error) error {
-	if m == nil || m.move == nil || m.parent.Err() != nil {
+	if m == nil || m.move == nil || m.parent.Err() != nil || outcome.KindOf(err) == outcome.NotRun {
 		return err
 	}
 	w := m.a.w
--- a/entry/streammonitor_test.go
+++ b/entry/streammonitor_test.go
@@ -52,6 +52,8 @@
 	// set.
 	refused bool
 	status  int
+	// refusedLate has the refusal arrive by the time that the silent run is cancelled.
+	refusedLate bool
 }
 
 func complete(interval time.Duration) fakeRun {
@@ -180,7 +182,10 @@
 		return nil, outcome.New(outcome.NotRun, "refused", r.ID, errors.New("no run left")).WithStatus(503)
 	}
 	x := f.runs[n-1]
-	if x.refused {
+	if x.refusedLate {
+		<-ctx.Done()
+	}
+	if x.refused || x.refusedLate {
 		return nil, outcome.New(outcome.NotRun, "refused", r.ID, errors.New("full")).WithStatus(503)
 	}
 	after, _ := strconv.Atoi(d.LastEventID)
@@ -530,6 +535,19 @@
 	}
 }
 
+// Guards against a refusal that counts as a run and as a fault because the stream was being moved on when it arrived.
+func TestRefusalDuringMoveIsNoRun(t *testing.T) {
+	s := newScenario(silentAfter(5), fakeRun{refusedLate: true}, complete(50*time.Millisecond))
+	s.timeLeft, s.finish = 5*time.Second, time.Second
+	f, x, err := s.run(t)
+	if len(f.faults) > 0 || err != nil || x.Runs != 2 || moves(x) != "silent" || len(f.sends) != 3 {
+		t.Errorf("%v, %v, %d runs, moves %q, %d sends, want 2 runs, one move and 3 sends", f.faults, err, x.Runs, moves(x), len(f.sends))
+	}
+	if b := f.router.backends.state[f.sends[1]]; b.breaker.FailureRate() > 0 {
+		t.Errorf("the refusal counts as a failure of %s", f.sends[1])
+	}
+}
+
 // Guards against a replica that stays excluded by its breaker because the request that may probe it is taken up by decisions
 // that leave the stream where it is.
 func TestDeclinedMoveUsesUpNoProbe(t *testing.T) {
