entry: wait for the first event of a resumed run as long as for that of a first one

Where no owner estimates the time to the first event, a resumed run counted as silent after 1.5 s or the allowed pause. Replicas that read a long prompt under load take longer, so that healthy ones were found faulty one after the other until the attempts were used up. The bound without an estimate is that of the hang timeout now, still within half of the time left.

Test: case "resumed without an estimate" of TestStreamsAreMoved.

--- a/entry/streammonitor.go
+++ b/entry/streammonitor.go
@@ -64,12 +64,21 @@
 	m := &streamMonitor{
 		a: a, parent: parent, ctx: x, cancel: cancel, resumed: w.answerStarted,
 		policy:  pace.Policy{AllowedPause: w.q.Route.PauseTarget, Deadline: w.q.effectiveDeadline()},
-		tracker: pace.New(a.sentAt).WithExpectedWait(w.r.firstEventDelays.Expect(w.result.Service, a.assignment.firstEventMs)),
+		tracker: pace.New(a.sentAt).WithExpectedWait(a.expectedFirstEvent()),
 	}
 	a.monitor = m
 	return x, m.end
 }
 
+// expectedFirstEvent is the expected time to the first event. Without an estimate it is the one from
+// which the hang timeout would follow, as a first run has no closer bound either.
+func (a *attempt) expectedFirstEvent() time.Duration {
+	if a.assignment.firstEventMs == 0 {
+		return a.hangTimeout() / hangDelayFactor
+	}
+	return a.w.r.firstEventDelays.Expect(a.w.result.Service, a.assignment.firstEventMs)
+}
+
 // end stops the timer and ends the attempt's context.
 func (m *streamMonitor) end() {
 	m.endWait()
--- a/entry/streammonitor_test.go
+++ b/entry/streammonitor_test.go
@@ -75,6 +75,8 @@
 	pauseTarget      time.Duration
 	// finish is the time to the complete answer that the placer expects of any other replica.
 	finish time.Duration
+	// ownerLostAfter is the number of choices after which the placer doesn't answer; 0 for never.
+	ownerLostAfter int
 	// models are the route's models; each but the last doubts its answer.
 	models []string
 	// withoutIDs has events without ids, onTrial the content suspected.
@@ -132,6 +134,9 @@
 }
 
 func (f *streamFleet) Choose(_ context.Context, _ string, r placement.Request) (placement.Choice, placement.Ticket, bool) {
+	if f.ownerLostAfter > 0 && f.chosen >= f.ownerLostAfter {
+		return placement.Choice{}, placement.Ticket{}, false
+	}
 	f.chosen++
 	if f.onChoose != nil {
 		f.onChoose(f.chosen, f.leave)
@@ -438,6 +443,7 @@
 		{"attempts used up", "a stream cut off that may not run again", with(newScenario(pausing), func(s *streamScenario) { s.maxAttempts = 1 }), "", 1, 0, "", true},
 		{"events without ids", "events sent twice because the replica does not know where to resume", with(newScenario(pausing), func(s *streamScenario) { s.withoutIDs = true }), "", 1, 0, keptUnresumable, true},
 		{"on trial", "a trial that is cut off and shows nothing about the content", with(newScenario(pausing), func(s *streamScenario) { s.onTrial = true }), "", 1, 0, "", true},
+		{"resumed without an estimate", "healthy replicas found silent one after the other while they read the prompt, as no owner estimates the time for that", with(newScenario(silentAfter(5), fakeRun{first: 3500 * ms, interval: 50 * ms, stopAfter: neverStops}), func(s *streamScenario) { s.ownerLostAfter = 1 }), "silent", 2, 1, "", true},
 		{"held content", "a stream cut off that the quarantine does not let run again", with(newScenario(pausing), func(s *streamScenario) { s.heldFrom = 3 }), "", 1, 0, keptQuarantined, true},
 		{"not placed by completion", "other routes served differently", with(newScenario(pausing), func(s *streamScenario) { s.pauseTarget = time.Second }), "", 1, 0, "", true},
 		{"slow and short of time", "a healthy stream that is cut off by a small silence shortly before its deadline", with(newScenario(complete(400*ms)), func(s *streamScenario) { s.events, s.expected, s.timeLeft = 3, 3, 1700*ms }), "", 1, 0, keptNoneInTime, true},
