--- a/entry/clientwriter.go
+++ b/entry/clientwriter.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// clientStallTimeout is how long after its last write a client may still be written to once
-	// its deadline has passed. Complete answers are delivered late to a client that reads.
+	// clientStallTimeout is how long after its last write, or after the answer went on, a client
+	// may still be written to once its deadline has passed. Complete answers are delivered late to
+	// a client that reads.
 	clientStallTimeout = 2 * time.Second
 	// bodyPartBytes is the size of the parts in which a complete body is written, in bytes. A
 	// client that reads slowly is seen to read by the parts that were written.
@@ -40,8 +41,9 @@
 	done chan struct{}
 	err  error
 
-	mu          sync.Mutex
-	lastWriteAt time.Time
+	mu sync.Mutex
+	// progressAt is when the client last had nothing to read, or was last written to.
+	progressAt time.Time
 }
 
 var _ ForwardSink = (*clientWriter)(nil)
@@ -64,15 +66,21 @@
 // Event implements ForwardSink.
 func (c *clientWriter) Event(b []byte) error { return c.put(b) }
 
-// Body implements ForwardSink.
+// Body implements ForwardSink. The body is the only piece of its answer, which is in the queue from the start, so that the
+// end of the run ends only the wait for it: finish decides whether the client still gets the rest.
 func (c *clientWriter) Body(b []byte) error {
 	c.isBody = true
-	return c.put(b)
+	if err := c.put(b); c.run.Err() == nil {
+		return err
+	}
+	return nil
 }
 
 func (c *clientWriter) put(b []byte) error {
+	if c.queue.IsEmpty() {
+		c.recordProgress()
+	}
 	if c.done == nil {
-		c.lastWriteAt = c.clock()
 		c.done = make(chan struct{})
 		go c.writePieces()
 	}
@@ -99,28 +107,37 @@
 	}
 }
 
-// write writes one event or a body.
+// write writes one event or a body, unless the client has left.
 func (c *clientWriter) write(b []byte) error {
 	if !c.isBody {
-		defer c.recordWrite()
-		return c.out.Event(b)
+		return c.writePart(b, c.out.Event)
 	}
 	for {
 		n := min(len(b), bodyPartBytes)
-		if err := c.out.Body(b[:n]); err != nil {
+		if err := c.writePart(b[:n], c.out.Body); err != nil {
 			return err
 		}
-		c.recordWrite()
 		if b = b[n:]; len(b) == 0 {
 			return nil
 		}
 	}
 }
 
-func (c *clientWriter) recordWrite() {
+func (c *clientWriter) writePart(b []byte, write func([]byte) error) error {
+	if err := c.client.Err(); err != nil {
+		return err
+	}
+	if err := write(b); err != nil {
+		return err
+	}
+	c.recordProgress()
+	return nil
+}
+
+func (c *clientWriter) recordProgress() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lastWriteAt = c.clock()
+	c.progressAt = c.clock()
 }
 
 // finish waits until the buffered answer was written. It returns an error if the client left
@@ -130,9 +147,15 @@
 		return nil
 	}
 	c.queue.Close()
+	wasSuspended := false
 	for {
-		left := c.cutAt(deadline).Sub(c.clock())
-		t := time.NewTimer(left)
+		if !wasSuspended && c.clock().Sub(c.cutAt(deadline)) > maxTimerDelay {
+			// Nothing could be written while the process was suspended. This is taken into account
+			// only once, so that a busy process doesn't hold stalled clients for long.
+			wasSuspended = true
+			c.recordProgress()
+		}
+		t := time.NewTimer(c.cutAt(deadline).Sub(c.clock()))
 		select {
 		case <-c.done:
 			t.Stop()
@@ -144,7 +167,7 @@
 			return c.err
 		case <-t.C:
 		}
-		if !c.clock().Before(c.cutAt(deadline)) {
+		if late := c.clock().Sub(c.cutAt(deadline)); late >= 0 && (wasSuspended || late <= maxTimerDelay) {
 			return c.cut()
 		}
 	}
@@ -164,7 +187,7 @@
 func (c *clientWriter) cutAt(deadline time.Time) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t := c.lastWriteAt.Add(clientStallTimeout); t.After(deadline) {
+	if t := c.progressAt.Add(clientStallTimeout); t.After(deadline) {
 		return t
 	}
 	return deadline
--- a/entry/clientwriter_test.go
+++ b/entry/clientwriter_test.go
@@ -60,11 +60,15 @@
 	return slices.Clone(s.got)
 }
 
-// readEach reads n writes, one in each interval.
+// readEach reads n writes, one in each interval, unless it is interrupted.
 func (s *slowSink) readEach(n int, interval time.Duration) {
 	for range n {
 		time.Sleep(interval)
-		s.reads <- struct{}{}
+		select {
+		case s.reads <- struct{}{}:
+		case <-s.interrupted:
+			return
+		}
 	}
 }
 
@@ -355,6 +359,122 @@
 	}
 }
 
+// Guards against a complete plain answer that is broken off because its client, which reads slowly, has not got all of it
+// by the deadline. It is too large for the buffer, so that the request waits for the client.
+func TestLargePlainAnswerIsDeliveredLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const parts = 13
+		body := strings.Repeat("0123456789abcdef", parts*bodyPartBytes/16)
+		c := newBufferTest(t, largeBudget(), route.Route{Kind: route.Repeatable, MaxAttempts: 1}, scriptedReply{status: 200, events: []string{body}})
+		s := newSlowSink()
+		done := c.forward(t.Context(), s)
+		s.readEach(parts, time.Second)
+		if f := <-done; f.err != nil || f.took <= c.timeout || f.result.StopReason != "" || strings.Join(s.received(), "") != body {
+			t.Errorf("got error %v after %s, stopped for %q, %d bytes, want all %d after more than %s", f.err, f.took, f.result.StopReason, len(strings.Join(s.received(), "")), len(body), c.timeout)
+		}
+		if len(c.failed) != 0 || c.budget.Held() != 0 {
+			t.Errorf("got failed attempts %v and %d bytes held, want none", c.failed, c.budget.Held())
+		}
+	})
+}
+
+// lateUpstream has the last event of each stream come after a wait.
+type lateUpstream struct {
+	*forwardScript
+	wait time.Duration
+}
+
+func (u lateUpstream) Send(ctx context.Context, r *pool.Replica, d Dispatch) (Reply, error) {
+	p, err := u.forwardScript.Send(ctx, r, d)
+	if err != nil {
+		return nil, err
+	}
+	return &lateReply{p.(*replyFake), u.wait}, nil
+}
+
+type lateReply struct {
+	*replyFake
+	wait time.Duration
+}
+
+func (r *lateReply) Next() (Event, error) {
+	if r.n == len(r.p.events)-1 {
+		time.Sleep(r.wait)
+	}
+	return r.replyFake.Next()
+}
+
+// Guards against a client that is cut at the deadline although it reads: the replica sent nothing for a while, and its last
+// event came just before.
+func TestClientWithoutEventsIsNotStalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newBufferTest(t, largeBudget(), streamRoute, scriptedReply{status: 200, events: numbered(2)})
+		c.router.upstream = lateUpstream{c.script, c.timeout - time.Millisecond}
+		s := newSlowSink()
+		done := c.forward(t.Context(), s)
+		s.readEach(1, 100*time.Millisecond)
+		s.readEach(1, c.timeout)
+		if f := <-done; f.err != nil || !slices.Equal(s.received(), numbered(2)) {
+			t.Errorf("got error %v and events %v, want none and both", f.err, s.received())
+		}
+	})
+}
+
+// Guards against a client that is cut because this process was suspended and could not write.
+func TestSuspensionDoesNotCutClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newBufferTest(t, largeBudget(), streamRoute, scriptedReply{status: 200, events: numbered(9)})
+		start := time.Now()
+		c.router.clock = func() time.Time {
+			if now := time.Now(); now.Sub(start) < time.Second {
+				return now
+			}
+			return time.Now().Add(30 * time.Second)
+		}
+		s := newSlowSink()
+		done := c.forward(t.Context(), s)
+		s.readEach(2, 100*time.Millisecond)
+		time.Sleep(c.timeout)
+		s.readEach(7, 50*time.Millisecond)
+		if f := <-done; f.err != nil || !slices.Equal(s.received(), numbered(9)) {
+			t.Errorf("got error %v and events %v, want none and all", f.err, s.received())
+		}
+	})
+}
+
+// leavingSink is a client that leaves during its first write.
+type leavingSink struct {
+	leave  context.CancelFunc
+	writes int
+}
+
+func (s *leavingSink) Head(Head) error     { return nil }
+func (s *leavingSink) Event([]byte) error  { s.writes++; s.leave(); return nil }
+func (s *leavingSink) Body(b []byte) error { return s.Event(b) }
+func (s *leavingSink) Interrupt()          {}
+
+// Guards against buffered events, or further parts of a body, that are written after the client left.
+func TestNothingIsWrittenAfterClientLeft(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		route route.Route
+		reply scriptedReply
+	}{
+		{"stream", streamRoute, scriptedReply{status: 200, events: numbered(9)}},
+		{"body", route.Route{Kind: route.Repeatable, MaxAttempts: 1}, scriptedReply{status: 200, events: []string{strings.Repeat("x", 3*bodyPartBytes)}}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBufferTest(t, largeBudget(), c.route, c.reply)
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			s := &leavingSink{leave: leave}
+			if f := <-b.forward(ctx, s); f.err == nil || s.writes != 1 {
+				t.Errorf("%s: got error %v after %d writes, want one after the first", c.name, f.err, s.writes)
+			}
+		})
+	}
+}
+
 // A failure before the head must go the usual way, without an answer to the client.
 func TestFailureBeforeHeadIsNotBuffered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/share.go
+++ b/entry/share.go
@@ -108,12 +108,12 @@
 	}
 }
 
-// recordFinish records how long the complete answer took in relation to what was expected. One
-// that was ended by its deadline would have taken longer, which shows nothing unless that is more than
-// was expected.
+// recordFinish records how long the complete answer took in relation to what was expected, without
+// the time for which it waited for its client. One that was ended by its deadline would have taken
+// longer, which shows nothing unless that is more than was expected.
 func (a *attempt) recordFinish() {
 	now, p, d := a.w.r.clock(), a.assignment, a.w.r.finishDelays
-	took := now.Sub(a.sentAt)
+	took := now.Sub(a.sentAt) - a.clientWait
 	isCutOff := !now.Before(a.w.q.effectiveDeadline()) && took > d.Expect(a.slotTimeKey, p.finishMs)
 	if p.byCompletion && (a.succeeded && !a.escalated || isCutOff) {
 		d.Observe(a.slotTimeKey, p.finishMs, took)
--- a/entry/streammonitor.go
+++ b/entry/streammonitor.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"fieldvale/outcome"
 	"fieldvale/pace"
 )
@@ -31,7 +33,9 @@
 	// timerAt is the time to which the timer is set.
 	timerAt time.Time
 	waiting bool
-	tracker pace.Tracker
+	// suspended is set if the process was suspended during the current wait.
+	suspended bool
+	tracker   pace.Tracker
 	// withoutID is set if the last event has no id, so that the stream can't be resumed after it.
 	withoutID bool
 	// nextDecisionAt is the earliest time of another decision.
@@ -60,12 +64,21 @@
 	m := &streamMonitor{
 		a: a, parent: parent, ctx: x, cancel: cancel, resumed: w.answerStarted,
 		policy:  pace.Policy{AllowedPause: w.q.Route.PauseTarget, ArrivedAt: w.q.ArrivedAt, Deadline: w.q.effectiveDeadline()},
-		tracker: pace.New(a.sentAt).WithExpectedWait(w.r.firstEventDelays.Expect(w.result.Service, a.assignment.firstEventMs)),
+		tracker: pace.New(a.sentAt).WithExpectedWait(a.expectedFirstEvent()),
 	}
 	a.monitor = m
 	return x, m.end
 }
 
+// expectedFirstEvent is the expected time to the first event. Without an estimate it is the one from
+// which the hang timeout would follow, as a first run has no closer bound either.
+func (a *attempt) expectedFirstEvent() time.Duration {
+	if a.assignment.firstEventMs == 0 {
+		return a.hangTimeout() / hangDelayFactor
+	}
+	return a.w.r.firstEventDelays.Expect(a.w.result.Service, a.assignment.firstEventMs)
+}
+
 // end stops the timer and ends the attempt's context.
 func (m *streamMonitor) end() {
 	m.endWait()
@@ -76,7 +89,7 @@
 func (m *streamMonitor) startWait() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.waiting = true
+	m.waiting, m.suspended = true, false
 	if m.move == nil && (m.resumed || m.tracker.Events() > 0) {
 		m.setTimer()
 	}
@@ -120,7 +133,8 @@
 	if !m.waiting || m.move != nil || m.ctx.Err() != nil {
 		return
 	}
-	if now := m.a.w.r.clock(); now.Sub(m.timerAt) > maxTimerDelay {
+	if now := m.a.w.r.clock(); m.timerIsLate(now) {
+		m.suspended = true
 		m.setTimerTo(now.Add(readDelay))
 		return
 	}
@@ -131,6 +145,20 @@
 	m.setTimer()
 }
 
+// timerIsLate reports whether the timer is so late that the process was suspended.
+func (m *streamMonitor) timerIsLate(now time.Time) bool {
+	return m.timer != nil && now.Sub(m.timerAt) > maxTimerDelay
+}
+
+// withEvent returns the tracker with an event. The time for which the process was suspended is no
+// interval of the stream.
+func (m *streamMonitor) withEvent(now time.Time) pace.Tracker {
+	if m.suspended || m.timerIsLate(now) {
+		return m.tracker.WithWait(now).WithEvent(now)
+	}
+	return m.tracker.WithEvent(now)
+}
+
 // cause is the error of the attempt whose stream is moved.
 func (m *streamMonitor) cause() error {
 	if m.move.Reason == pace.Silent {
@@ -162,7 +190,7 @@
 	m.move = &StreamMove{
 		Request: w.q.ID, Service: w.result.Service, From: m.a.replica.ID, To: p.replica.ID, Reason: v,
 		Events: m.tracker.Events(), EventsLeft: left, Interval: m.tracker.Interval(), SilentSince: m.tracker.SilentSince(),
-		DecidedAt: now, Deadline: m.policy.Deadline,
+		DecidedAt: now, Deadline: w.q.effectiveDeadline(),
 	}
 	return true
 }
@@ -182,6 +210,9 @@
 	if m.withoutID {
 		return nil, keptUnresumable
 	}
+	if !w.quarantineCheck.allowsAnother(m.ctx) {
+		return nil, keptQuarantined
+	}
 	if p = w.assignReplica(m.ctx); p == nil {
 		return nil, keptWithoutReplica
 	}
@@ -195,22 +226,28 @@
 		w.movedForSlowness = w.movedForSlowness || v == pace.Slow
 		return p, ""
 	}
-	w.releaseAssignment(p)
+	w.releaseUnsent(p)
 	return nil, kept
 }
 
 // result returns the error of an attempt that failed with err. If the attempt was ended in order
-// to move its stream, the move is reported and the next attempt is already granted.
+// to move its stream, the move is reported and the next attempt is already granted. A run that did
+// not begin is not moved: the usual rules apply, and the replica that was chosen is used.
 func (m *streamMonitor) result(err error) error {
-	if m == nil || m.move == nil || m.parent.Err() != nil {
+	if m == nil || m.move == nil || m.parent.Err() != nil || outcome.KindOf(err) == outcome.NotRun {
 		return err
 	}
 	w := m.a.w
-	m.a.movedForSlowness = m.move.Reason == pace.Slow
+	cause, closed := m.cause(), outcome.IsConnectionClosed(err)
+	if closed {
+		// The replica may have crashed, whatever was decided meanwhile.
+		cause = errors.Mark(err, cause)
+	}
+	m.a.movedForSlowness = m.move.Reason == pace.Slow && !closed
 	w.mayHaveRun = true
 	w.result.Moves = append(w.result.Moves, *m.move)
 	w.r.hooks.streamMoved(*m.move)
-	return w.markRetryGranted(outcome.New(outcome.Unknown, "wait", m.a.replica.ID, m.cause()))
+	return w.markRetryGranted(outcome.New(outcome.Unknown, "wait", m.a.replica.ID, cause))
 }
 
 // send sends the request; m may be nil.
@@ -235,6 +272,8 @@
 	}
 	if m.tracker.Events() > 0 {
 		m.tracker = m.tracker.WithWait(m.a.w.r.clock())
+		// The replica is judged by the time that it would have if the client had read at once.
+		m.policy.Deadline = m.a.w.q.effectiveDeadline().Add(m.a.clientWait)
 		if m.decide() {
 			return Event{}, m.result(m.cause())
 		}
@@ -244,7 +283,7 @@
 	m.endWait()
 	switch {
 	case err == nil:
-		m.tracker, m.withoutID = m.tracker.WithEvent(m.a.w.r.clock()), e.ID == ""
+		m.tracker, m.withoutID = m.withEvent(m.a.w.r.clock()), e.ID == ""
 	case !isStreamEnd(err):
 		err = m.result(err)
 	}
--- a/entry/streammonitor_test.go
+++ b/entry/streammonitor_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +19,7 @@
 	"pgregory.net/rapid"
 
 	"fieldvale/admission"
+	"fieldvale/answerbuffer"
 	"fieldvale/outcome"
 	"fieldvale/placement"
 	"fieldvale/pool"
@@ -41,12 +44,16 @@
 	stopAfter int
 	pause     time.Duration
 	broken    bool
+	// reset has the connection reset by the time that a silent run is cancelled.
+	reset bool
 	// buffered is the number of events, or ends, that arrive while a silent run is being cancelled.
 	buffered int
 	// refused has the replica answer that the request did not run, or with the status if that is
 	// set.
 	refused bool
 	status  int
+	// refusedLate has the refusal arrive by the time that the silent run is cancelled.
+	refusedLate bool
 }
 
 func complete(interval time.Duration) fakeRun {
@@ -68,14 +75,29 @@
 	pauseTarget      time.Duration
 	// finish is the time to the complete answer that the placer expects of any other replica.
 	finish time.Duration
+	// ownerLostAfter is the number of choices after which the placer doesn't answer; 0 for never.
+	ownerLostAfter int
 	// models are the route's models; each but the last doubts its answer.
 	models []string
 	// withoutIDs has events without ids, onTrial the content suspected.
 	withoutIDs, onTrial bool
+	// heldFrom is the number of events after which the content is held back for crashing replicas;
+	// 0 for never.
+	heldFrom int
 	// onChoose is called with the number of each choice of the placer, onSend before each attempt.
 	onChoose, onSend func(n int, leave context.CancelFunc)
 	// onCancel is called when a run is cancelled, onClose when it is closed.
 	onCancel, onClose func(leave context.CancelFunc)
+	// onEvent is called with the number of each event that is written to the client.
+	onEvent func(n int, leave context.CancelFunc)
+	// onReady is called with the router before the request is forwarded.
+	onReady func(*Router)
+	// buffers has the answer go through a buffer, from which the client takes one event after
+	// each of the times, in turn. Without, there is no buffer.
+	buffers    *answerbuffer.Budget
+	writeTimes []time.Duration
+	// leaveAfter is when the client leaves; 0 for never.
+	leaveAfter time.Duration
 	// clock may be nil.
 	clock Clock
 }
@@ -102,6 +124,9 @@
 	bodies int
 	failed []FailedAttempt
 	moved  []StreamMove
+	router *Router
+	// crashes is the number of crashes that were reported to the quarantine.
+	crashes int
 }
 
 func (f *streamFleet) fault(format string, args ...any) {
@@ -109,6 +134,9 @@
 }
 
 func (f *streamFleet) Choose(_ context.Context, _ string, r placement.Request) (placement.Choice, placement.Ticket, bool) {
+	if f.ownerLostAfter > 0 && f.chosen >= f.ownerLostAfter {
+		return placement.Choice{}, placement.Ticket{}, false
+	}
 	f.chosen++
 	if f.onChoose != nil {
 		f.onChoose(f.chosen, f.leave)
@@ -124,11 +152,22 @@
 func (f *streamFleet) ReportEnded(placement.Ticket)                    { f.settled++ }
 func (f *streamFleet) ReportAborted(placement.Ticket, placement.Fault) { f.settled++ }
 
-func (f *streamFleet) IsEmpty() bool { return !f.onTrial }
+func (f *streamFleet) isHeld() bool  { return f.heldFrom > 0 && len(f.got) >= f.heldFrom }
+func (f *streamFleet) IsEmpty() bool { return !f.onTrial && !f.isHeld() }
 func (f *streamFleet) Check(context.Context, quarantine.Fingerprint) quarantine.Verdict {
+	if f.isHeld() {
+		return quarantine.Verdict{Decision: quarantine.Held}
+	}
 	return quarantine.Verdict{Decision: quarantine.AllowTrial}
 }
-func (f *streamFleet) ReportAttempt(quarantine.Fingerprint, quarantine.AttemptResult) {}
+func (f *streamFleet) ReportAttempt(_ quarantine.Fingerprint, a quarantine.AttemptResult) {
+	if a.Outcome == quarantine.ReplicaCrashed {
+		f.crashes++
+	}
+}
+
+// HasCrashed implements Prober: a replica that resets a connection is down.
+func (f *streamFleet) HasCrashed(context.Context, *pool.Replica) bool { return true }
 
 // Send implements Upstream.
 func (f *streamFleet) Send(ctx context.Context, r *pool.Replica, d Dispatch) (Reply, error) {
@@ -148,7 +187,10 @@
 		return nil, outcome.New(outcome.NotRun, "refused", r.ID, errors.New("no run left")).WithStatus(503)
 	}
 	x := f.runs[n-1]
-	if x.refused {
+	if x.refusedLate {
+		<-ctx.Done()
+	}
+	if x.refused || x.refusedLate {
 		return nil, outcome.New(outcome.NotRun, "refused", r.ID, errors.New("full")).WithStatus(503)
 	}
 	after, _ := strconv.Atoi(d.LastEventID)
@@ -215,6 +257,9 @@
 		if r.f.onCancel != nil {
 			r.f.onCancel(r.f.leave)
 		}
+		if r.run.reset {
+			return partOfEvent, syscall.ECONNRESET
+		}
 		if r.run.buffered == 0 {
 			return partOfEvent, context.Cause(r.ctx)
 		}
@@ -237,11 +282,38 @@
 func (f *streamFleet) Head(Head) error { f.heads++; return nil }
 
 // Event implements ForwardSink.
-func (f *streamFleet) Event(b []byte) error { f.got = append(f.got, string(b)); return nil }
+func (f *streamFleet) Event(b []byte) error {
+	f.got = append(f.got, string(b))
+	if f.onEvent != nil {
+		f.onEvent(len(f.got), f.leave)
+	}
+	return nil
+}
 
 // Body implements ForwardSink.
 func (f *streamFleet) Body([]byte) error { f.bodies++; return nil }
 
+// bufferedClient is the client of a streamFleet with a buffer. A write that is interrupted is lost.
+type bufferedClient struct {
+	*streamFleet
+	client      context.Context
+	interrupted chan struct{}
+}
+
+func (c *bufferedClient) Interrupt() { close(c.interrupted) }
+
+func (c *bufferedClient) Event(b []byte) error {
+	if c.client.Err() != nil {
+		c.fault("an event is written after the client left")
+	}
+	select {
+	case <-time.After(c.writeTimes[len(c.got)%len(c.writeTimes)]):
+		return c.streamFleet.Event(b)
+	case <-c.interrupted:
+		return os.ErrDeadlineExceeded
+	}
+}
+
 // run forwards the request in a bubble of fake time and checks what holds for every stream.
 func (s streamScenario) run(t *testing.T) (f *streamFleet, x *ForwardResult, err error) {
 	f = &streamFleet{streamScenario: s}
@@ -257,13 +329,17 @@
 			clock = s.clock
 		}
 		r := NewRouter(Ports{
-			View: v, Clock: clock, Rand: rand.NewPCG(1, 1), Upstream: f, Retries: admission.RetryLimit{Burst: s.budget}, Placer: f, Quarantine: f,
+			View: v, Clock: clock, Rand: rand.NewPCG(1, 1), Upstream: f, Retries: admission.RetryLimit{Burst: s.budget}, Placer: f, AnswerBuffers: s.buffers, Quarantine: f, Prober: f,
 			FleetSize: func() int { return 1 }, CompletionPause: completionPause, AcceptConfidence: 60,
 			Hooks: &Hooks{
 				AttemptFailed: func(a FailedAttempt) { f.failed = append(f.failed, a) },
 				StreamMoved:   func(m StreamMove) { f.moved = append(f.moved, m) },
 			},
 		})
+		f.router = r
+		if s.onReady != nil {
+			s.onReady(r)
+		}
 		now := clock()
 		q := &OpaqueRequest{
 			ID: "q", Table: v.Get().Table, Prompt: prompt.Prompt{Model: "m", InputTokens: 100, EstimatedOutputTokens: s.expected},
@@ -276,7 +352,21 @@
 		ctx, leave := context.WithCancel(t.Context())
 		defer leave()
 		f.leave = leave
-		x, err = r.Forward(ctx, q, f)
+		if s.leaveAfter > 0 {
+			defer time.AfterFunc(s.leaveAfter, leave).Stop()
+		}
+		var out ForwardSink = f
+		if s.buffers != nil {
+			out = &bufferedClient{f, ctx, make(chan struct{})}
+		}
+		start := time.Now()
+		x, err = r.Forward(ctx, q, out)
+		if s.leaveAfter > 0 && time.Since(start) > s.leaveAfter+500*time.Millisecond {
+			f.fault("the request ended %s after the client had left", time.Since(start)-s.leaveAfter)
+		}
+		if s.buffers != nil && s.buffers.Held() != 0 {
+			f.fault("%d bytes are still held", s.buffers.Held())
+		}
 		if n := r.InFlight(); len(n) > 0 {
 			f.fault("requests are still counted at %v", n)
 		}
@@ -353,6 +443,8 @@
 		{"attempts used up", "a stream cut off that may not run again", with(newScenario(pausing), func(s *streamScenario) { s.maxAttempts = 1 }), "", 1, 0, "", true},
 		{"events without ids", "events sent twice because the replica does not know where to resume", with(newScenario(pausing), func(s *streamScenario) { s.withoutIDs = true }), "", 1, 0, keptUnresumable, true},
 		{"on trial", "a trial that is cut off and shows nothing about the content", with(newScenario(pausing), func(s *streamScenario) { s.onTrial = true }), "", 1, 0, "", true},
+		{"resumed without an estimate", "healthy replicas found silent one after the other while they read the prompt, as no owner estimates the time for that", with(newScenario(silentAfter(5), fakeRun{first: 3500 * ms, interval: 50 * ms, stopAfter: neverStops}), func(s *streamScenario) { s.ownerLostAfter = 1 }), "silent", 2, 1, "", true},
+		{"held content", "a stream cut off that the quarantine does not let run again", with(newScenario(pausing), func(s *streamScenario) { s.heldFrom = 3 }), "", 1, 0, keptQuarantined, true},
 		{"not placed by completion", "other routes served differently", with(newScenario(pausing), func(s *streamScenario) { s.pauseTarget = time.Second }), "", 1, 0, "", true},
 		{"slow and short of time", "a healthy stream that is cut off by a small silence shortly before its deadline", with(newScenario(complete(400*ms)), func(s *streamScenario) { s.events, s.expected, s.timeLeft = 3, 3, 1700*ms }), "", 1, 0, keptNoneInTime, true},
 	} {
@@ -399,6 +491,141 @@
 	}
 }
 
+// Guards against a stream that is moved because its client took the time that was left. The replica sends at an even pace and
+// would complete the answer in time.
+func TestSlowClientDoesNotMoveStream(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		run  fakeRun
+	}{
+		{"mean interval", complete(200 * time.Millisecond)},
+		{"short silence", fakeRun{first: 50 * time.Millisecond, interval: 50 * time.Millisecond, stopAfter: 20, pause: 1900 * time.Millisecond}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScenario(c.run, complete(50*time.Millisecond))
+			s.events, s.expected, s.finish = 30, 60, time.Second
+			s.onEvent = func(n int, _ context.CancelFunc) {
+				if n == 18 {
+					time.Sleep(13 * time.Second)
+				}
+			}
+			if c.run.stopAfter != neverStops {
+				s.timeLeft = 16500 * time.Millisecond
+			}
+			f, x, err := s.run(t)
+			if len(f.faults) > 0 || err != nil || len(x.Moves) > 0 || x.MoveDeclined != "" {
+				t.Errorf("%v, %v, moves %v, declined %q, want no decision", f.faults, err, x.Moves, x.MoveDeclined)
+			}
+		})
+	}
+}
+
+// Guards against a crash that is not counted because the stream was being moved when the connection was reset.
+func TestCrashDuringMoveIsCounted(t *testing.T) {
+	slow := complete(500 * time.Millisecond)
+	slow.stopAfter = 10
+	for _, c := range []struct {
+		moves string
+		run   fakeRun
+	}{{"silent", silentAfter(5)}, {"slow", slow}} {
+		c.run.reset = true
+		s := newScenario(c.run, complete(10*time.Millisecond))
+		if c.moves == "slow" {
+			// The silence that ends the run is short for a fault, and too long for the time left.
+			s.timeLeft, s.finish = 6*time.Second, 300*time.Millisecond
+		}
+		f, x, err := s.run(t)
+		if len(f.faults) > 0 || err != nil || moves(x) != c.moves || f.crashes != 1 || len(f.failed) != 1 {
+			t.Errorf("%s: %v, %v, moves %q, %d crashes, failed attempts %v, want one", c.moves, f.faults, err, moves(x), f.crashes, f.failed)
+		}
+	}
+}
+
+// Guards against a refusal that counts as a run and as a fault because the stream was being moved on when it arrived.
+func TestRefusalDuringMoveIsNoRun(t *testing.T) {
+	s := newScenario(silentAfter(5), fakeRun{refusedLate: true}, complete(50*time.Millisecond))
+	s.timeLeft, s.finish = 5*time.Second, time.Second
+	f, x, err := s.run(t)
+	if len(f.faults) > 0 || err != nil || x.Runs != 2 || moves(x) != "silent" || len(f.sends) != 3 {
+		t.Errorf("%v, %v, %d runs, moves %q, %d sends, want 2 runs, one move and 3 sends", f.faults, err, x.Runs, moves(x), len(f.sends))
+	}
+	if b := f.router.backends.state[f.sends[1]]; b.breaker.FailureRate() > 0 {
+		t.Errorf("the refusal counts as a failure of %s", f.sends[1])
+	}
+}
+
+// Guards against a replica that stays excluded by its breaker because the request that may probe it is taken up by decisions
+// that leave the stream where it is.
+func TestDeclinedMoveUsesUpNoProbe(t *testing.T) {
+	s := newScenario(complete(500 * time.Millisecond))
+	s.events, s.expected, s.timeLeft, s.finish = 25, 60, 15*time.Second, 14*time.Second
+	var r *Router
+	var running string
+	forEach := func(f func(id string, x *backend)) {
+		r.backends.mu.Lock()
+		defer r.backends.mu.Unlock()
+		for i := range 8 {
+			if id := fmt.Sprint("r", i); id != running {
+				f(id, r.backends.stateOf(id))
+			}
+		}
+	}
+	s.onReady = func(x *Router) { r = x }
+	s.onSend = func(int, context.CancelFunc) {
+		for id := range r.InFlight() {
+			running = id
+		}
+		forEach(func(_ string, x *backend) { x.breaker.Open(time.Now().Add(-time.Second)) })
+	}
+	s.onEvent = func(n int, _ context.CancelFunc) {
+		if n != 24 {
+			return
+		}
+		forEach(func(id string, x *backend) {
+			if !x.breaker.Allows(time.Now()) {
+				t.Errorf("%s may not be probed, though no request was sent there", id)
+			}
+		})
+	}
+	if f, x, err := s.run(t); len(f.faults) > 0 || err != nil || x.MoveDeclined != keptNoneInTime {
+		t.Errorf("%v, %v, declined %q, want a stream that stays", f.faults, err, x.MoveDeclined)
+	}
+}
+
+// Guards against requests that are refused as late because a slow client was taken for slow replicas.
+func TestSlowClientDoesNotRaiseExpectedTime(t *testing.T) {
+	// An answer that is cut off sooner than it was expected to end changes nothing.
+	for left, most := range map[time.Duration]time.Duration{20 * time.Second: 2900 * time.Millisecond, 8 * time.Second: 3 * time.Second} {
+		s := newScenario(complete(100 * time.Millisecond))
+		s.timeLeft = left
+		s.onEvent = func(n int, _ context.CancelFunc) {
+			if n == 5 {
+				time.Sleep(10 * time.Second)
+			}
+		}
+		f, x, _ := s.run(t)
+		w := &forwarding{q: x.Request, result: x, modelIndex: -1}
+		if d := f.router.finishDelays.Expect(w.slotTimeKey(), float64(s.finish.Milliseconds())); len(f.faults) > 0 || d > most {
+			t.Errorf("%s left: %v, a complete answer is expected after %s, want %s at most", left, f.faults, d, most)
+		}
+	}
+}
+
+// Guards against a healthy replica that counts as faulty, and a wrong status, if another one answered with an error instead of
+// resuming the stream and the client then left.
+func TestErrorOfResumedRunIsNotThatOfTheNext(t *testing.T) {
+	s := newScenario(silentAfter(5), fakeRun{status: http.StatusInternalServerError}, complete(50*time.Millisecond))
+	s.onEvent = func(n int, leave context.CancelFunc) {
+		if n == 8 {
+			leave()
+		}
+	}
+	f, x, err := s.run(t)
+	if len(f.faults) > 0 || err == nil || len(f.failed) != 2 || x.Status != http.StatusOK {
+		t.Errorf("%v, %v, failed attempts %v, status %d, want the first two and the status that the client got", f.faults, err, f.failed, x.Status)
+	}
+}
+
 // Guards against a healthy replica that is found silent because this process was suspended: the
 // event that ends the silence has arrived but was not read yet.
 func TestSuspensionIsNoSilence(t *testing.T) {
@@ -420,8 +647,37 @@
 	}
 }
 
+// Guards against a replica that is found slow because this process was suspended between two events.
+func TestSuspensionIsNoSlowness(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// wait is the time to the event that ends the suspension: it arrives before or after the timer.
+		wait time.Duration
+	}{{"event read first", 50 * time.Millisecond}, {"timer first", 2050 * time.Millisecond}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScenario(fakeRun{first: 50 * time.Millisecond, interval: 50 * time.Millisecond, stopAfter: 6, pause: c.wait}, complete(20*time.Millisecond))
+			s.events, s.expected, s.finish = 40, 60, time.Second
+			var start time.Time
+			s.clock = func() time.Time {
+				now := time.Now()
+				if start.IsZero() {
+					start = now
+				}
+				if now.Sub(start) > 320*time.Millisecond {
+					now = now.Add(8 * time.Second)
+				}
+				return now
+			}
+			f, x, err := s.run(t)
+			if len(f.faults) > 0 || err != nil || len(x.Moves) > 0 {
+				t.Errorf("%v, moves %v, %v, want none", f.faults, x.Moves, err)
+			}
+		})
+	}
+}
+
 // Guards against events that are lost, sent twice or out of order, runs that overlap, and replicas
-// that stay reserved, whatever the replicas do.
+// that stay reserved, whatever the replicas do and however slowly the client reads.
 func TestMovedStreamsAreComplete(t *testing.T) {
 	millis := func(low, high int) *rapid.Generator[time.Duration] {
 		return rapid.Map(rapid.IntRange(low, high), func(n int) time.Duration { return time.Duration(n) * time.Millisecond })
@@ -447,6 +703,11 @@
 				}
 			}
 		}
+		if n := rapid.SampledFrom([]int64{0, 100, 1000, 1 << 16}).Draw(u, "buffer"); n > 0 {
+			s.buffers = answerbuffer.NewBudget(n, n)
+			s.writeTimes = rapid.SliceOfN(millis(0, 1500), 1, 5).Draw(u, "writes")
+			s.leaveAfter = rapid.OneOf(rapid.Just(time.Duration(0)), millis(1, 20000)).Draw(u, "leave")
+		}
 		f, x, _ := s.run(t)
 		slowMoves := strings.Count(moves(x), "slow")
 		if len(f.faults) > 0 || slowMoves > 1 {
--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -91,9 +91,23 @@
 	}
 }
 
+// intN draws a number below n. Send draws from the same source in other goroutines.
+func (f *trialFleet) intN(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rand.IntN(n)
+}
+
+// receivedBy returns the number of requests that the release got. Some may still be in progress.
+func (f *trialFleet) receivedBy(release string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.received[release]
+}
+
 // send sends a request to an instance; its client disconnects after the patience.
 func (f *trialFleet) send(id string, r *route.Route, patience time.Duration) {
-	n := f.routers[f.rand.IntN(len(f.routers))]
+	n := f.routers[f.intN(len(f.routers))]
 	f.requests.Go(func() {
 		ctx, cancel := context.WithTimeoutCause(f.t.Context(), patience, context.Canceled)
 		defer cancel()
@@ -122,7 +136,7 @@
 	end := time.Now().Add(d)
 	lastExchange := time.Now()
 	for n := 0; time.Now().Before(end); n++ {
-		f.send(fmt.Sprint(name, n), a[f.rand.IntN(len(a))], patience)
+		f.send(fmt.Sprint(name, n), a[f.intN(len(a))], patience)
 		time.Sleep(time.Second / time.Duration(rate))
 		if time.Since(lastExchange) < 400*time.Millisecond {
 			continue
@@ -201,7 +215,7 @@
 		}
 		const rate = 40
 		f.runRelease(rollout.NewRelease("s", "v2", 1, 20*time.Second), trialRoutes(9), rate, 2500*time.Millisecond)
-		if n := f.received["v2"]; !f.found() || n > maxBadRequests(rate) {
+		if n := f.receivedBy("v2"); !f.found() || n > maxBadRequests(rate) {
 			t.Errorf("a release whose answers take three to nine times as long got %d requests, want at most %d; found: %t", n, maxBadRequests(rate), f.found())
 		}
 		f.requests.Wait()
@@ -235,7 +249,9 @@
 		}
 		time.Sleep(time.Second)
 		f.routers = []*Router{f.router(1)}
+		f.mu.Lock()
 		rate = 0.5
+		f.mu.Unlock()
 		for i := range 6 {
 			f.run(fmt.Sprint("after", i, "-"), a, 60, 500*time.Millisecond, time.Minute)
 			for _, x := range f.routers[0].CollectTallies() {
@@ -259,7 +275,7 @@
 		f.answer = failsWhenBusy(trialSlots / 2)
 		const rate = 70
 		f.runRelease(rollout.NewRelease("s", "v2", 1, 20*time.Second), trialRoutes(3), rate, time.Minute)
-		if n := f.received["v2"]; n > maxBadRequests(rate) {
+		if n := f.receivedBy("v2"); n > maxBadRequests(rate) {
 			t.Errorf("a release that fails under load got %d requests, want at most %d", n, maxBadRequests(rate))
 		}
 		f.requests.Wait()
@@ -274,7 +290,7 @@
 		f.answer = failsWhenBusy(4)
 		const rate = 70
 		f.runRelease(rollout.NewRelease("s", "v2", 1, 20*time.Second), trialRoutes(3), rate, time.Minute)
-		if n := f.received["v2"]; !f.found() || n > maxBadRequests(rate) {
+		if n := f.receivedBy("v2"); !f.found() || n > maxBadRequests(rate) {
 			t.Errorf("a release that fails under normal load got %d requests, want at most %d; found: %t", n, maxBadRequests(rate), f.found())
 		}
 		f.requests.Wait()
