--- a/entry/assign.go
+++ b/entry/assign.go
@@ -29,6 +29,8 @@
 	// which is then finishMs, in milliseconds.
 	byCompletion bool
 	finishMs     float64
+	// othersMs is the delay of other streams by this one that the owner expects, in milliseconds.
+	othersMs float64
 	// share is the customer's use of the replicas.
 	share shareStatus
 }
@@ -83,7 +85,7 @@
 	}
 	p = &assignment{
 		replica: c[x.Index], ticket: t, costMs: x.PrefillMs, promptPending: true,
-		byCompletion: w.placesByCompletion(), finishMs: x.FinishMs,
+		byCompletion: w.placesByCompletion(), finishMs: x.FinishMs, othersMs: x.OthersMs,
 		idle: x.WaitMs < 1, tokens: x.PrefillMs / e.msPerToken, firstEventMs: x.WaitMs + x.PrefillMs,
 	}
 	w.r.backends.assign(p.replica, p.costMs, now)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -203,6 +203,7 @@
 	w.result.Sends++
 	w.result.Tried = append(w.result.Tried, b.ID)
 	w.result.Replica, w.result.Release, w.result.Model = b.ID, b.Release, d.Model
+	w.result.recordExpectation(p)
 	w.tried = append(w.tried, b.ID)
 	a := &attempt{w: w, assignment: p, replica: b, sentAt: w.r.clock(), slotTimeKey: w.slotTimeKey()}
 	a.startHeadWait()
--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -120,6 +120,10 @@
 	// Verdict is the last decision on whether it may be sent.
 	Fingerprint string
 	Verdict     quarantine.Verdict
+	// ExpectedFinish is the time from the last attempt until the whole answer was expected to be
+	// complete, and DelayOfOthers the total delay of other streams that was expected of it, both by
+	// the owner of the replicas' group; 0 if the request was not placed by completion.
+	ExpectedFinish, DelayOfOthers time.Duration
 	// Tried are the replicas that the request was sent to, in order.
 	Tried []string
 	// ReportedLoad is the load report of the replica that was last chosen without the placer.
@@ -142,3 +146,8 @@
 	FirstByteAt time.Time
 	EndedAt     time.Time
 }
+
+// recordExpectation records what the owner expected of an attempt.
+func (f *ForwardResult) recordExpectation(p *assignment) {
+	f.ExpectedFinish, f.DelayOfOthers = milliseconds(p.finishMs), milliseconds(p.othersMs)
+}
