adapter/exchange: don't split events where a line fills the read buffer

EventReader took the rest of a line that is longer than its read buffer for a line of its own. If a line was a multiple of 4,096 bytes long, the rest was empty and ended the event early. A stream that was moved or resumed after the first part lost the empty line, so that the client got two events as one. A rest that starts with "id:" was taken for the event's id.

Lines are now checked as a whole.

Tested: three new cases of TestEventsAreComplete, which fail without the change; go test ./adapter/exchange; FuzzEvents for 5 s.

--- a/adapter/exchange/events.go
+++ b/adapter/exchange/events.go
@@ -28,6 +28,8 @@
 // the last event. It returns io.ErrUnexpectedEOF if the body ends within an event.
 func (e *EventReader) Next() (entry.Event, error) {
 	var v entry.Event
+	// lineStart is the index of the current line in v.Data. Lines may exceed the read buffer.
+	lineStart := 0
 	for {
 		l, err := e.r.ReadSlice('\n')
 		v.Data = append(v.Data, l...)
@@ -46,6 +48,8 @@
 		if err != nil {
 			continue
 		}
+		l = v.Data[lineStart:]
+		lineStart = len(v.Data)
 		if len(bytes.TrimRight(l, "\r\n")) == 0 {
 			return v, nil
 		}
--- a/adapter/exchange/exchange_test.go
+++ b/adapter/exchange/exchange_test.go
@@ -164,8 +164,10 @@
 }
 
 // A stream that is cut within an event must not yield the partial event, nor end as if it
-// were complete.
+// were complete. Nor may an event be split where a line fills the read buffer: if the stream is
+// resumed after the first part, the rest of the event is lost.
 func TestEventsAreComplete(t *testing.T) {
+	fullLine := "data: " + strings.Repeat(".", readBufferSize-len("data: "))
 	for _, c := range []struct {
 		name, body string
 		ids        string
@@ -176,6 +178,9 @@
 		{"cut in a line", "id: 1\n\nid: 2\nda", "1", io.ErrUnexpectedEOF},
 		{"cut between lines", "id: 1\n\nid: 2\n", "1", io.ErrUnexpectedEOF},
 		{"none", "", "", io.EOF},
+		{"a line as long as the read buffer", "id: 1\n" + fullLine + "\n\nid: 2\n\n", "1 2", io.EOF},
+		{"a line as long as the read buffer, with CRLF", "id: 1\r\n" + fullLine + "\r\n\r\nid: 2\r\n\r\n", "1 2", io.EOF},
+		{"an id in the middle of a long line", "id: 1\n" + fullLine + "id: 9\n\n", "1", io.EOF},
 	} {
 		e := NewEventReader(strings.NewReader(c.body))
 		var l []string
