placement: learn how long generation takes in each group

Cause: the time of a decode step was a constant of two engines. On others, generation would weigh too much or too little beside prefill.

--- a/placement/node.go
+++ b/placement/node.go
@@ -133,7 +133,7 @@
 		n.tracker.Prefilled(m.Prefilled, n.clock())
 	}
 	if m.Ended != 0 {
-		n.tracker.Ended(m.Ended)
+		n.tracker.AnswerEnded(m.Ended, n.clock())
 	}
 	if m.Aborted != 0 {
 		if r := n.tracker.Aborted(m.Aborted, Fault(m.Fault), n.clock()); r != "" {
--- a/placement/request.go
+++ b/placement/request.go
@@ -44,6 +44,8 @@
 	Group string
 	// demoted is set by the load tracker if the customer is over its share.
 	demoted bool
+	// generationScale is the learned factor for generation times, set by LoadTracker.Choose.
+	generationScale float64
 }
 
 // PrefixPart is one part of a prompt's shared prefix.
--- a/placement/share.go
+++ b/placement/share.go
@@ -151,7 +151,7 @@
 // idle replica.
 func (r Request) finishesLate(c Choice) bool {
 	most := lateFinishFraction * r.DeadlineMs
-	return r.ByCompletion && r.DeadlineMs > 0 && c.FinishMs > most && c.PrefillMs+r.OutputTokens*stepMs(r.Pace) <= most
+	return r.ByCompletion && r.DeadlineMs > 0 && c.FinishMs > most && c.PrefillMs+r.generationScale*r.OutputTokens*stepMs(r.Pace) <= most
 }
 
 // isShort reports whether the group is short of capacity: even its least loaded candidate
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -92,6 +92,8 @@
 	runs map[uint64]*run
 	// shares has the work of customers by group.
 	shares groupShares
+	// generation is what was learned of the generation times of each group.
+	generation map[string]generationTime
 	// recentlyEnded has tickets whose run ended lately.
 	recentlyEnded endedTickets
 	lastTicket    uint64
@@ -104,7 +106,7 @@
 	return &LoadTracker{
 		pendingMs: map[string]float64{}, open: map[uint64]placedPrompt{}, busySlots: map[string]int{},
 		faults: map[string]faultEstimate{}, cached: map[cachedPart]time.Time{}, lastTicket: start,
-		work: map[string]*replicaWork{}, runs: map[uint64]*run{}, shares: newGroupShares(),
+		work: map[string]*replicaWork{}, runs: map[uint64]*run{}, generation: map[string]generationTime{}, shares: newGroupShares(),
 	}
 }
 
@@ -115,6 +117,7 @@
 	defer l.mu.Unlock()
 	l.sweep(now)
 	l.releaseEndedSlots(now)
+	r.generationScale = l.generation[r.Group].scale()
 	s := l.standing(r, now)
 	r.demoted = s.Over
 	c := l.best(r, now)
@@ -213,6 +216,7 @@
 	if p, ok := l.open[ticket]; ok {
 		l.faults[p.replica] = l.faults[p.replica].withSuccess(now)
 	}
+	l.promptRead(ticket, now)
 	l.closeTicket(ticket)
 }
 
--- a/placement/work.go
+++ b/placement/work.go
@@ -50,6 +50,11 @@
 	endsAt       time.Time
 	// customer is the name of the customer, empty if there is none.
 	customer string
+	// group is the group of the replica, and estimatedMs the generation time of the answer before it
+	// is scaled by what was learned; both are known of runs that this owner placed.
+	group       string
+	estimatedMs float64
+	prefilledAt time.Time
 }
 
 // replicaWork is the work of all instances on one replica.
@@ -109,7 +114,7 @@
 // the prefill time there, after a wait of waitMs.
 func (w *replicaWork) completionOn(r *Request, waitMs, prefillMs float64, now time.Time) completion {
 	before, after := stepMs(w.paces), stepMs(w.paces+r.Pace)
-	generateMs := r.OutputTokens * after / (1 - w.prefillFraction(now))
+	generateMs := r.generationScale * r.OutputTokens * after / (1 - w.prefillFraction(now))
 	c := completion{finishMs: waitMs + prefillMs + generateMs}
 	c.othersMs = prefillMs*float64(len(w.runs)) + (after/before-1)*w.overlapMs(generateMs, now)
 	return c
@@ -211,6 +216,7 @@
 	l.endRun(c.Ticket)
 	l.countRun(c.Ticket, &run{
 		replica: r.Replicas[c.Index], pace: r.Pace, memoryTokens: r.MemoryTokens, endsAt: r.expectedEnd(c, now), customer: r.Customer,
+		group: r.Group, estimatedMs: (c.FinishMs - c.WaitMs - c.PrefillMs) / r.generationScale,
 	}, c.PrefillMs, now)
 }
 
