retry budgets are logged and measured; package budget

Change: the accounts of retries move from entry and admission to a package of their own, whose rule is as before. Each second with a change the node logs retry_budget, and metrics have the same figures. Retries have a purpose, which carries its reserve.

--- /dev/null
+++ b/budget/budget.go
@@ -0,0 +1,176 @@
+// Package budget bounds the retries of the whole fleet at each service. Each instance
+// keeps an account for each service: requests earn retries, and each attempt at a replica
+// after the first of its request takes one.
+package budget
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Purpose is what a retry is for.
+type Purpose int
+
+// The purposes of retries. They are in the order of their urgency: a request without a
+// retry fails, while a wrong answer is worth little more than none, and a slow stream may
+// still end in time.
+const (
+	// Failure replaces an attempt that failed or was refused.
+	Failure Purpose = iota
+	// LargerModel asks a larger model after an answer with a low confidence.
+	LargerModel
+	// SlowStream continues a stream that is too slow on another replica.
+	SlowStream
+	purposeCount
+)
+
+// String names the purpose for logs and metrics.
+func (p Purpose) String() string {
+	return [purposeCount]string{"failure", "larger_model", "slow_stream"}[p]
+}
+
+// reserves is the part of the allowance that each purpose leaves to more urgent ones.
+var reserves = [purposeCount]float64{LargerModel: 0.1, SlowStream: 0.35}
+
+// Counts are numbers of retries by purpose.
+type Counts [purposeCount]uint64
+
+// String formats the numbers for the log.
+func (c Counts) String() string {
+	l := make([]string, purposeCount)
+	for p, n := range c {
+		l[p] = fmt.Sprintf("%s:%d", Purpose(p), n)
+	}
+	return strings.Join(l, ",")
+}
+
+// ByPurpose returns the numbers by the purposes' names.
+func (c Counts) ByPurpose() map[string]uint64 {
+	m := map[string]uint64{}
+	for p, n := range c {
+		m[Purpose(p).String()] = n
+	}
+	return m
+}
+
+// Account is the state of one service's account, for logs and metrics.
+type Account struct {
+	// FleetSize is the number of instances that share the burst; 0 if it is unknown.
+	FleetSize int
+	// Share is this instance's part of the fleet's burst, in retries.
+	Share float64
+	// Requests is the number of requests, Taken of retries and Denied of retries that were not
+	// allowed, since the process started.
+	Requests      uint64
+	Taken, Denied Counts
+	// Earned is the number of retries that the requests of the window allow, Used the number
+	// of retries in it.
+	Earned, Used float64
+}
+
+// Config configures a Budget.
+type Config struct {
+	Limit Limit
+	// FleetSize returns the number of instances, or 0 if it is unknown. If it is nil, this
+	// instance is the only one.
+	FleetSize func() int
+	Clock     func() time.Time
+}
+
+// Budget is the part of the fleet's retries that this instance may make. It is safe for
+// concurrent use.
+type Budget struct {
+	config Config
+
+	mu       sync.Mutex
+	accounts map[string]*account
+}
+
+// account is the account of one service.
+type account struct {
+	window        *window
+	requests      uint64
+	taken, denied Counts
+}
+
+// New returns a budget in which no request is recorded.
+func New(c Config) *Budget { return &Budget{config: c, accounts: map[string]*account{}} }
+
+// RecordRequest records a request of a client for the service.
+func (b *Budget) RecordRequest(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(service)
+	a.requests++
+	a.window.recordRequest(b.config.Clock())
+}
+
+// RequestRate returns the mean number of requests per second for the service lately.
+func (b *Budget) RequestRate(service string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.account(service).window.requestRate(b.config.Clock())
+}
+
+// TakeRetry takes a retry at the service and reports whether one was left for the purpose.
+func (b *Budget) TakeRetry(service string, p Purpose) bool {
+	n := b.shareSize()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(service)
+	if !a.window.takeRetry(b.config.Clock(), 1/float64(n), reserves[p]) {
+		a.denied[p]++
+		return false
+	}
+	a.taken[p]++
+	return true
+}
+
+// Accounts returns the accounts by service.
+func (b *Budget) Accounts() map[string]Account {
+	size, n := b.fleetSize(), b.shareSize()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := map[string]Account{}
+	for s, a := range maps.All(b.accounts) {
+		a.window.advance(b.config.Clock())
+		m[s] = Account{
+			FleetSize: size, Share: b.config.Limit.Burst / float64(n), Requests: a.requests, Taken: a.taken, Denied: a.denied,
+			Earned: b.config.Limit.Ratio * sum(a.window.requests), Used: sum(a.window.retries),
+		}
+	}
+	return m
+}
+
+// defaultFleetSize is the number of instances assumed while it is unknown. It is above the usual
+// size of a small fleet.
+const defaultFleetSize = 12
+
+// fleetSize is the number of instances, or 0 if it is unknown.
+func (b *Budget) fleetSize() int {
+	if b.config.FleetSize == nil {
+		return 1
+	}
+	return b.config.FleetSize()
+}
+
+// shareSize is the number by which the fleet's burst is divided.
+func (b *Budget) shareSize() int {
+	if n := b.fleetSize(); n > 0 {
+		return n
+	}
+	return defaultFleetSize
+}
+
+// account returns the service's account; b.mu is held.
+func (b *Budget) account(service string) *account {
+	a, ok := b.accounts[service]
+	if !ok {
+		a = &account{window: newWindow(b.config.Limit)}
+		b.accounts[service] = a
+	}
+	return a
+}
--- a/admission/window.go
+++ b/budget/window.go
@@ -1,4 +1,4 @@
-package admission
+package budget
 
 import "time"
 
@@ -9,9 +9,9 @@
 	slotCount    = 20
 )
 
-// RetryLimit limits the retries of a service's requests, so that failing backend
+// Limit bounds the retries of the whole fleet at a service, so that failing backend
 // servers do not receive much more load than healthy ones.
-type RetryLimit struct {
+type Limit struct {
 	// Ratio is the number of retries that each request earns.
 	Ratio float64
 	// Burst is the number of further retries that the whole fleet may make in any
@@ -19,34 +19,34 @@
 	Burst float64
 }
 
-// RetryWindow counts the requests and retries of one service in a sliding window.
+// window counts the requests and retries of one service in a sliding window.
 // It is not safe for concurrent use.
-type RetryWindow struct {
-	limit    RetryLimit
+type window struct {
+	limit    Limit
 	requests [slotCount]float64
 	retries  [slotCount]float64
 	// newest is the number of the latest slot, counted since the Unix epoch.
 	newest int64
 }
 
-// NewRetryWindow returns an empty window with the given limit.
-func NewRetryWindow(r RetryLimit) *RetryWindow { return &RetryWindow{limit: r} }
+// newWindow returns an empty window with the given limit.
+func newWindow(r Limit) *window { return &window{limit: r} }
 
-// RecordRequest records a request.
-func (w *RetryWindow) RecordRequest(now time.Time) {
+// recordRequest records a request.
+func (w *window) recordRequest(now time.Time) {
 	w.requests[w.advance(now)]++
 }
 
-// RequestRate returns the mean number of requests per second in the window.
-func (w *RetryWindow) RequestRate(now time.Time) float64 {
+// requestRate returns the mean number of requests per second in the window.
+func (w *window) requestRate(now time.Time) float64 {
 	w.advance(now)
 	return sum(w.requests) / windowLength.Seconds()
 }
 
-// TakeRetry reports whether a retry is allowed, and records it if so. share is the
+// takeRetry reports whether a retry is allowed, and records it if so. share is the
 // fraction of the fleet-wide burst that belongs to this instance; reserve is the
 // fraction of the allowance that this kind of retry must leave to other kinds.
-func (w *RetryWindow) TakeRetry(now time.Time, share, reserve float64) bool {
+func (w *window) takeRetry(now time.Time, share, reserve float64) bool {
 	i := w.advance(now)
 	if sum(w.retries)+1 > w.limit.Ratio*(1-reserve)*sum(w.requests)+w.limit.Burst*share*(1-reserve) {
 		return false
@@ -57,7 +57,7 @@
 
 // advance clears the slots that have become current since the last call and
 // returns the index of the current slot.
-func (w *RetryWindow) advance(now time.Time) int64 {
+func (w *window) advance(now time.Time) int64 {
 	n := now.UnixNano() / int64(windowLength/slotCount)
 	for i := max(w.newest+1, n-slotCount+1); i <= n; i++ {
 		w.requests[i%slotCount], w.retries[i%slotCount] = 0, 0
--- a/admission/window_test.go
+++ b/budget/window_test.go
@@ -1,4 +1,4 @@
-package admission_test
+package budget
 
 import (
 	"testing"
@@ -6,27 +6,28 @@
 
 	"pgregory.net/rapid"
 
-	"fieldvale/admission"
 	"fieldvale/standin/seed"
 )
 
 var _ = seed.Fix()
 
+var noon = time.Date(2026, 5, 4, 12, 0, 0, 0, time.UTC)
+
 // In every period of nearly the window's length, the retries must not exceed the
 // given fraction of the requests plus the burst. A window that clears its slots
 // too early or too late would allow more.
 func TestRetriesStayWithinTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limit := admission.RetryLimit{Ratio: 0.8, Burst: 5}
-		w := admission.NewRetryWindow(limit)
+		limit := Limit{Ratio: 0.8, Burst: 5}
+		w := newWindow(limit)
 		now := noon
 		var requests, retries []time.Time
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
 			if rapid.IntRange(0, 2).Draw(t, "what") == 0 {
-				w.RecordRequest(now)
+				w.recordRequest(now)
 				requests = append(requests, now)
-			} else if w.TakeRetry(now, 1, 0) {
+			} else if w.takeRetry(now, 1, 0) {
 				retries = append(retries, now)
 			}
 		}
@@ -53,21 +54,21 @@
 // Retries with a reserve must leave that fraction of the allowance to retries
 // without one, such as those after a failure.
 func TestReserveLeavesRetriesForFailures(t *testing.T) {
-	w := admission.NewRetryWindow(admission.RetryLimit{Ratio: 1})
+	w := newWindow(Limit{Ratio: 1})
 	for range 100 {
-		w.RecordRequest(noon)
+		w.recordRequest(noon)
 	}
 	n := 0
-	for w.TakeRetry(noon, 1, 0.25) {
+	for w.takeRetry(noon, 1, 0.25) {
 		n++
 	}
-	for w.TakeRetry(noon, 1, 0) {
+	for w.takeRetry(noon, 1, 0) {
 		n++
 	}
 	if n != 100 {
 		t.Errorf("got %d retries in total, want 100", n)
 	}
-	if w.TakeRetry(noon, 1, 0) || !w.TakeRetry(noon.Add(time.Minute), 1, 0) == false {
+	if w.takeRetry(noon, 1, 0) || !w.takeRetry(noon.Add(time.Minute), 1, 0) == false {
 		t.Error("a retry is allowed with the allowance used up, or a minute later without any request in the window")
 	}
 }
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -20,7 +20,7 @@
 	"fieldvale/adapter/metrics"
 	"fieldvale/adapter/settings"
 	"fieldvale/adapter/socket"
-	"fieldvale/admission"
+	"fieldvale/budget"
 	"fieldvale/clock"
 	"fieldvale/entry"
 	"fieldvale/lease"
@@ -85,6 +85,9 @@
 	// loggedTrials is the trial of each service's release as last logged. Only the
 	// goroutine of runPeriodicTasks uses it.
 	loggedTrials map[string]entry.ReleaseTrial
+	// loggedRetries is the retry budget of each service as last logged. Only the goroutine of
+	// runPeriodicTasks uses it.
+	loggedRetries map[string]budget.Account
 	// earlierAnnouncement passes on the announcement of an earlier run of this instance,
 	// as the first read of the member list found it.
 	earlierAnnouncement chan store.LeasedKey
@@ -128,7 +131,7 @@
 func newNodeWithClock(c *clock.Clock, s settings.Node, path string, l log.Interface) *node {
 	n := &node{
 		settings: s, settingsPath: path, log: l, clock: c.Now, suspendClock: c, metrics: metrics.New(), view: entry.NewCurrentView(),
-		pendingRecords: make(chan state.Record), loggedTrials: map[string]entry.ReleaseTrial{}, earlierAnnouncement: make(chan store.LeasedKey, 1), registerNow: make(chan struct{}, 1), pool: exchange.New(c.Now), stopping: make(chan struct{}),
+		pendingRecords: make(chan state.Record), loggedTrials: map[string]entry.ReleaseTrial{}, loggedRetries: map[string]budget.Account{}, earlierAnnouncement: make(chan store.LeasedKey, 1), registerNow: make(chan struct{}, 1), pool: exchange.New(c.Now), stopping: make(chan struct{}),
 	}
 	n.lease = lease.New(time.Duration(confirmationFraction*float64(s.RevokedKeyTTL)), s.MaxApplyDelay, keyExpiryRule(s), n.clock())
 	n.placer = placement.NewNode(s.ID, startID(), taggedTransport{n, tagPlacement}, n.clock, n.logEvent)
@@ -154,6 +157,7 @@
 	n.releases = platform.NewReleaseWriter(n.store)
 	n.dutyWorker = newDutyWorker(n)
 	n.router = entry.NewRouter(n.routerPorts())
+	n.registerRetryMetrics()
 	n.ingress = platform.NewIngress(platform.IngressConfig{Router: n.router, View: n.view, Lease: n.lease, Clock: n.clock, AwaitConfig: n.state.AwaitFirstConfig, RetryDelay: n.state.StartRetryAfter, OnRouted: n.onRouted(), OnRefused: n.onRefused()})
 	return n
 }
@@ -197,7 +201,7 @@
 		View: n.view, Clock: n.clock, Self: n.settings.ID, DataCentre: n.settings.DataCentre, Regions: n.settings.Regions, Placer: n.placer, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Hooks: n.routerHooks(),
 		Upstream: u, Prober: u, Quarantine: n.quarantine, AcceptConfidence: n.settings.AcceptConfidence, CompletionPause: n.settings.CompletionPause, AnswerBuffers: n.newAnswerBuffers(),
 		Quota: n.quota, Notices: n.notices, Loads: n.loads, ColdBound: quota.ColdBound{Overage: n.settings.ColdLimitFactor, Slack: n.settings.ColdLimitSlack},
-		FleetSize: n.relay.FleetSize, Retries: admission.RetryLimit{Ratio: retryRatioMargin * n.settings.RetryFraction, Burst: retryBurstMargin * n.settings.RetryBurst},
+		FleetSize: n.relay.FleetSize, Retries: budget.Limit{Ratio: retryRatioMargin * n.settings.RetryFraction, Burst: retryBurstMargin * n.settings.RetryBurst},
 	}
 }
 
--- a/cmd/fieldvale-node/periodic.go
+++ b/cmd/fieldvale-node/periodic.go
@@ -20,7 +20,7 @@
 func (n *node) runPeriodicTasks(ctx context.Context, hup <-chan os.Signal) error {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
-	var lastReport, lastTrialLog time.Time
+	var lastReport, lastTrialLog, lastRetryLog time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -39,6 +39,10 @@
 			lastTrialLog = now
 			n.logTrials()
 		}
+		if now := n.clock(); now.Sub(lastRetryLog) >= retryLogInterval {
+			lastRetryLog = now
+			n.logRetryBudgets()
+		}
 	}
 }
 
--- /dev/null
+++ b/cmd/fieldvale-node/retrymetrics.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"fieldvale/budget"
+)
+
+// registerRetryMetrics registers the state of the retry budgets by service. The counts by
+// purpose are of all services.
+func (n *node) registerRetryMetrics() {
+	byService := func(name, help string, of func(budget.Account) float64) {
+		n.metrics.GaugeVecFunc(name, help, "service", func() map[string]float64 {
+			m := map[string]float64{}
+			for s, a := range n.router.RetryAccounts() {
+				m[s] = of(a)
+			}
+			return m
+		})
+	}
+	byService("retry_fleet_size", "Instances that share the fleet's retry burst, as this instance counts them; 0 if unknown.", func(a budget.Account) float64 { return float64(a.FleetSize) })
+	byService("retry_share", "This instance's part of the fleet's retry burst, in retries.", func(a budget.Account) float64 { return a.Share })
+	byService("retries_earned", "Retries that requests of the last ten seconds allow.", func(a budget.Account) float64 { return a.Earned })
+	byService("retries_used", "Retries of the last ten seconds.", func(a budget.Account) float64 { return a.Used })
+	n.metrics.GaugeVecFunc("retries_taken", "Retries since the start of the process, by purpose.", "purpose", func() map[string]float64 {
+		return n.sumRetries(func(a budget.Account) budget.Counts { return a.Taken })
+	})
+	n.metrics.GaugeVecFunc("retries_denied", "Retries that the budget did not allow since the start of the process, by purpose.", "purpose", func() map[string]float64 {
+		return n.sumRetries(func(a budget.Account) budget.Counts { return a.Denied })
+	})
+}
+
+// sumRetries adds up the counts of all services by purpose.
+func (n *node) sumRetries(of func(budget.Account) budget.Counts) map[string]float64 {
+	m := map[string]float64{}
+	for _, a := range n.router.RetryAccounts() {
+		for p, c := range of(a).ByPurpose() {
+			m[p] += float64(c)
+		}
+	}
+	return m
+}
+
+// retryLogInterval is the interval at which retry budgets are logged if they changed. What a
+// killed process took after its last line is in its routed lines.
+const retryLogInterval = time.Second
+
+// logRetryBudgets logs the retry budgets of the services that had a request or retry since
+// their last line.
+func (n *node) logRetryBudgets() {
+	accounts := n.router.RetryAccounts()
+	for _, s := range slices.Sorted(maps.Keys(accounts)) {
+		a, logged := accounts[s], n.loggedRetries[s]
+		if a.Requests == logged.Requests && a.Taken == logged.Taken && a.Denied == logged.Denied {
+			continue
+		}
+		n.loggedRetries[s] = a
+		n.logEvent("retry_budget", "service", s, "fleet", a.FleetSize, "share", a.Share, "requests", a.Requests,
+			"earned", a.Earned, "used", a.Used, "taken", a.Taken, "denied", a.Denied)
+	}
+}
--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"fieldvale/budget"
 )
 
 const (
@@ -16,9 +18,6 @@
 	// most get a timely answer from the larger model; otherwise all of them would be late.
 	wrongTimePart      = 0.9
 	borderlineTimePart = 0.45
-	// escalationReserve is the part of the retry budget that escalations leave for retries of
-	// failed requests. It is small, as a wrong answer is worth little more than none.
-	escalationReserve = 0.1
 	// nextModelAcceptConfidence is the confidence from which the answer of a model after the
 	// smallest is passed on.
 	nextModelAcceptConfidence = evenOdds
@@ -157,7 +156,7 @@
 	if inTime, known := w.completesInTime(p); known && !inTime {
 		return keptIncomplete
 	}
-	if !w.r.takeOpaqueRetry(w.result.Service, escalationReserve) {
+	if !w.takeRetry(budget.LargerModel) {
 		return keptNoBudget
 	}
 	return escalated
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fieldvale/budget"
 	"fieldvale/outcome"
 	"fieldvale/pool"
 	"fieldvale/prompt"
@@ -71,7 +72,7 @@
 	}
 	r.activeForwards.add(w, cancel)
 	defer r.activeForwards.remove(w)
-	r.countRequest(w.result.Service)
+	r.retries.RecordRequest(w.result.Service)
 	w.bufferAnswer(ctx, x, cancel)
 	err := w.endAnswer(w.run(x))
 	w.result.EndedAt = r.clock()
@@ -143,7 +144,7 @@
 // isOverRefused counts a replica that refused the request, up to maxRefusals and the retry budget.
 func (w *forwarding) isOverRefused() bool {
 	w.refusals++
-	return w.stopIf(w.refusals >= maxRefusals, "replicas refused") || w.stopIf(!w.takeRetry(), "no budget")
+	return w.stopIf(w.refusals >= maxRefusals, "replicas refused") || w.stopIf(!w.takeRetry(budget.Failure), "no budget")
 }
 
 // isOverRan decides after an attempt that ran or may have run.
@@ -153,7 +154,7 @@
 	}
 	return w.stopIf(!w.q.Route.AllowsRetry(), "may run once") ||
 		w.stopIf(w.result.Runs >= w.q.Route.MaxAttempts, "attempts used") ||
-		w.stopIf(!w.takeRetry(), "no budget")
+		w.stopIf(!w.takeRetry(budget.Failure), "no budget")
 }
 
 // stopIf records why no further attempt is made if over is set, and returns over.
@@ -171,11 +172,6 @@
 	return ok && o.Kind == outcome.NotRun && o.Status == 0
 }
 
-// takeRetry takes one retry after a failure from the service's budget.
-func (w *forwarding) takeRetry() bool {
-	return w.r.takeOpaqueRetry(w.result.Service, 0)
-}
-
 // attempt sends the request to one replica and relays its answer.
 func (w *forwarding) attempt(ctx context.Context) error {
 	p := w.nextAssignment
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fieldvale/budget"
 	"fieldvale/outcome"
 )
 
@@ -31,7 +32,7 @@
 		return outcome.New(outcome.Unknown, stepAnswer, a.replica.ID, errors.Newf("the replica answered with status %d instead of resuming the stream", h.Status)).WithStatus(h.Status)
 	}
 	w.result.Status = h.Status
-	if w.q.Route.AllowsRetry() && w.result.Runs < w.q.Route.MaxAttempts && h.Status >= 500 && w.takeRetry() {
+	if w.q.Route.AllowsRetry() && w.result.Runs < w.q.Route.MaxAttempts && h.Status >= 500 && w.takeRetry(budget.Failure) {
 		w.mayHaveRun = true
 		return w.markRetryGranted(outcome.New(outcome.Unknown, stepAnswer, a.replica.ID, errors.Newf("the replica answered with status %d", h.Status)).WithStatus(h.Status))
 	}
--- a/entry/router.go
+++ b/entry/router.go
@@ -14,6 +14,7 @@
 	"fieldvale/answerbuffer"
 	"fieldvale/bill"
 	"fieldvale/biller"
+	"fieldvale/budget"
 	"fieldvale/cascade"
 	"fieldvale/config"
 	"fieldvale/load"
@@ -70,12 +71,11 @@
 	firstEventDelays *timing.FirstEventDelays
 	tokenTimes       *tokenTimes
 	releases         *releases
-	// retryWindows bound the retries of opaque requests, by service.
-	retryWindows map[string]*admission.RetryWindow
-	fleetSize    func() int
-	retries      admission.RetryLimit
-	quota        Quota
-	notices      *notice.Tracker
+	// retries bounds the retries of opaque requests.
+	retries   *budget.Budget
+	fleetSize func() int
+	quota     Quota
+	notices   *notice.Tracker
 	// loads is described in Ports.
 	loads *load.Tracker
 	// coldBound is the fleet-wide bound on the requests to a cold replica.
@@ -107,7 +107,7 @@
 	Placer Placer
 	// Upstream sends opaque requests; Retries bounds how often they are sent to another replica.
 	Upstream Upstream
-	Retries  admission.RetryLimit
+	Retries  budget.Limit
 	// Quarantine and Prober may be nil; requests that crash replicas are then not detected.
 	Quarantine Quarantine
 	Prober     Prober
@@ -162,7 +162,7 @@
 		limiters: map[string]*admission.Limiter{}, retryBudget: admission.NewRetryBudget(),
 		cascadeLearner: cascade.NewLearner(), hooks: e,
 		upstream: p.Upstream, activeForwards: newActiveForwards(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, prefillTimes: timing.NewPrefillTimes(), slotTimes: timing.NewSlotTimes(), outputTokens: timing.NewOutputTokens(), confidenceGains: newConfidenceGains(), answerSizes: newAnswerSizes(), firstEventDelays: timing.NewFirstEventDelays(), tokenTimes: newTokenTimes(),
-		releases: newReleases(p.Clock()), retryWindows: map[string]*admission.RetryWindow{}, retries: p.Retries, fleetSize: p.FleetSize,
+		releases: newReleases(p.Clock()), retries: budget.New(budget.Config{Limit: p.Retries, FleetSize: p.FleetSize, Clock: p.Clock}), fleetSize: p.FleetSize,
 		acceptConfidence: p.AcceptConfidence, completionPause: p.CompletionPause, answerBuffers: p.AnswerBuffers, coldBound: p.ColdBound, quota: p.Quota, notices: p.Notices, loads: p.Loads,
 		localShares: newLocalShares(), finishDelays: timing.NewFirstEventDelays(),
 	}
--- a/entry/streammonitor.go
+++ b/entry/streammonitor.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fieldvale/budget"
 	"fieldvale/outcome"
 	"fieldvale/pace"
 )
@@ -200,9 +201,9 @@
 // If there is no such replica it returns nil and the reason for the log.
 func (m *streamMonitor) reserve(v pace.Verdict) (p *assignment, kept string) {
 	w := m.a.w
-	reserve := 0.0
+	purpose := budget.Failure
 	if v == pace.Slow {
-		reserve = slowMoveReserve
+		purpose = budget.SlowStream
 		if w.movedForSlowness {
 			return nil, keptAtSlowReplica
 		}
@@ -220,7 +221,7 @@
 	switch {
 	case m.ctx.Err() != nil || v == pace.Slow && !inTime:
 		kept = keptNoneInTime
-	case !w.r.takeOpaqueRetry(w.result.Service, reserve):
+	case !w.takeRetry(purpose):
 		kept = keptWithoutBudget
 	default:
 		w.movedForSlowness = w.movedForSlowness || v == pace.Slow
--- a/entry/streammove.go
+++ b/entry/streammove.go
@@ -57,10 +57,6 @@
 	// left. Estimates are means; a replica that is 2.5 times slower for 15% of the time exceeds
 	// them by 0.23.
 	completionMargin = 1.25
-	// slowMoveReserve is the part of the retry budget that moves of slow streams leave for retries
-	// of failed requests and for larger models. A slow stream may still end in time, while a
-	// request without a retry fails or keeps a wrong answer.
-	slowMoveReserve = 0.35
 	// moveDecisionInterval is the least time between two decisions about the same stream. Each asks
 	// the owner of the replicas' group, whose answer changes little within a second.
 	moveDecisionInterval = time.Second
