fleetsize: shares of the fleet's bounds are divided by a size that errs high

Callers saw retries beyond what the fleet is allowed (BUDGET). Cause, the first of three: each instance divides the burst by an estimate of the moment. It is 0 before the first list of members (12 was assumed), some members of all while they register anew, and the members alone at an instance whose followers are cut off: it falls at the moment at which retries become dear. Change: relay keeps a record of the size: estimates count once they were steady for 5 s, the largest is kept for ten minutes, and only an instance that has current state adds to it. A new process takes over what its source reports. An unknown size gives no share. quota had a largest size of its own for a minute and uses the same record now; releases, too. Only the draw of who registers uses the estimate of the moment.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -74,8 +74,9 @@
 // Config configures a Budget.
 type Config struct {
 	Limit Limit
-	// FleetSize returns the number of instances, or 0 if it is unknown. If it is nil, this
-	// instance is the only one.
+	// FleetSize returns the number of instances, or 0 if it is unknown: this instance then has
+	// no share of the burst. It must not be too small. If it is nil, this instance is the only
+	// one.
 	FleetSize func() int
 	Clock     func() time.Time
 }
@@ -117,11 +118,11 @@
 
 // TakeRetry takes a retry at the service and reports whether one was left for the purpose.
 func (b *Budget) TakeRetry(service string, p Purpose) bool {
-	n := b.shareSize()
+	share := b.share()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(service)
-	if !a.window.takeRetry(b.config.Clock(), 1/float64(n), reserves[p]) {
+	if !a.window.takeRetry(b.config.Clock(), share, reserves[p]) {
 		a.denied[p]++
 		return false
 	}
@@ -131,24 +132,20 @@
 
 // Accounts returns the accounts by service.
 func (b *Budget) Accounts() map[string]Account {
-	size, n := b.fleetSize(), b.shareSize()
+	size, share := b.fleetSize(), b.share()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	m := map[string]Account{}
 	for s, a := range maps.All(b.accounts) {
 		a.window.advance(b.config.Clock())
 		m[s] = Account{
-			FleetSize: size, Share: b.config.Limit.Burst / float64(n), Requests: a.requests, Taken: a.taken, Denied: a.denied,
+			FleetSize: size, Share: share, Requests: a.requests, Taken: a.taken, Denied: a.denied,
 			Earned: b.config.Limit.Ratio * sum(a.window.requests), Used: sum(a.window.retries),
 		}
 	}
 	return m
 }
 
-// defaultFleetSize is the number of instances assumed while it is unknown. It is above the usual
-// size of a small fleet.
-const defaultFleetSize = 12
-
 // fleetSize is the number of instances, or 0 if it is unknown.
 func (b *Budget) fleetSize() int {
 	if b.config.FleetSize == nil {
@@ -157,12 +154,12 @@
 	return b.config.FleetSize()
 }
 
-// shareSize is the number by which the fleet's burst is divided.
-func (b *Budget) shareSize() int {
+// share is this instance's part of the fleet's burst.
+func (b *Budget) share() float64 {
 	if n := b.fleetSize(); n > 0 {
-		return n
+		return b.config.Limit.Burst / float64(n)
 	}
-	return defaultFleetSize
+	return 0
 }
 
 // account returns the service's account; b.mu is held.
--- a/budget/simulation_test.go
+++ b/budget/simulation_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"fieldvale/fleetsize"
 )
 
 // dayLength is the length of a simulated day in seconds.
@@ -83,6 +85,8 @@
 	started float64
 	// known is the list of members as the instance last received it.
 	known int
+	// size is the fleet's size as the life knows it.
+	size fleetsize.Record
 }
 
 type event struct {
--- a/budget/window.go
+++ b/budget/window.go
@@ -44,11 +44,11 @@
 }
 
 // takeRetry reports whether a retry is allowed, and records it if so. share is the
-// fraction of the fleet-wide burst that belongs to this instance; reserve is the
+// part of the fleet-wide burst that belongs to this instance; reserve is the
 // fraction of the allowance that this kind of retry must leave to other kinds.
 func (w *window) takeRetry(now time.Time, share, reserve float64) bool {
 	i := w.advance(now)
-	if sum(w.retries)+1 > w.limit.Ratio*(1-reserve)*sum(w.requests)+w.limit.Burst*share*(1-reserve) {
+	if sum(w.retries)+1 > w.limit.Ratio*(1-reserve)*sum(w.requests)+share*(1-reserve) {
 		return false
 	}
 	w.retries[i]++
--- a/cmd/fieldvale-node/announce.go
+++ b/cmd/fieldvale-node/announce.go
@@ -104,7 +104,7 @@
 // chance returns the probability for the number of registered members and the size of the
 // fleet.
 func (n *node) drawRegistration(chance func(registered, fleet int) float64) bool {
-	return rand.Float64() < chance(n.state.RegisteredCount(), n.relay.FleetSize())
+	return rand.Float64() < chance(n.state.RegisteredCount(), n.relay.EstimateFleetSize())
 }
 
 // renewAnnouncement renews the announcement, or makes a new one if there is none or it has
--- a/cmd/fieldvale-node/retrymetrics.go
+++ b/cmd/fieldvale-node/retrymetrics.go
@@ -24,6 +24,9 @@
 	byService("retry_share", "This instance's part of the fleet's retry burst, in retries.", func(a budget.Account) float64 { return a.Share })
 	byService("retries_earned", "Retries that requests of the last ten seconds allow.", func(a budget.Account) float64 { return a.Earned })
 	byService("retries_used", "Retries of the last ten seconds.", func(a budget.Account) float64 { return a.Used })
+	n.metrics.GaugeFunc("fleet_size_age_seconds", "Time since the number of instances that this one counts last changed; 0 if it is unknown.", func() float64 {
+		return n.fleetSizeAge().Seconds()
+	})
 	n.metrics.GaugeVecFunc("retries_taken", "Retries since the start of the process, by purpose.", "purpose", func() map[string]float64 {
 		return n.sumRetries(func(a budget.Account) budget.Counts { return a.Taken })
 	})
@@ -43,6 +46,16 @@
 	return m
 }
 
+// fleetSizeAge returns how long ago the number of instances that this one counts last changed;
+// 0 if it is unknown.
+func (n *node) fleetSizeAge() time.Duration {
+	since := n.relay.FleetSizeRecord().Since()
+	if since.IsZero() {
+		return 0
+	}
+	return n.clock().Sub(since)
+}
+
 // retryLogInterval is the interval at which retry budgets are logged if they changed. What a
 // killed process took after its last line is in its routed lines.
 const retryLogInterval = time.Second
@@ -57,7 +70,7 @@
 			continue
 		}
 		n.loggedRetries[s] = a
-		n.logEvent("retry_budget", "service", s, "fleet", a.FleetSize, "share", a.Share, "requests", a.Requests,
+		n.logEvent("retry_budget", "service", s, "fleet", a.FleetSize, "fleet_since", n.fleetSizeAge(), "share", a.Share, "requests", a.Requests,
 			"earned", a.Earned, "used", a.Used, "taken", a.Taken, "denied", a.Denied)
 	}
 }
--- a/quota/node.go
+++ b/quota/node.go
@@ -21,7 +21,8 @@
 	// each limit, by FleetSize.
 	Net   Transport
 	Clock func() time.Time
-	// FleetSize returns the number of instances, 0 if it is unknown.
+	// FleetSize returns the number of instances, 0 if it is unknown. It must not be too small
+	// where this instance is isolated.
 	FleetSize func() int
 	// Followers returns the addresses of the unregistered instances to which this instance relays
 	// the records that it receives. It may be nil.
@@ -54,9 +55,6 @@
 	exhaustedUntil map[string]time.Time
 	// nextShare is when this instance may next send to a replica without a permit of the owner.
 	nextShare map[string]time.Time
-	// maxFleetSize is the largest recent number of instances; it is valid until maxFleetSizeUntil.
-	maxFleetSize      int
-	maxFleetSizeUntil time.Time
 	// mayOwnFrom is the time from which this instance may own services, lastTick the time of the
 	// last Tick, nextSweep that of the next sweep.
 	mayOwnFrom, lastTick, nextSweep time.Time
--- a/quota/publish.go
+++ b/quota/publish.go
@@ -119,7 +119,6 @@
 		n.recoverFromStall(now)
 	}
 	n.lastTick = now
-	n.recordFleetSize(now)
 	n.sweep(now)
 	announcements := n.announceOwnership(now)
 	due := n.dueUpdates(now)
@@ -210,12 +209,12 @@
 		}
 	}
 	for k, t := range n.lastReceived {
-		if now.Sub(t) > fleetSizeTTL {
+		if now.Sub(t) > unusedTTL {
 			delete(n.lastReceived, k)
 		}
 	}
 	for k, t := range n.nextShare {
-		if now.Sub(t) > fleetSizeTTL {
+		if now.Sub(t) > unusedTTL {
 			delete(n.nextShare, k)
 		}
 	}
--- a/quota/share.go
+++ b/quota/share.go
@@ -12,9 +12,8 @@
 	// isolationTimeout is how long no owner must have answered before an instance uses its share. A
 	// lost datagram or a change of the owner takes less.
 	isolationTimeout = silenceTimeout
-	// fleetSizeTTL is how long the largest number of instances seen is used. An isolated instance
-	// sees too few.
-	fleetSizeTTL = time.Minute
+	// unusedTTL is how long the state of replicas and instances is kept that is no longer used.
+	unusedTTL = time.Minute
 )
 
 // markDecided records that the owner of the service answered.
@@ -72,9 +71,9 @@
 // without a permit. It returns false if it may send none, because the candidate is cold or has no
 // limit, or because the number of instances is unknown.
 func (n *Node) shareInterval(x Candidate) (time.Duration, bool) {
-	size, part := n.maxFleetSize, shareFraction
+	size, part := n.FleetSize(), shareFraction
 	if n.Net == nil {
-		size, part = n.FleetSize(), 1
+		part = 1
 	}
 	if x.Bound.ColdPerSecond > 0 || !x.Bound.IsLimited || size < 1 {
 		return 0, false
@@ -82,10 +81,3 @@
 	perSecond := max(n.records.get(x.Replica).PerSecond, 1/probeInterval.Seconds())
 	return time.Duration(float64(size) / (part * perSecond) * float64(time.Second)), true
 }
-
-// recordFleetSize updates the largest number of instances seen. The caller holds n.mu.
-func (n *Node) recordFleetSize(now time.Time) {
-	if s := n.FleetSize(); s >= n.maxFleetSize || !now.Before(n.maxFleetSizeUntil) {
-		n.maxFleetSize, n.maxFleetSizeUntil = s, now.Add(fleetSizeTTL)
-	}
-}
--- a/relay/node.go
+++ b/relay/node.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fieldvale/fleetsize"
 	"fieldvale/peer"
 	"fieldvale/reply"
 	"fieldvale/store"
@@ -83,6 +84,8 @@
 	// sourceFollowers is how many unregistered followers, this instance included, the last
 	// source reported.
 	sourceFollowers int
+	// size is what is known of the number of instances.
+	size fleetsize.Record
 }
 
 var _ store.Feed = (*Node)(nil)
@@ -138,6 +141,7 @@
 // store.
 func (n *Node) markConnected() {
 	n.disconnected = false
+	n.recordFleetSize()
 	if n.storeDeferred {
 		n.storeDeferred, n.backoff = false, backoff{}
 	}
--- a/relay/query.go
+++ b/relay/query.go
@@ -164,7 +164,7 @@
 	}
 	a := newAnswer(q.ID, c, s)
 	a.AgeMs += waited.Milliseconds()
-	a.Hops, a.Followers = n.changeLog.Hops(), n.followers.count(n.clock())
+	a.Hops, a.Followers, a.FleetSize = n.changeLog.Hops(), n.followers.count(n.clock()), n.FleetSize()
 	if s == statusTooLarge {
 		a.FetchFrom = n.changeTree.parent(to, c.Revision, n.clock())
 	}
--- a/relay/unregistered.go
+++ b/relay/unregistered.go
@@ -63,19 +63,3 @@
 	defer n.mu.Unlock()
 	n.sourceFollowers = followers
 }
-
-// FleetSize returns an estimate of the number of instances: the members, times one plus
-// the followers of this instance, or of its source. If every instance takes its share of a
-// total by this estimate, the shares add up to one, however unevenly the followers are
-// spread. It returns 0 as long as there are no members.
-func (n *Node) FleetSize() int {
-	n.mu.Lock()
-	members := len(n.members)
-	isMember := slices.ContainsFunc(n.members, n.isSelf)
-	f := n.sourceFollowers
-	n.mu.Unlock()
-	if isMember {
-		f = n.followers.count(n.clock())
-	}
-	return members * (1 + f)
-}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -67,6 +67,8 @@
 	Hops int `json:"hops,omitempty"`
 	// Followers is how many unregistered instances follow the sender.
 	Followers int `json:"followers,omitempty"`
+	// FleetSize is the number of instances as the sender knows it, 0 if it does not.
+	FleetSize int `json:"fleet,omitempty"`
 	// FetchFrom is the address to fetch from; empty for the sender itself.
 	FetchFrom string `json:"instead,omitempty"`
 	// Snapshot is set if the items are a snapshot of the store, not changes.
