relay: the fleet's size is estimated from many members' followers

Cause: an instance took the followers of one member for those of all. Change: members report their followers with their queries, a watcher takes the mean and passes the estimate on with its answers. Followers count where their queries wait for changes only. An old build reports none and counts as before.

--- a/relay/follow.go
+++ b/relay/follow.go
@@ -119,7 +119,7 @@
 		}
 		f, err := n.fetch(ctx, addr, after)
 		if err == nil && f.age() <= n.timing.MaxAge {
-			f.Hops, f.Followers, f.FleetSize = a.Hops, a.Followers, a.FleetSize
+			f.Hops, f.Followers, f.Estimate, f.FleetSize = a.Hops, a.Followers, a.Estimate, a.FleetSize
 			c := n.acceptChanges(m, f)
 			c.PeerWait = 0
 			return c, true
@@ -134,8 +134,7 @@
 func (n *Node) acceptChanges(m peer.Member, a answer) store.Changes {
 	n.setSource(m.ID)
 	n.changeLog.SetHops(a.Hops + 1)
-	n.setSourceFollowers(a.Followers)
-	n.recordReportedFleetSize(a.FleetSize)
+	n.recordSourceSizes(a)
 	c := a.changes()
 	c.PeerWait = n.timing.PeerWait
 	return c
--- a/relay/node.go
+++ b/relay/node.go
@@ -57,6 +57,8 @@
 	transfers chan struct{}
 	// followers are the unregistered instances that query this one.
 	followers *followers
+	// followerReports are the numbers of followers that other members reported.
+	followerReports *followerReports
 
 	// The fields from backoff to batchUntil are used only by the single caller of Changes.
 	// backoff is until when the store must not be asked again.
@@ -84,6 +86,8 @@
 	// sourceFollowers is how many unregistered followers, this instance included, the last
 	// source reported.
 	sourceFollowers int
+	// sourceEstimate is the number of instances that the last source estimated.
+	sourceEstimate int
 	// size is what is known of the number of instances.
 	size fleetsize.Record
 }
@@ -95,7 +99,7 @@
 	return &Node{
 		self: self, changeLog: p.ChangeLog, store: p.Store, net: p.Net, fetcher: p.Fetcher, listMembers: p.ListMembers, register: p.Register, clock: p.Clock, event: p.Event, timing: t,
 		pending: reply.New[answer](start), cache: newPackCache(), transfers: make(chan struct{}, maxTransfers),
-		avoidUntil: map[string]time.Time{}, silent: map[string]bool{}, followers: newFollowers(followerExpiryWaits * t.PeerWait),
+		avoidUntil: map[string]time.Time{}, silent: map[string]bool{}, followers: newFollowers(followerExpiryWaits * t.PeerWait), followerReports: newFollowerReports(followerExpiryWaits * t.PeerWait),
 	}
 }
 
--- a/relay/query.go
+++ b/relay/query.go
@@ -26,7 +26,7 @@
 // ask sends a query to an instance and waits up to the timeout for its answer.
 func (n *Node) ask(ctx context.Context, q query, m peer.Member, timeout time.Duration) queryResult {
 	a, ok := n.pending.Call(ctx, timeout, func(id uint64) error {
-		q.ID, q.Unregistered = id, n.isUnregistered()
+		q.ID, q.Unregistered, q.Followers = id, n.isUnregistered(), n.reportedFollowers()
 		return n.send(m.Addr, id, message{Query: &q}, nil)
 	})
 	return queryResult{m, a, ok}
@@ -84,7 +84,10 @@
 	}
 	if m.Query != nil {
 		if m.Query.Unregistered {
-			n.followers.record(from, n.clock())
+			n.followers.record(from, m.Query.WaitMs > 0, n.clock())
+		}
+		if m.Query.Followers > 0 {
+			n.followerReports.record(from, m.Query.Followers-1, n.clock())
 		}
 		if m.Query.Snapshot {
 			n.answerSnapshotQuery(from, *m.Query)
@@ -164,7 +167,8 @@
 	}
 	a := newAnswer(q.ID, c, s)
 	a.AgeMs += waited.Milliseconds()
-	a.Hops, a.Followers, a.FleetSize = n.changeLog.Hops(), n.followers.count(n.clock()), n.FleetSize()
+	a.Hops, a.Followers = n.changeLog.Hops(), n.followers.count(n.clock())
+	a.Estimate, a.FleetSize = n.EstimateFleetSize(), n.FleetSize()
 	if s == statusTooLarge {
 		a.FetchFrom = n.changeTree.parent(to, c.Revision, n.clock())
 	}
--- a/relay/unregistered.go
+++ b/relay/unregistered.go
@@ -56,10 +56,3 @@
 	n.storeDeferred = true
 	n.backoff = deferredBackoff(n.clock())
 }
-
-// setSourceFollowers records how many followers the source reported.
-func (n *Node) setSourceFollowers(followers int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.sourceFollowers = followers
-}
--- a/relay/unregistered_test.go
+++ b/relay/unregistered_test.go
@@ -40,6 +40,9 @@
 			for _, n := range f.net.nodes {
 				sum += 1 / float64(n.EstimateFleetSize())
 				settled += 1 / float64(n.FleetSize())
+				if e := n.EstimateFleetSize(); e < 120 || e > 188 {
+					t.Errorf("%s estimates %d instances of 150, %d of them registered, want 120 to 188", n.self.ID, e, registered)
+				}
 			}
 			if settled < 0.8 || settled > 1.05 {
 				t.Errorf("the shares of 150 instances, %d of them registered, add up to %.2f by FleetSize, want 0.8 to 1.05", registered, settled)
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -15,6 +15,9 @@
 // instance has to detect that the store is lost.
 const storeSlack = 700 * time.Millisecond
 
+// storeSource is the name of the store as a source.
+const storeSource = "store"
+
 // errStoreBackoff is returned while neither the store nor another instance has current
 // state and the backoff for the store has not passed.
 var errStoreBackoff = errors.New("relay: the store was not reached and is in backoff, and no other instance has current state")
@@ -39,7 +42,7 @@
 // watch asks the store for changes. The hop count of the state is 0 only after an answer
 // of the store: instances that follow each other would all be wrong together.
 func (n *Node) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
-	n.setSource("store")
+	n.setSource(storeSource)
 	if d := n.batchUntil.Sub(n.clock()); d > 0 && !sleep(ctx, d) {
 		return store.Changes{}, errors.Wrap(ctx.Err(), "relay.watch")
 	}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -46,6 +46,9 @@
 	// Unregistered is set if the sender is not a registered member, so that no instance
 	// queries it.
 	Unregistered bool `json:"unlisted,omitempty"`
+	// Followers is one more than the number of unregistered instances that follow the sender; 0
+	// if the sender is not a member or does not report them.
+	Followers int `json:"followers,omitempty"`
 }
 
 // maxHops is through how many instances the answered state may have passed.
@@ -67,7 +70,9 @@
 	Hops int `json:"hops,omitempty"`
 	// Followers is how many unregistered instances follow the sender.
 	Followers int `json:"followers,omitempty"`
-	// FleetSize is the number of instances as the sender knows it, 0 if it does not.
+	// Estimate is the number of instances as the sender estimates it at this moment, and
+	// FleetSize the largest one that has held lately; 0 if it knows none.
+	Estimate  int `json:"estimate,omitempty"`
 	FleetSize int `json:"fleet,omitempty"`
 	// FetchFrom is the address to fetch from; empty for the sender itself.
 	FetchFrom string `json:"instead,omitempty"`
