budget: retries of all processes of an instance stay within one account's bound

Causes, the second and third of three: a new process had forgotten what its earlier one spent, and had its share of the burst and its requests' retries anew; and each instance compared its retries with its own last ten seconds, so that the sum over all belonged to up to twenty. Change: an account holds retries. A request adds 0.8 of its ratio, and what is held is bounded by 0.16 of the ratio of the last 10 s and the share of the burst. A new process holds none. In each window the retries of all processes of all instances are then at most 0.8 x 1.05 of the ratio of the requests in it, 0.16 of those before, and the burst; the formula is at the head of budget/account.go. Retries that reach no replica are given back, and none is taken twice for one attempt.

--- /dev/null
+++ b/budget/account.go
@@ -0,0 +1,75 @@
+package budget
+
+import "time"
+
+// An instance's account of one service is a token bucket: requests fill it, retries empty it, and
+// what it may hold is bounded. In every window the retries of one process are at most what it held
+// at the window's start plus what the window's requests earned. A process starts with nothing held,
+// so that the same is true of all processes of an instance together, however often it is killed.
+//
+// Over all instances, with R(w) requests in a window w, the retries that are granted in w are at most
+//
+//	earnedPart x Ratio x R(w) + heldPart x Ratio x R(the window before w) + Burst x sum of 1/size
+//
+// and those that arrive in w at most arrivalDelay / windowLength more of the first term. The parts
+// add up to 1 with that, so that the sum is at most Ratio times the larger R, plus Burst: sizes err
+// high, so that the sum of their reciprocals is at most 1.
+const (
+	// earnedPart is the part of a request's Ratio that it adds to the account.
+	earnedPart = 0.8
+	// arrivalDelay is how long a retry may take from its grant until it arrives: the replica is
+	// chosen and connected to in between.
+	arrivalDelay = 500 * time.Millisecond
+	// heldPart is the part of the Ratio of the last window's requests that an account may hold.
+	heldPart = 1 - earnedPart*(1+float64(arrivalDelay)/float64(windowLength))
+	// burstMargin is the part of the burst that is used. The rest covers requests that are read
+	// later than they were sent, and instances that joined since sizes were last recorded.
+	burstMargin = 0.97
+)
+
+// account is the account of one service. It is not safe for concurrent use.
+type account struct {
+	limit Limit
+	// requests counts the requests of the last window.
+	requests window
+	// held is the number of retries that may be made now.
+	held          float64
+	total         uint64
+	taken, denied Counts
+}
+
+// newAccount returns an account that holds the given number of retries, or what it may hold.
+func newAccount(l Limit, held float64) *account { return &account{limit: l, held: held} }
+
+// capacity is the largest number of retries that the account may hold. share is this instance's part
+// of the fleet's burst.
+func (a *account) capacity(now time.Time, share float64) float64 {
+	return heldPart*a.limit.Ratio*a.requests.sum(now) + share
+}
+
+// recordRequest records a request.
+func (a *account) recordRequest(now time.Time, share float64) {
+	a.held = min(a.held, a.capacity(now, share))
+	a.requests.record(now)
+	a.total++
+	a.held = min(a.held+earnedPart*a.limit.Ratio, a.capacity(now, share))
+}
+
+// takeRetry reports whether a retry is allowed for the purpose, and records it if so.
+func (a *account) takeRetry(now time.Time, share float64, p Purpose) bool {
+	c := a.capacity(now, share)
+	a.held = min(a.held, c)
+	if a.held < 1+reserves[p]*max(0, c-1) {
+		a.denied[p]++
+		return false
+	}
+	a.held--
+	a.taken[p]++
+	return true
+}
+
+// returnRetry takes back a retry that was not sent.
+func (a *account) returnRetry(now time.Time, share float64, p Purpose) {
+	a.taken[p]--
+	a.held = min(a.held+1, a.capacity(now, share))
+}
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -66,11 +65,24 @@
 	// allowed, since the process started.
 	Requests      uint64
 	Taken, Denied Counts
-	// Earned is the number of retries that the requests of the window allow, Used the number
-	// of retries in it.
-	Earned, Used float64
+	// Held is the number of retries that may be made now, Capacity the largest such number.
+	Held, Capacity float64
 }
 
+// Limit bounds the retries of the whole fleet at a service, so that failing backend
+// servers do not receive much more load than healthy ones.
+type Limit struct {
+	// Ratio is the number of retries that each request allows.
+	Ratio float64
+	// Burst is the number of further retries that the whole fleet may make in any
+	// period of the window's length.
+	Burst float64
+}
+
+// FleetLimit returns the limit by which each instance of a fleet keeps its accounts if the fleet is
+// bounded by the ratio and the burst.
+func FleetLimit(ratio, burst float64) Limit { return Limit{Ratio: ratio, Burst: burstMargin * burst} }
+
 // Config configures a Budget.
 type Config struct {
 	Limit Limit
@@ -79,6 +91,9 @@
 	// one.
 	FleetSize func() int
 	Clock     func() time.Time
+	// Restarted states that an earlier process of this instance may have made retries within the
+	// last window. The accounts then start empty.
+	Restarted bool
 }
 
 // Budget is the part of the fleet's retries that this instance may make. It is safe for
@@ -90,30 +105,22 @@
 	accounts map[string]*account
 }
 
-// account is the account of one service.
-type account struct {
-	window        *window
-	requests      uint64
-	taken, denied Counts
-}
-
 // New returns a budget in which no request is recorded.
 func New(c Config) *Budget { return &Budget{config: c, accounts: map[string]*account{}} }
 
 // RecordRequest records a request of a client for the service.
 func (b *Budget) RecordRequest(service string) {
+	share := b.share()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.account(service)
-	a.requests++
-	a.window.recordRequest(b.config.Clock())
+	b.account(service).recordRequest(b.config.Clock(), share)
 }
 
 // RequestRate returns the mean number of requests per second for the service lately.
 func (b *Budget) RequestRate(service string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.account(service).window.requestRate(b.config.Clock())
+	return b.account(service).requests.sum(b.config.Clock()) / windowLength.Seconds()
 }
 
 // TakeRetry takes a retry at the service and reports whether one was left for the purpose.
@@ -121,13 +128,15 @@
 	share := b.share()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.account(service)
-	if !a.window.takeRetry(b.config.Clock(), share, reserves[p]) {
-		a.denied[p]++
-		return false
-	}
-	a.taken[p]++
-	return true
+	return b.account(service).takeRetry(b.config.Clock(), share, p)
+}
+
+// ReturnRetry returns a retry that was taken for the purpose and did not reach a replica.
+func (b *Budget) ReturnRetry(service string, p Purpose) {
+	share := b.share()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(service).returnRetry(b.config.Clock(), share, p)
 }
 
 // Accounts returns the accounts by service.
@@ -136,11 +145,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	m := map[string]Account{}
-	for s, a := range maps.All(b.accounts) {
-		a.window.advance(b.config.Clock())
+	for s, a := range b.accounts {
+		c := a.capacity(b.config.Clock(), share)
 		m[s] = Account{
-			FleetSize: size, Share: share, Requests: a.requests, Taken: a.taken, Denied: a.denied,
-			Earned: b.config.Limit.Ratio * sum(a.window.requests), Used: sum(a.window.retries),
+			FleetSize: size, Share: share, Requests: a.total, Taken: a.taken, Denied: a.denied,
+			Held: min(a.held, c), Capacity: c,
 		}
 	}
 	return m
@@ -166,7 +175,11 @@
 func (b *Budget) account(service string) *account {
 	a, ok := b.accounts[service]
 	if !ok {
-		a = &account{window: newWindow(b.config.Limit)}
+		held := b.config.Limit.Burst
+		if b.config.Restarted {
+			held = 0
+		}
+		a = newAccount(b.config.Limit, held)
 		b.accounts[service] = a
 	}
 	return a
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -42,13 +42,6 @@
 	// the time that a request takes to its replica, and clocks that run at different
 	// rates.
 	confirmationFraction = 0.9
-	// retryRatioMargin scales the allowed ratio of retries to requests. Each instance
-	// counts in windows of its own, and the sum of all stays within the fleet's bound
-	// except for retries that arrive a little later than they were sent.
-	// retryBurstMargin scales the burst that is allowed in addition: an instance that
-	// restarts has lost its count of the part that it used.
-	retryRatioMargin = 0.97
-	retryBurstMargin = 0.7
 	// memoryLimitFraction is the fraction of the instance's memory that is set as the
 	// soft memory limit, near which the garbage collector runs more often.
 	memoryLimitFraction = 0.6
@@ -201,7 +194,7 @@
 		View: n.view, Clock: n.clock, Self: n.settings.ID, DataCentre: n.settings.DataCentre, Regions: n.settings.Regions, Placer: n.placer, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Hooks: n.routerHooks(),
 		Upstream: u, Prober: u, Quarantine: n.quarantine, AcceptConfidence: n.settings.AcceptConfidence, CompletionPause: n.settings.CompletionPause, AnswerBuffers: n.newAnswerBuffers(),
 		Quota: n.quota, Notices: n.notices, Loads: n.loads, ColdBound: quota.ColdBound{Overage: n.settings.ColdLimitFactor, Slack: n.settings.ColdLimitSlack},
-		FleetSize: n.relay.FleetSize, Retries: budget.Limit{Ratio: retryRatioMargin * n.settings.RetryFraction, Burst: retryBurstMargin * n.settings.RetryBurst},
+		FleetSize: n.relay.FleetSize, Retries: budget.FleetLimit(n.settings.RetryFraction, n.settings.RetryBurst), Restarted: !n.settings.FirstStart,
 	}
 }
 
--- a/cmd/fieldvale-node/retrymetrics.go
+++ b/cmd/fieldvale-node/retrymetrics.go
@@ -22,8 +22,8 @@
 	}
 	byService("retry_fleet_size", "Instances that share the fleet's retry burst, as this instance counts them; 0 if unknown.", func(a budget.Account) float64 { return float64(a.FleetSize) })
 	byService("retry_share", "This instance's part of the fleet's retry burst, in retries.", func(a budget.Account) float64 { return a.Share })
-	byService("retries_earned", "Retries that requests of the last ten seconds allow.", func(a budget.Account) float64 { return a.Earned })
-	byService("retries_used", "Retries of the last ten seconds.", func(a budget.Account) float64 { return a.Used })
+	byService("retries_held", "Retries that may be made now.", func(a budget.Account) float64 { return a.Held })
+	byService("retries_capacity", "The largest number of retries that may be held.", func(a budget.Account) float64 { return a.Capacity })
 	n.metrics.GaugeFunc("fleet_size_age_seconds", "Time since the number of instances that this one counts last changed; 0 if it is unknown.", func() float64 {
 		return n.fleetSizeAge().Seconds()
 	})
@@ -71,6 +71,6 @@
 		}
 		n.loggedRetries[s] = a
 		n.logEvent("retry_budget", "service", s, "fleet", a.FleetSize, "fleet_since", n.fleetSizeAge(), "share", a.Share, "requests", a.Requests,
-			"earned", a.Earned, "used", a.Used, "taken", a.Taken, "denied", a.Denied)
+			"held", a.Held, "capacity", a.Capacity, "taken", a.Taken, "denied", a.Denied)
 	}
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -38,6 +38,8 @@
 	unreachable int
 	// nextAssignment is the replica for the next attempt, if it was chosen already.
 	nextAssignment *assignment
+	// grant is the retry that the next attempt uses.
+	grant retryGrant
 	// modelIndex is an index into the route's models; if negative, the client's model is kept.
 	modelIndex int
 	// escalatedFrom is the index of the model whose answer was dropped for this one's; negative
@@ -89,6 +91,7 @@
 
 // run makes attempts until the request is answered or no further attempt is allowed.
 func (w *forwarding) run(ctx context.Context) error {
+	defer w.returnGrant()
 	defer w.releaseNextAssignment()
 	for {
 		err := w.attempt(ctx)
@@ -203,7 +206,13 @@
 	w.tried = append(w.tried, b.ID)
 	a := &attempt{w: w, assignment: p, replica: b, sentAt: w.r.clock(), slotTimeKey: w.slotTimeKey()}
 	a.startHeadWait()
+	g := w.grant
+	w.grant = retryGrant{}
 	err := a.exchange(ctx, d)
+	if isUnreachable(err) {
+		w.returnGrant()
+		w.grant = g
+	}
 	a.clientLeft = errors.Is(ctx.Err(), context.Canceled)
 	a.done(err)
 	return err
--- a/entry/retries.go
+++ b/entry/retries.go
@@ -23,9 +23,27 @@
 	return defaultFleetSize
 }
 
-// takeRetry takes one retry for the purpose from the service's budget.
+// retryGrant is a retry that was taken from the budget for the next attempt.
+type retryGrant struct {
+	isGranted bool
+	purpose   budget.Purpose
+}
+
+// takeRetry takes one retry for the purpose from the service's budget, unless one was taken already
+// that has not reached a replica.
 func (w *forwarding) takeRetry(p budget.Purpose) bool {
-	return w.r.retries.TakeRetry(w.result.Service, p)
+	if !w.grant.isGranted && w.r.retries.TakeRetry(w.result.Service, p) {
+		w.grant = retryGrant{true, p}
+	}
+	return w.grant.isGranted
+}
+
+// returnGrant returns a retry that did not reach a replica to the budget.
+func (w *forwarding) returnGrant() {
+	if w.grant.isGranted {
+		w.r.retries.ReturnRetry(w.result.Service, w.grant.purpose)
+		w.grant = retryGrant{}
+	}
 }
 
 // RetryAccounts returns the retry budgets of opaque requests by service.
--- a/entry/router.go
+++ b/entry/router.go
@@ -108,6 +108,8 @@
 	// Upstream sends opaque requests; Retries bounds how often they are sent to another replica.
 	Upstream Upstream
 	Retries  budget.Limit
+	// Restarted states that an earlier process of this instance may have sent retries lately.
+	Restarted bool
 	// Quarantine and Prober may be nil; requests that crash replicas are then not detected.
 	Quarantine Quarantine
 	Prober     Prober
@@ -162,7 +164,7 @@
 		limiters: map[string]*admission.Limiter{}, retryBudget: admission.NewRetryBudget(),
 		cascadeLearner: cascade.NewLearner(), hooks: e,
 		upstream: p.Upstream, activeForwards: newActiveForwards(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, prefillTimes: timing.NewPrefillTimes(), slotTimes: timing.NewSlotTimes(), outputTokens: timing.NewOutputTokens(), confidenceGains: newConfidenceGains(), answerSizes: newAnswerSizes(), firstEventDelays: timing.NewFirstEventDelays(), tokenTimes: newTokenTimes(),
-		releases: newReleases(p.Clock()), retries: budget.New(budget.Config{Limit: p.Retries, FleetSize: p.FleetSize, Clock: p.Clock}), fleetSize: p.FleetSize,
+		releases: newReleases(p.Clock()), retries: budget.New(budget.Config{Limit: p.Retries, FleetSize: p.FleetSize, Clock: p.Clock, Restarted: p.Restarted}), fleetSize: p.FleetSize,
 		acceptConfidence: p.AcceptConfidence, completionPause: p.CompletionPause, answerBuffers: p.AnswerBuffers, coldBound: p.ColdBound, quota: p.Quota, notices: p.Notices, loads: p.Loads,
 		localShares: newLocalShares(), finishDelays: timing.NewFirstEventDelays(),
 	}
