budget: instances with few requests exchange retries

Change: an account with a capacity below 20 sends what it earns beyond it to a member, four times a second, in its own data centre if possible, and fills up from there. Pools hold 0.03 of the ratio of the requests that were reported to them, which is part of the formula in budget/account.go; what is lost on the way is lost, and a datagram that arrives twice counts once.

--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,7 @@
 	go test -run '^$$' -fuzz FuzzReceive -fuzztime 10s ./relay
 	go test -run '^$$' -fuzz FuzzReceive -fuzztime 10s ./quarantine
 	go test -run '^$$' -fuzz FuzzReceive -fuzztime 10s ./quota
+	go test -run '^$$' -fuzz FuzzReceive -fuzztime 10s ./budget
 	go test -run '^$$' -fuzz FuzzWord -fuzztime 10s ./quota
 	go test -run '^$$' -fuzz FuzzParse -fuzztime 10s ./load
 	go test -run '^$$' -fuzz FuzzRest -fuzztime 10s ./notice
--- a/budget/account.go
+++ b/budget/account.go
@@ -9,19 +9,25 @@
 //
 // Over all instances, with R(w) requests in a window w, the retries that are granted in w are at most
 //
-//	earnedPart x Ratio x R(w) + heldPart x Ratio x R(the window before w) + Burst x sum of 1/size
+//	earnedPart x Ratio x R(w)
+//	+ (heldPart + pooledPart) x Ratio x R(the window before w)
+//	+ Burst x sum of 1/size
 //
-// and those that arrive in w at most arrivalDelay / windowLength more of the first term. The parts
-// add up to 1 with that, so that the sum is at most Ratio times the larger R, plus Burst: sizes err
-// high, so that the sum of their reciprocals is at most 1.
+// and those that arrive in w at most delay / windowLength more of the first term. The parts add up
+// to 1 with that, so that the sum is at most Ratio times the larger R, plus Burst: sizes err high, so
+// that the sum of their reciprocals is at most 1.
 const (
 	// earnedPart is the part of a request's Ratio that it adds to the account.
 	earnedPart = 0.8
 	// arrivalDelay is how long a retry may take from its grant until it arrives: the replica is
-	// chosen and connected to in between.
+	// chosen and connected to in between. delay is that, and how long a surplus is on its way to
+	// another instance.
 	arrivalDelay = 500 * time.Millisecond
-	// heldPart is the part of the Ratio of the last window's requests that an account may hold.
-	heldPart = 1 - earnedPart*(1+float64(arrivalDelay)/float64(windowLength))
+	delay        = arrivalDelay + exchangeInterval
+	// heldPart is the part of the Ratio of the last window's requests that an account may hold,
+	// pooledPart the part that pools may hold.
+	heldPart   = 1 - earnedPart*(1+float64(delay)/float64(windowLength)) - pooledPart
+	pooledPart = 0.03
 	// burstMargin is the part of the burst that is used. The rest covers requests that are read
 	// later than they were sent, and instances that joined since sizes were last recorded.
 	burstMargin = 0.97
@@ -33,7 +39,9 @@
 	// requests counts the requests of the last window.
 	requests window
 	// held is the number of retries that may be made now.
-	held          float64
+	held float64
+	// surplus is what was earned beyond the capacity since it was last taken.
+	surplus       float64
 	total         uint64
 	taken, denied Counts
 }
@@ -52,7 +60,30 @@
 	a.held = min(a.held, a.capacity(now, share))
 	a.requests.record(now)
 	a.total++
-	a.held = min(a.held+earnedPart*a.limit.Ratio, a.capacity(now, share))
+	c := a.capacity(now, share)
+	a.held += earnedPart * a.limit.Ratio
+	a.surplus += max(0, a.held-c)
+	a.held = min(a.held, c)
+}
+
+// takeSurplus takes what the account sends to a pool.
+func (a *account) takeSurplus(now time.Time, share float64) deposit {
+	c := a.capacity(now, share)
+	s := a.surplus
+	a.held, a.surplus = min(a.held, c), 0
+	if c >= exchangeBelow {
+		return deposit{}
+	}
+	d := deposit{Surplus: s, Requests: a.requests.sum(now)}
+	if a.held < max(1, c/2) {
+		d.Wanted = c - a.held
+	}
+	return d
+}
+
+// receive adds retries that a pool granted.
+func (a *account) receive(now time.Time, share, granted float64) {
+	a.held = min(a.held+granted, a.capacity(now, share))
 }
 
 // takeRetry reports whether a retry is allowed for the purpose, and records it if so.
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"fieldvale/peer"
 )
 
 // Purpose is what a retry is for.
@@ -94,6 +96,13 @@
 	// Restarted states that an earlier process of this instance may have made retries within the
 	// last window. The accounts then start empty.
 	Restarted bool
+	// Self is this instance, and Process a number that differs from that of its earlier processes.
+	// Net sends datagrams to other instances; without it, none are exchanged.
+	Self    peer.Member
+	Process uint64
+	Net     Transport
+	// Log logs an event with its fields, in pairs of name and value. It is needed with Net.
+	Log func(event string, fields ...any)
 }
 
 // Budget is the part of the fleet's retries that this instance may make. It is safe for
@@ -103,10 +112,13 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
+	exchange exchange
 }
 
 // New returns a budget in which no request is recorded.
-func New(c Config) *Budget { return &Budget{config: c, accounts: map[string]*account{}} }
+func New(c Config) *Budget {
+	return &Budget{config: c, accounts: map[string]*account{}, exchange: exchange{process: c.Process, pools: map[string]*pool{}, latest: map[string]messageID{}}}
+}
 
 // RecordRequest records a request of a client for the service.
 func (b *Budget) RecordRequest(service string) {
--- a/cmd/fieldvale-node/datagrams.go
+++ b/cmd/fieldvale-node/datagrams.go
@@ -10,6 +10,7 @@
 	tagQuarantine = 'q'
 	tagQuota      = 'l'
 	tagUsage      = 'u'
+	tagRetries    = 'b'
 )
 
 // taggedTransport sends the datagrams of one component over the shared socket, with the
@@ -45,6 +46,8 @@
 		n.quarantine.Receive(from, b[1:])
 	case tagQuota:
 		n.quota.Receive(from, b[1:])
+	case tagRetries:
+		n.retries.Receive(from, b[1:])
 	case tagUsage:
 		if n.dutyWorker != nil {
 			n.dutyWorker.receive(from, b[1:])
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -98,6 +98,8 @@
 	pendingHeld chan heldChange
 	// quota enforces the limits that replicas set for the whole fleet.
 	quota *quota.Node
+	// retries bounds the retries that the whole fleet sends.
+	retries *budget.Budget
 	// notices tracks which replicas reported to this instance that they are draining or
 	// requested backoff.
 	notices *notice.Tracker
@@ -140,6 +142,7 @@
 	n.registerQuarantineMetrics()
 	n.quota = quota.NewNode(startID(), n.quotaConfig())
 	n.registerQuotaMetrics()
+	n.retries = budget.New(n.retryConfig())
 	n.notices = notice.NewTracker(n.clock, n.settings.DrainPeriod, n.logEvent)
 	n.registerNoticeMetrics()
 	n.loads = load.NewTracker(n.clock, n.logEvent, n.metrics.LoadHooks())
@@ -184,6 +187,7 @@
 	n.placer.SetMembers(m)
 	n.quarantine.SetMembers(m)
 	n.quota.SetMembers(m)
+	n.retries.SetMembers(m)
 	n.relay.SetMembers(m)
 }
 
@@ -194,7 +198,7 @@
 		View: n.view, Clock: n.clock, Self: n.settings.ID, DataCentre: n.settings.DataCentre, Regions: n.settings.Regions, Placer: n.placer, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Hooks: n.routerHooks(),
 		Upstream: u, Prober: u, Quarantine: n.quarantine, AcceptConfidence: n.settings.AcceptConfidence, CompletionPause: n.settings.CompletionPause, AnswerBuffers: n.newAnswerBuffers(),
 		Quota: n.quota, Notices: n.notices, Loads: n.loads, ColdBound: quota.ColdBound{Overage: n.settings.ColdLimitFactor, Slack: n.settings.ColdLimitSlack},
-		FleetSize: n.relay.FleetSize, Retries: budget.FleetLimit(n.settings.RetryFraction, n.settings.RetryBurst), Restarted: !n.settings.FirstStart,
+		FleetSize: n.relay.FleetSize, Retries: n.retries,
 	}
 }
 
--- a/cmd/fieldvale-node/periodic.go
+++ b/cmd/fieldvale-node/periodic.go
@@ -68,6 +68,7 @@
 	n.placer.Tick()
 	n.quarantine.Tick()
 	n.quota.Tick()
+	n.retries.Tick()
 	n.notices.Sweep(pool.IDs(n.view.Get().Replicas))
 	n.sendTallies(n.router.CollectUrgentTallies())
 	n.enqueueDueRecords()
--- a/cmd/fieldvale-node/retrymetrics.go
+++ b/cmd/fieldvale-node/retries.go
@@ -8,6 +8,14 @@
 	"fieldvale/budget"
 )
 
+// retryConfig returns the configuration of the retry budget.
+func (n *node) retryConfig() budget.Config {
+	return budget.Config{
+		Limit: budget.FleetLimit(n.settings.RetryFraction, n.settings.RetryBurst), FleetSize: n.relay.FleetSize, Clock: n.clock, Restarted: !n.settings.FirstStart,
+		Self: n.self(), Process: startID(), Net: taggedTransport{n, tagRetries}, Log: n.logEvent,
+	}
+}
+
 // registerRetryMetrics registers the state of the retry budgets by service. The counts by
 // purpose are of all services.
 func (n *node) registerRetryMetrics() {
--- a/cmd/fieldvale-node/traffic.go
+++ b/cmd/fieldvale-node/traffic.go
@@ -11,7 +11,7 @@
 // tagLabels maps each tag of datagrams to its value of the label "duty" in metrics.
 var tagLabels = map[byte]string{
 	tagPlacement: "keepers", tagRelay: "changes", tagTally: "evidence", tagVerdict: "verdicts",
-	tagQuarantine: "quarantine", tagQuota: "quota", tagUsage: "usage",
+	tagQuarantine: "quarantine", tagQuota: "quota", tagUsage: "usage", tagRetries: "retries",
 }
 
 const (
--- a/entry/router.go
+++ b/entry/router.go
@@ -106,15 +106,13 @@
 	// Placer may be nil; prompts are then placed by this instance's own load figures.
 	Placer Placer
 	// Upstream sends opaque requests; Retries bounds how often they are sent to another replica.
+	// Without Retries they are not.
 	Upstream Upstream
-	Retries  budget.Limit
-	// Restarted states that an earlier process of this instance may have sent retries lately.
-	Restarted bool
+	Retries  *budget.Budget
 	// Quarantine and Prober may be nil; requests that crash replicas are then not detected.
 	Quarantine Quarantine
 	Prober     Prober
-	// FleetSize returns the number of instances, or 0 if it is unknown. The fleet's retry budget
-	// is divided by it. It may be nil.
+	// FleetSize returns the number of instances, or 0 if it is unknown. It may be nil.
 	FleetSize func() int
 	// Quota may be nil; no replica is then limited.
 	Quota Quota
@@ -151,6 +149,9 @@
 	if e == nil {
 		e = &Hooks{}
 	}
+	if p.Retries == nil {
+		p.Retries = budget.New(budget.Config{Clock: p.Clock})
+	}
 	if p.Quota == nil {
 		p.Quota = noQuota{}
 	}
@@ -164,7 +165,7 @@
 		limiters: map[string]*admission.Limiter{}, retryBudget: admission.NewRetryBudget(),
 		cascadeLearner: cascade.NewLearner(), hooks: e,
 		upstream: p.Upstream, activeForwards: newActiveForwards(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, prefillTimes: timing.NewPrefillTimes(), slotTimes: timing.NewSlotTimes(), outputTokens: timing.NewOutputTokens(), confidenceGains: newConfidenceGains(), answerSizes: newAnswerSizes(), firstEventDelays: timing.NewFirstEventDelays(), tokenTimes: newTokenTimes(),
-		releases: newReleases(p.Clock()), retries: budget.New(budget.Config{Limit: p.Retries, FleetSize: p.FleetSize, Clock: p.Clock, Restarted: p.Restarted}), fleetSize: p.FleetSize,
+		releases: newReleases(p.Clock()), retries: p.Retries, fleetSize: p.FleetSize,
 		acceptConfidence: p.AcceptConfidence, completionPause: p.CompletionPause, answerBuffers: p.AnswerBuffers, coldBound: p.ColdBound, quota: p.Quota, notices: p.Notices, loads: p.Loads,
 		localShares: newLocalShares(), finishDelays: timing.NewFirstEventDelays(),
 	}
