the number of instances is recorded in the store

Change: the first watcher keeps a record of the size in the store, without a lease, and replaces it where it is off by more than a quarter. A new process uses it until it has a size of its own.

--- a/budget/fleet_test.go
+++ b/budget/fleet_test.go
@@ -68,7 +68,10 @@
 		}
 		if !n.isFrozen(s.now) && s.hasConnection(n) {
 			s.updateMembers(l)
-			l.size = l.size.WithReport(s.reportedSize(n), s.clock()).WithEstimate(s.estimate(n, l), s.clock())
+			if known := l.size.Size(); n.mayRegister && known > s.recorded {
+				s.recorded = known
+			}
+			l.size = l.size.WithReport(s.recorded, s.clock()).WithReport(s.reportedSize(n), s.clock()).WithEstimate(s.estimate(n, l), s.clock())
 		}
 		s.follow(n, l)
 	})
--- a/budget/simulation_test.go
+++ b/budget/simulation_test.go
@@ -66,6 +66,8 @@
 	// sent are the times at which clients sent requests, and extra those at which replicas got
 	// arrivals beyond the first of a request.
 	sent, extra []float64
+	// recorded is the number of instances that is recorded in the store.
+	recorded int
 	// wanted and denied count retries.
 	wanted, denied int
 }
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -266,6 +266,7 @@
 		g.Go(func() error { return n.dutyWorker.run(runCtx) })
 	}
 	g.Go(func() error { return n.runPeriodicTasks(runCtx, hup) })
+	g.Go(func() error { return n.keepFleetSize(runCtx) })
 	g.Go(func() error { return n.freeStartupMemory(runCtx) })
 	g.Go(func() error { return n.writeRecords(runCtx) })
 	g.Go(func() error { return n.writeHeldChanges(runCtx) })
--- a/relay/fleetsize.go
+++ b/relay/fleetsize.go
@@ -99,6 +99,22 @@
 	n.size = n.size.WithEstimate(e, now)
 }
 
+// UseRecordedFleetSize uses a recorded number of instances as long as no other one is known; 0 is
+// ignored.
+func (n *Node) UseRecordedFleetSize(size int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.size = n.size.WithReport(size, n.clock())
+}
+
+// IsFirstWatcher reports whether this instance is the member that watches the store before all others.
+func (n *Node) IsFirstWatcher() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := watchRanking(n.members)
+	return len(r) > 0 && n.isSelf(r[0])
+}
+
 // recordSourceSizes records what the source's answer says of the number of instances.
 func (n *Node) recordSourceSizes(a answer) {
 	n.mu.Lock()
--- a/state/change.go
+++ b/state/change.go
@@ -28,6 +28,15 @@
 	// whose registration was deleted or has expired.
 	Members     []peer.Member
 	LeftMembers []string
+	// FleetSize is the recorded number of instances; its zero value if that did not change.
+	FleetSize FleetSize
+}
+
+// FleetSize is the number of instances as recorded in the store.
+type FleetSize struct {
+	Size int
+	// Version is the version that the store's entry must have when the record is replaced.
+	Version int64
 }
 
 // Record is the progress of a release as recorded in the store.
--- a/state/state.go
+++ b/state/state.go
@@ -35,7 +35,9 @@
 	members   map[string]peer.Member
 	// expired are the members whose registration was deleted or has expired, and until when
 	// they are kept nevertheless.
-	expired     map[string]time.Time
+	expired map[string]time.Time
+	// fleetSize is the recorded number of instances.
+	fleetSize   FleetSize
 	firstConfig *firstConfig
 	// disconnected is set while the store can't be reached.
 	disconnected bool
@@ -63,6 +65,9 @@
 	s.applyReplicas(c, now)
 	s.applyEvacuations(c, now)
 	s.applyMembers(c, now)
+	if c.FleetSize.Version > s.fleetSize.Version {
+		s.fleetSize = c.FleetSize
+	}
 	for _, o := range c.Orders {
 		s.applyOrder(o, now)
 	}
@@ -152,6 +157,14 @@
 	return len(s.members) - len(s.expired)
 }
 
+// RecordedFleetSize returns the number of instances that is recorded in the store; its zero value if
+// there is none.
+func (s *State) RecordedFleetSize() FleetSize {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleetSize
+}
+
 // memberList returns the members in the order of their ids.
 func (s *State) memberList() []peer.Member {
 	return slices.SortedFunc(maps.Values(s.members), func(a, b peer.Member) int { return strings.Compare(a.ID, b.ID) })
