budget: what an exchange delays is bounded

A surplus of more than 0.3 s ago, as of a process that stood still or had no pool, is not sent, and messages are due at the periodic tick after 0.2 s, so that the delay in the formula is the real one. Test: TestOldSurplusIsDropped.

--- a/budget/account.go
+++ b/budget/account.go
@@ -23,7 +23,7 @@
 	// chosen and connected to in between. delay is that, and how long a surplus is on its way to
 	// another instance.
 	arrivalDelay = 500 * time.Millisecond
-	delay        = arrivalDelay + exchangeInterval
+	delay        = arrivalDelay + maxExchangeDelay
 	// heldPart is the part of the Ratio of the last window's requests that an account may hold,
 	// pooledPart the part that pools may hold.
 	heldPart   = 1 - earnedPart*(1+float64(delay)/float64(windowLength)) - pooledPart
@@ -40,14 +40,18 @@
 	requests window
 	// held is the number of retries that may be made now.
 	held float64
-	// surplus is what was earned beyond the capacity since it was last taken.
-	surplus       float64
-	total         uint64
-	taken, denied Counts
+	// surplus is what was earned beyond the capacity since it was last taken. What is older than
+	// surplusExpiresAt allows belongs to an earlier window.
+	surplus          float64
+	surplusExpiresAt time.Time
+	total            uint64
+	taken, denied    Counts
 }
 
 // newAccount returns an account that holds the given number of retries, or what it may hold.
-func newAccount(l Limit, held float64) *account { return &account{limit: l, held: held} }
+func newAccount(l Limit, held float64, now time.Time) *account {
+	return &account{limit: l, held: held, surplusExpiresAt: now.Add(maxExchangeDelay)}
+}
 
 // capacity is the largest number of retries that the account may hold. share is this instance's part
 // of the fleet's burst.
@@ -70,7 +74,10 @@
 func (a *account) takeSurplus(now time.Time, share float64) deposit {
 	c := a.capacity(now, share)
 	s := a.surplus
-	a.held, a.surplus = min(a.held, c), 0
+	if now.After(a.surplusExpiresAt) {
+		s = 0
+	}
+	a.held, a.surplus, a.surplusExpiresAt = min(a.held, c), 0, now.Add(maxExchangeDelay)
 	if c >= exchangeBelow {
 		return deposit{}
 	}
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -191,7 +191,7 @@
 		if b.config.Restarted {
 			held = 0
 		}
-		a = newAccount(b.config.Limit, held)
+		a = newAccount(b.config.Limit, held, b.config.Clock())
 		b.accounts[service] = a
 	}
 	return a
--- a/budget/exchange.go
+++ b/budget/exchange.go
@@ -151,7 +151,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	x, now := &b.exchange, b.config.Clock()
-	if x.answered || m.Process != x.process || m.Number != x.number || now.Sub(x.sentAt) > exchangeInterval {
+	if x.answered || m.Process != x.process || m.Number != x.number || now.Sub(x.sentAt) > maxExchangeDelay {
 		return
 	}
 	x.answered = true
--- a/budget/exchange_test.go
+++ b/budget/exchange_test.go
@@ -92,7 +92,24 @@
 	}
 }
 
-// Grants that arrive after the next message is due, or after a restart, must not count: what they
+// What was earned while an instance had no pool, or stood still, must not be sent later.
+func TestOldSurplusIsDropped(t *testing.T) {
+	now := noon
+	_, _, idle, keeper := pair(&now)
+	n := idle.config.Net.(port).net
+	n.exchangeOnce(&now, 1)
+	for range 60 {
+		idle.RecordRequest("s")
+	}
+	now = now.Add(maxExchangeDelay + time.Millisecond)
+	idle.Tick()
+	n.deliver(1)
+	if p := keeper.exchange.pools["s"]; p != nil && p.held > 0 {
+		t.Errorf("the pool holds %.2f retries of an old surplus, want 0", p.held)
+	}
+}
+
+// Grants that arrive too late, or after a restart, must not count: what they
 // belong to is of an earlier window.
 func TestLateGrantsAreDropped(t *testing.T) {
 	now := noon
@@ -109,7 +126,7 @@
 	n.queue = nil
 	n.budgets["keeper"].Receive(d.from, d.body)
 	answer := n.queue[0]
-	now = now.Add(exchangeInterval + time.Millisecond)
+	now = now.Add(maxExchangeDelay + time.Millisecond)
 	held := busy.Accounts()["s"].Held
 	busy.Receive("keeper", answer.body)
 	if got := busy.Accounts()["s"].Held; got != held {
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -7,8 +7,10 @@
 // centre, and fill up from there. A surplus or a grant that is lost on its way is lost.
 
 const (
-	// exchangeInterval is the interval at which an instance sends its surplus and its needs.
-	exchangeInterval = 250 * time.Millisecond
+	// exchangeInterval is the least time between two messages with an instance's surplus and needs,
+	// maxExchangeDelay how long a surplus waits at most and is on its way.
+	exchangeInterval = 200 * time.Millisecond
+	maxExchangeDelay = 300 * time.Millisecond
 	// exchangeBelow is the capacity of an account, in retries, from which it takes no part: it
 	// evens out by itself.
 	exchangeBelow = 20
