budget: the first process of all holds its share as soon as it is known

Change: the share is added once, when the size becomes known, unless the process follows an earlier one. Estimates settle within 3 s in place of 5: after a loss of all the record in the store gives the size. Test: TestFirstProcessHoldsItsShareOnce.

--- a/budget/account.go
+++ b/budget/account.go
@@ -4,8 +4,9 @@
 
 // An instance's account of one service is a token bucket: requests fill it, retries empty it, and
 // what it may hold is bounded. In every window the retries of one process are at most what it held
-// at the window's start plus what the window's requests earned. A process starts with nothing held,
-// so that the same is true of all processes of an instance together, however often it is killed.
+// at the window's start plus what the window's requests earned. A process that follows an earlier one
+// starts with nothing held, so that the same is true of all processes of an instance together, however
+// often it is killed. The first process of all holds its share of the burst from the start.
 //
 // Over all instances, with R(w) requests in a window w, the retries that are granted in w are at most
 //
@@ -40,6 +41,8 @@
 	requests window
 	// held is the number of retries that may be made now.
 	held float64
+	// isUnshared is set until the share of the burst is known that the account holds at the start.
+	isUnshared bool
 	// surplus is what was earned beyond the capacity since it was last taken. What is older than
 	// surplusExpiresAt allows belongs to an earlier window.
 	surplus          float64
@@ -48,9 +51,20 @@
 	taken, denied    Counts
 }
 
-// newAccount returns an account that holds the given number of retries, or what it may hold.
-func newAccount(l Limit, held float64, now time.Time) *account {
-	return &account{limit: l, held: held, surplusExpiresAt: now.Add(maxExchangeDelay)}
+// newAccount returns an account. restarted states that an earlier process may have made retries within
+// the last window.
+func newAccount(l Limit, restarted bool, now time.Time) *account {
+	return &account{limit: l, isUnshared: !restarted, surplusExpiresAt: now.Add(maxExchangeDelay)}
+}
+
+// update brings what is held up to date and returns the capacity.
+func (a *account) update(now time.Time, share float64) float64 {
+	if a.isUnshared && share > 0 {
+		a.held, a.isUnshared = a.held+share, false
+	}
+	c := a.capacity(now, share)
+	a.held = min(a.held, c)
+	return c
 }
 
 // capacity is the largest number of retries that the account may hold. share is this instance's part
@@ -61,7 +75,7 @@
 
 // recordRequest records a request.
 func (a *account) recordRequest(now time.Time, share float64) {
-	a.held = min(a.held, a.capacity(now, share))
+	a.update(now, share)
 	a.requests.record(now)
 	a.total++
 	c := a.capacity(now, share)
@@ -72,12 +86,12 @@
 
 // takeSurplus takes what the account sends to a pool.
 func (a *account) takeSurplus(now time.Time, share float64) deposit {
-	c := a.capacity(now, share)
+	c := a.update(now, share)
 	s := a.surplus
 	if now.After(a.surplusExpiresAt) {
 		s = 0
 	}
-	a.held, a.surplus, a.surplusExpiresAt = min(a.held, c), 0, now.Add(maxExchangeDelay)
+	a.surplus, a.surplusExpiresAt = 0, now.Add(maxExchangeDelay)
 	if c >= exchangeBelow {
 		return deposit{}
 	}
@@ -90,13 +104,13 @@
 
 // receive adds retries that a pool granted.
 func (a *account) receive(now time.Time, share, granted float64) {
-	a.held = min(a.held+granted, a.capacity(now, share))
+	a.held += granted
+	a.update(now, share)
 }
 
 // takeRetry reports whether a retry is allowed for the purpose, and records it if so.
 func (a *account) takeRetry(now time.Time, share float64, p Purpose) bool {
-	c := a.capacity(now, share)
-	a.held = min(a.held, c)
+	c := a.update(now, share)
 	if a.held < 1+reserves[p]*max(0, c-1) {
 		a.denied[p]++
 		return false
@@ -109,5 +123,6 @@
 // returnRetry takes back a retry that was not sent.
 func (a *account) returnRetry(now time.Time, share float64, p Purpose) {
 	a.taken[p]--
-	a.held = min(a.held+1, a.capacity(now, share))
+	a.held++
+	a.update(now, share)
 }
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -158,10 +158,10 @@
 	defer b.mu.Unlock()
 	m := map[string]Account{}
 	for s, a := range b.accounts {
-		c := a.capacity(b.config.Clock(), share)
+		c := a.update(b.config.Clock(), share)
 		m[s] = Account{
 			FleetSize: size, Share: share, Requests: a.total, Taken: a.taken, Denied: a.denied,
-			Held: min(a.held, c), Capacity: c,
+			Held: a.held, Capacity: c,
 		}
 	}
 	return m
@@ -187,11 +187,7 @@
 func (b *Budget) account(service string) *account {
 	a, ok := b.accounts[service]
 	if !ok {
-		held := b.config.Limit.Burst
-		if b.config.Restarted {
-			held = 0
-		}
-		a = newAccount(b.config.Limit, held, b.config.Clock())
+		a = newAccount(b.config.Limit, b.config.Restarted, b.config.Clock())
 		b.accounts[service] = a
 	}
 	return a
--- a/budget/window_test.go
+++ b/budget/window_test.go
@@ -92,3 +92,35 @@
 		t.Errorf("got %d retries taken, want 0", got)
 	}
 }
+
+// The first process of all must have its share of the burst from the first request on, also where the
+// fleet's size becomes known later, and once only; a process that follows another one must not.
+func TestFirstProcessHoldsItsShareOnce(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		size := 0
+		b := New(Config{Limit: Limit{Burst: 30}, FleetSize: func() int { return size }, Clock: func() time.Time { return noon }, Restarted: restarted})
+		taken := func() int {
+			n := 0
+			for b.TakeRetry("s", Failure) {
+				n++
+			}
+			return n
+		}
+		b.RecordRequest("s")
+		if got := taken(); got != 0 {
+			t.Errorf("restarted %t: got %d retries while the size is unknown, want 0", restarted, got)
+		}
+		size = 3
+		want := 10
+		if restarted {
+			want = 0
+		}
+		if got := taken(); got != want {
+			t.Errorf("restarted %t: got %d retries, want %d", restarted, got, want)
+		}
+		size = 2
+		if got := taken(); got != 0 {
+			t.Errorf("restarted %t: got %d retries after the size fell, want 0", restarted, got)
+		}
+	}
+}
--- a/fleetsize/fleetsize.go
+++ b/fleetsize/fleetsize.go
@@ -9,7 +9,7 @@
 	// settlePeriod is how long estimates must be steady until they count. Members that lost their
 	// registrations register again within it, one after another, and followers that change their
 	// source are counted twice for less.
-	settlePeriod = 5 * time.Second
+	settlePeriod = 3 * time.Second
 	// steadyRange is the largest ratio of two estimates that are steady.
 	steadyRange = 1.25
 	// retention is the least time for which a size is kept after estimates have fallen. A fleet
