entry: gains of models, local shares and times of tokens move to their packages

cascade.Gains and NextModelBounds, share.Local and timing.TokenTimes with their tests; entry keeps what uses them.

--- a/entry/demotion_test.go
+++ b/entry/demotion_test.go
@@ -113,38 +113,3 @@
 		}
 	}
 }
-
-// Guards against an instance without an owner that takes a customer to be over its share by
-// chance, or when replicas were slow some time ago.
-func TestLocalSharesNeedEvidence(t *testing.T) {
-	now := time.Unix(1_700_000_000, 0)
-	l := newLocalShares()
-	standing := func(customer string) bool {
-		s, _ := l.standing("s", customer, now)
-		return s.Over
-	}
-	for range minLocalRequests {
-		l.place("s", customerWork{"hot", 100}, now)
-	}
-	l.place("s", customerWork{"large", 900}, now)
-	if standing("hot") || standing("large") {
-		t.Error("a customer is over its share while first events are not late")
-	}
-	for range 6 {
-		l.observe("s", 4*time.Second, true, now)
-	}
-	if standing("large") {
-		t.Error("a customer is over its share by a single request")
-	}
-	for range 40 {
-		l.place("s", customerWork{"hot", 100}, now)
-	}
-	if !standing("hot") {
-		t.Error("the customer with most requests is within its share while first events are late")
-	}
-	now = now.Add(localShareWindow)
-	l.place("s", customerWork{"hot", 100}, now)
-	if standing("hot") {
-		t.Error("a customer is over its share by first events before the window")
-	}
-}
--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"fieldvale/budget"
+	"fieldvale/cascade"
+	"fieldvale/route"
 )
 
 const (
@@ -20,7 +22,10 @@
 	borderlineTimePart = 0.45
 	// nextModelAcceptConfidence is the confidence from which the answer of a model after the
 	// smallest is passed on.
-	nextModelAcceptConfidence = evenOdds
+	nextModelAcceptConfidence = cascade.EvenOdds
+	// defaultCostShare is the cost of the next model relative to the largest one's where the
+	// configuration has none.
+	defaultCostShare = 0.5
 )
 
 // Results of an escalation decision, for the log.
@@ -99,11 +104,11 @@
 	if next == last {
 		return []int{last}
 	}
-	b := nextModelBoundsFor(w.r.confidenceGains.of(w.gainKey(next)), costShare(w.q.Table.Service(w.result.Service), m[next], m[last]))
+	b := cascade.NewNextModelBounds(w.r.confidenceGains.Of(w.gainKey(next)), costShare(w.q.Table.Service(w.result.Service), m[next], m[last]))
 	switch {
-	case confidence < b.askAtAll:
+	case confidence < b.AskAtAll:
 		return []int{last}
-	case confidence >= b.askFirst:
+	case confidence >= b.AskFirst:
 		return []int{next, last}
 	}
 	return []int{last, next}
@@ -118,7 +123,7 @@
 // per answer.
 func (w *forwarding) learnGain(confidence float64) {
 	if w.modelIndex > 0 && w.escalatedFrom == w.modelIndex-1 {
-		w.r.confidenceGains.observe(w.gainKey(w.modelIndex), w.result.Confidence, confidence)
+		w.r.confidenceGains.Observe(w.gainKey(w.modelIndex), w.result.Confidence, confidence)
 	}
 	w.escalatedFrom = -1
 }
@@ -173,3 +178,12 @@
 	part := borderlineTimePart + gain*(wrongTimePart-borderlineTimePart)
 	return w.r.firstEventDelays.Expect(w.result.Service, p.firstEventMs) <= time.Duration(part*float64(left))
 }
+
+// costShare is the cost of a model relative to another's.
+func costShare(s route.Service, model, of string) float64 {
+	a, b := s.Cost(model), s.Cost(of)
+	if a <= 0 || b <= 0 {
+		return defaultCostShare
+	}
+	return a / b
+}
--- a/entry/router.go
+++ b/entry/router.go
@@ -25,6 +25,7 @@
 	"fieldvale/quota"
 	"fieldvale/rollout"
 	"fieldvale/session"
+	"fieldvale/share"
 	"fieldvale/timing"
 	"fieldvale/version"
 )
@@ -66,10 +67,10 @@
 	prefillTimes     *timing.PrefillTimes
 	slotTimes        *timing.SlotTimes
 	outputTokens     *timing.OutputTokens
-	confidenceGains  *confidenceGains
+	confidenceGains  *cascade.Gains
 	answerSizes      *answerSizes
 	firstEventDelays *timing.FirstEventDelays
-	tokenTimes       *tokenTimes
+	tokenTimes       *timing.TokenTimes
 	releases         *releases
 	// retries bounds the retries of opaque requests.
 	retries   *budget.Budget
@@ -89,7 +90,7 @@
 	// kind of request and model, in the same way as firstEventDelays for the first event.
 	finishDelays *timing.FirstEventDelays
 	// localShares decides on shares where no owner answers.
-	localShares *localShares
+	localShares *share.Local
 	// answerBuffers is described in Ports.
 	answerBuffers *answerbuffer.Budget
 }
@@ -164,10 +165,10 @@
 		backends: b, evidence: newEvidence(p.Rater),
 		limiters: map[string]*admission.Limiter{}, retryBudget: admission.NewRetryBudget(),
 		cascadeLearner: cascade.NewLearner(), hooks: e,
-		upstream: p.Upstream, activeForwards: newActiveForwards(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, prefillTimes: timing.NewPrefillTimes(), slotTimes: timing.NewSlotTimes(), outputTokens: timing.NewOutputTokens(), confidenceGains: newConfidenceGains(), answerSizes: newAnswerSizes(), firstEventDelays: timing.NewFirstEventDelays(), tokenTimes: newTokenTimes(),
+		upstream: p.Upstream, activeForwards: newActiveForwards(), quarantine: p.Quarantine, prober: p.Prober, placer: p.Placer, prefillTimes: timing.NewPrefillTimes(), slotTimes: timing.NewSlotTimes(), outputTokens: timing.NewOutputTokens(), confidenceGains: cascade.NewGains(), answerSizes: newAnswerSizes(), firstEventDelays: timing.NewFirstEventDelays(), tokenTimes: timing.NewTokenTimes(),
 		releases: newReleases(p.Clock()), retries: p.Retries, fleetSize: p.FleetSize,
 		acceptConfidence: p.AcceptConfidence, completionPause: p.CompletionPause, answerBuffers: p.AnswerBuffers, coldBound: p.ColdBound, quota: p.Quota, notices: p.Notices, loads: p.Loads,
-		localShares: newLocalShares(), finishDelays: timing.NewFirstEventDelays(),
+		localShares: share.NewLocal(), finishDelays: timing.NewFirstEventDelays(),
 	}
 }
 
--- a/entry/share.go
+++ b/entry/share.go
@@ -56,7 +56,7 @@
 	// begins with the prompt.
 	finish, backlog time.Duration
 	// local is the request's work in this instance's own account; nil if none is kept.
-	local *localItem
+	local *share.LocalItem
 }
 
 // recordShare records the work of a request that was placed by an owner, and the owner's decision.
@@ -69,7 +69,7 @@
 		finish:  w.r.finishDelays.Expect(w.slotTimeKey(), x.FinishMs),
 		backlog: w.r.firstEventDelays.Expect(w.result.Service, x.WaitMs),
 	}
-	p.share.local = w.r.localShares.place(w.result.Service, w.localWork(e), w.r.clock())
+	p.share.local = w.r.localShares.Place(w.result.Service, w.q.Customer.Name, w.localWorkMs(e), w.r.clock())
 }
 
 // demoteLocally records the work of a request for which no owner answered, and decides by the
@@ -79,32 +79,32 @@
 		return
 	}
 	now := w.r.clock()
-	s, first := w.r.localShares.standing(w.result.Service, w.q.Customer.Name, now)
+	s, first := w.r.localShares.Standing(w.result.Service, w.q.Customer.Name, now)
 	p.share = shareStatus{
 		over: s.Over, used: s.Used, fair: s.Fair,
 		finish:  first + milliseconds(w.r.slotTimes.ExpectedMs(w.slotTimeKey())),
 		backlog: first,
 	}
-	p.share.local = w.r.localShares.place(w.result.Service, w.localWork(e), now)
+	p.share.local = w.r.localShares.Place(w.result.Service, w.q.Customer.Name, w.localWorkMs(e), now)
 }
 
-// localWork is the request's work as this instance estimates it, without its shared prefix, which
+// localWorkMs is the request's work in milliseconds as this instance estimates it, without its shared prefix, which
 // most replicas have cached.
-func (w *forwarding) localWork(e promptEstimate) customerWork {
-	return customerWork{w.q.Customer.Name, placement.WorkMs(e.unsharedMs, e.msPerToken, w.expectedOutputTokens())}
+func (w *forwarding) localWorkMs(e promptEstimate) float64 {
+	return placement.WorkMs(e.unsharedMs, e.msPerToken, w.expectedOutputTokens())
 }
 
 // withdrawShare removes a prompt that was not read from its customer's work.
 func (w *forwarding) withdrawShare(p *assignment) {
 	if p.promptPending {
-		w.r.localShares.withdraw(p.share.local, w.r.clock())
+		w.r.localShares.Withdraw(p.share.local, w.r.clock())
 	}
 }
 
 // observeFirstEvent records how long the first event took.
 func (w *forwarding) observeFirstEvent(took time.Duration) {
 	if w.placesByCompletion() && w.q.Route.Target > 0 {
-		w.r.localShares.observe(w.result.Service, took, took > w.q.Route.Target, w.r.clock())
+		w.r.localShares.Observe(w.result.Service, took, took > w.q.Route.Target, w.r.clock())
 	}
 }
 
@@ -164,15 +164,3 @@
 
 // milliseconds converts a number of milliseconds to a duration.
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-
-// customerWork is the work of one request of a customer, in milliseconds.
-type customerWork struct {
-	customer string
-	ms       float64
-}
-
-// localItem is a request's work in this instance's own account of a service.
-type localItem struct {
-	service *localShare
-	item    share.Item
-}
--- a/entry/tokentime_test.go
+++ b/entry/tokentime_test.go
@@ -15,7 +15,6 @@
 	"fieldvale/pool"
 	"fieldvale/rollout"
 	"fieldvale/session"
-	"fieldvale/version"
 )
 
 // slowEngines answer after random times.
@@ -95,12 +94,3 @@
 		})
 	}
 }
-
-func Example_tokenTimes() {
-	p := newTokenTimes()
-	for range minSamples {
-		p.observe(version.New("small", "1"), 10*time.Millisecond)
-	}
-	fmt.Println(p.isSlow(39*time.Millisecond, version.New("small", "1")), p.isSlow(41*time.Millisecond, version.New("small", "1")))
-	// Output: false true
-}
--- a/entry/localshare.go
+++ b/share/local.go
@@ -1,16 +1,14 @@
-package entry
+package share
 
 import (
 	"sync"
 	"time"
-
-	"fieldvale/share"
 )
 
 const (
-	// localShareWindow is the window of the work that this instance sees, and the time for which
+	// localWindow is the window of the work that this instance sees, and the time for which
 	// an observed first event counts.
-	localShareWindow = 5 * time.Second
+	localWindow = 5 * time.Second
 	// firstEventWeight is the weight of one first event in the running means. A few late ones by
 	// chance don't make replicas count as short, five in a row do.
 	firstEventWeight = 0.15
@@ -22,18 +20,18 @@
 	minLocalRequests = 4
 )
 
-// localShares is the work by customer that this instance sees, by service. It serves where no
+// Local is the work by customer that this instance sees, by service. It serves where no
 // owner answers. It is safe for concurrent use.
-type localShares struct {
+type Local struct {
 	mu       sync.Mutex
-	services map[string]*localShare
+	services map[string]*localService
 }
 
-// localShare is the work that this instance sends to the replicas of one service.
-type localShare struct {
-	account *share.Account
+// localService is the work that this instance sends to the replicas of one service.
+type localService struct {
+	account *Account
 	// requests counts the requests by customer.
-	requests share.Ledger
+	requests Ledger
 	// firstEvent is the running mean of the time to the first event, and lateness the part of
 	// first events that came after the route's target, as of the given time.
 	firstEvent time.Duration
@@ -41,29 +39,36 @@
 	asOf       time.Time
 }
 
-func newLocalShares() *localShares { return &localShares{services: map[string]*localShare{}} }
+// NewLocal returns accounts without any work.
+func NewLocal() *Local { return &Local{services: map[string]*localService{}} }
 
 // of returns the work of the service. l.mu is held.
-func (l *localShares) of(service string) *localShare {
+func (l *Local) of(service string) *localService {
 	s, ok := l.services[service]
 	if !ok {
-		s = &localShare{account: share.NewAccount(localShareWindow), requests: share.New(localShareWindow)}
+		s = &localService{account: NewAccount(localWindow), requests: New(localWindow)}
 		l.services[service] = s
 	}
 	return s
 }
 
-// place records work that is sent to the service.
-func (l *localShares) place(service string, w customerWork, now time.Time) *localItem {
+// LocalItem is the work of one request in the account of its service.
+type LocalItem struct {
+	service *localService
+	item    Item
+}
+
+// Place records work of a customer, in milliseconds, that is sent to the service.
+func (l *Local) Place(service, customer string, ms float64, now time.Time) *LocalItem {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.of(service)
-	s.requests.Record(w.customer, 1, now)
-	return &localItem{s, s.account.Place(w.customer, w.ms, now)}
+	s.requests.Record(customer, 1, now)
+	return &LocalItem{s, s.account.Place(customer, ms, now)}
 }
 
-// withdraw removes an item that was not served from its customer's work. A nil item is ignored.
-func (l *localShares) withdraw(i *localItem, now time.Time) {
+// Withdraw removes an item that was not served from its customer's work. A nil item is ignored.
+func (l *Local) Withdraw(i *LocalItem, now time.Time) {
 	if i == nil {
 		return
 	}
@@ -72,12 +77,12 @@
 	i.service.account.Withdraw(i.item, now)
 }
 
-// observe records the time to a first event, and whether that was late.
-func (l *localShares) observe(service string, took time.Duration, late bool, now time.Time) {
+// Observe records the time to a first event, and whether that was late.
+func (l *Local) Observe(service string, took time.Duration, late bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.of(service)
-	if now.Sub(s.asOf) >= localShareWindow {
+	if now.Sub(s.asOf) >= localWindow {
 		s.firstEvent, s.lateness = took, 0
 	}
 	x := 0.0
@@ -89,17 +94,17 @@
 	s.asOf = now
 }
 
-// standing returns the customer's use of the service, zero unless its replicas are short, and the
+// Standing returns the customer's use of the service, zero unless its replicas are short, and the
 // time that first events take.
-func (l *localShares) standing(service, customer string, now time.Time) (share.Standing, time.Duration) {
+func (l *Local) Standing(service, customer string, now time.Time) (Standing, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.of(service)
-	if now.Sub(s.asOf) >= localShareWindow || s.lateness <= shortLateness {
-		return share.Standing{}, 0
+	if now.Sub(s.asOf) >= localWindow || s.lateness <= shortLateness {
+		return Standing{}, 0
 	}
 	if s.requests.Used(customer, now) < minLocalRequests {
-		return share.Standing{}, s.firstEvent
+		return Standing{}, s.firstEvent
 	}
 	return s.account.Standing(customer, now), s.firstEvent
 }
