--- a/cmd/fieldvale-node/node_test.go
+++ b/cmd/fieldvale-node/node_test.go
@@ -123,7 +123,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := newTestEnv(t)
 			a, b := s.startReplica("a", "v1"), s.startReplica("b", "v1")
-			s.start()
+			s.startWithRetries()
 			var mu sync.Mutex
 			first := true
 			for _, r := range []*sitetest.Replica{a, b} {
@@ -155,7 +155,7 @@
 func TestNodeResumesStreams(t *testing.T) {
 	s := newTestEnv(t)
 	a, b := s.startReplica("a", "v1"), s.startReplica("b", "v1")
-	s.start()
+	s.startWithRetries()
 	for _, r := range []*sitetest.Replica{a, b} {
 		r.Lock()
 		r.Handler = func(c net.Conn, q sitetest.Request) {
--- a/cmd/fieldvale-node/testenv_test.go
+++ b/cmd/fieldvale-node/testenv_test.go
@@ -140,6 +140,14 @@
 	})
 }
 
+// startWithRetries starts the node as the only instance of a fleet that starts for the first time, and
+// waits until it has its share of the retries. A process that follows an earlier one has none at first.
+func (s *testEnv) startWithRetries() {
+	s.store.Put("fieldvale/fleet-size", 1)
+	s.startWith(func(n *settings.Node) { n.FirstStart = true })
+	s.eventually("the node has its share of the retries", func() bool { return s.node.relay.FleetSize() == 1 })
+}
+
 // readiness returns the status of the node's readiness check; 0 if it can't be reached.
 func (s *testEnv) readiness() int {
 	r, err := http.Get("http://" + s.node.settings.ReadyListen + "/-/readiness")
