attempts to connect to replicas are tracked, counted and logged

New: package reach (which replicas an instance can connect to), metrics replica_dials_total{way,result}, replica_dial_failures, replicas_indirect and cut_off, and a line replica_links each second in which that state changes.

--- a/adapter/exchange/pool.go
+++ b/adapter/exchange/pool.go
@@ -10,19 +10,14 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/singleflight"
 
 	"fieldvale/adapter/httpconn"
 )
 
 const (
-	// dialTimeout bounds one attempt to connect. A healthy replica in the same
-	// region accepts within a few milliseconds.
-	dialTimeout = 700 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection is kept if the server
 	// states no timeout in a Keep-Alive header.
 	defaultIdleTimeout = 20 * time.Second
@@ -31,14 +26,7 @@
 	idleMargin = 700 * time.Millisecond
 	// maxIdlePerAddr bounds the idle connections to one address.
 	maxIdlePerAddr = 24
-	// keepAliveIdle, keepAliveInterval and keepAliveProbes detect an unreachable
-	// server on a connection without traffic within about three seconds.
-	// userTimeout bounds the same case while sent bytes are unacknowledged.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveProbes   = 2
-	userTimeout       = 3 * time.Second
-	readBufferSize    = 4 << 10
+	readBufferSize = 4 << 10
 )
 
 // Pool holds idle connections by server address. It is safe for concurrent
@@ -53,6 +41,7 @@
 	// nextSweep is when expired idle connections are next closed.
 	nextSweep time.Time
 	clock     func() time.Time
+	dialer    Dialer
 }
 
 // conn is a connection with its read buffer.
@@ -64,8 +53,16 @@
 	expires time.Time
 }
 
-// New returns an empty pool.
-func New(clock func() time.Time) *Pool { return &Pool{idle: map[string][]*conn{}, clock: clock} }
+// New returns an empty pool that connects to servers directly.
+func New(clock func() time.Time) *Pool {
+	return &Pool{idle: map[string][]*conn{}, clock: clock, dialer: DialFunc(DialDirect)}
+}
+
+// WithDialer makes the pool open connections with d. It must be called before the first request.
+func (p *Pool) WithDialer(d Dialer) *Pool {
+	p.dialer = d
+	return p
+}
 
 // Dialed returns how many connections were opened.
 func (p *Pool) Dialed() int {
@@ -106,14 +103,9 @@
 	if c := p.takeIdle(addr); c != nil {
 		return c, nil
 	}
-	d := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
-		Control:         setUserTimeout,
-	}
-	k, err := d.DialContext(ctx, "tcp4", addr)
+	k, err := p.dialer.Dial(ctx, addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "exchange")
+		return nil, err
 	}
 	p.mu.Lock()
 	p.dialed++
@@ -121,21 +113,6 @@
 	return &conn{netConn: k, reader: bufio.NewReaderSize(k, readBufferSize)}, nil
 }
 
-// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall doesn't define.
-const tcpUserTimeout = 18
-
-// setUserTimeout sets userTimeout on a socket before it connects.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var e error
-	err := c.Control(func(fd uintptr) {
-		e = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return e
-}
-
 // takeIdle removes the most recently used idle connection from the pool and
 // returns it; nil if there is none. It closes connections that have expired,
 // were closed by the server or have unread bytes.
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -31,6 +31,7 @@
 	"fieldvale/platform"
 	"fieldvale/quarantine"
 	"fieldvale/quota"
+	"fieldvale/reach"
 	"fieldvale/relay"
 	"fieldvale/state"
 	"fieldvale/store"
@@ -91,6 +92,14 @@
 	// registered member answers.
 	registerNow chan struct{}
 	pool        *exchange.Pool
+	// links tracks which replicas can be connected to; dials counts the attempts.
+	links *reach.Tracker
+	dials *prometheus.CounterVec
+	// dialDirect connects to a replica over this instance's own links.
+	dialDirect exchange.DialFunc
+	// loggedLinks is the state of the links as last logged. Only the goroutine of
+	// runPeriodicTasks uses it.
+	loggedLinks reach.Status
 	placer      *placement.Node
 	// quarantine tracks the requests that crash replicas; pendingHeld passes changes of
 	// the held ones to the goroutine that writes them to the store.
@@ -126,9 +135,12 @@
 func newNodeWithClock(c *clock.Clock, s settings.Node, path string, l log.Interface) *node {
 	n := &node{
 		settings: s, settingsPath: path, log: l, clock: c.Now, suspendClock: c, metrics: metrics.New(), view: entry.NewCurrentView(),
-		pendingRecords: make(chan state.Record), loggedTrials: map[string]entry.ReleaseTrial{}, loggedRetries: map[string]budget.Account{}, earlierAnnouncement: make(chan store.LeasedKey, 1), registerNow: make(chan struct{}, 1), pool: exchange.New(c.Now), stopping: make(chan struct{}),
+		pendingRecords: make(chan state.Record), loggedTrials: map[string]entry.ReleaseTrial{}, loggedRetries: map[string]budget.Account{}, earlierAnnouncement: make(chan store.LeasedKey, 1), registerNow: make(chan struct{}, 1), dialDirect: exchange.DialDirect, stopping: make(chan struct{}),
 	}
 	n.lease = lease.New(time.Duration(confirmationFraction*float64(s.RevokedKeyTTL)), s.MaxApplyDelay, keyExpiryRule(s), n.clock())
+	n.links = n.newLinkTracker()
+	n.dials = n.registerDialMetrics()
+	n.pool = exchange.New(c.Now).WithDialer(exchange.DialFunc(n.dialReplica))
 	n.placer = placement.NewNode(s.ID, startID(), taggedTransport{n, tagPlacement}, n.clock, n.logEvent)
 	n.registerPlacementMetrics()
 	n.store = platform.NewStore(exchange.New(c.Now), s.StoreAddr, c.Now).WithCallObserver(n.registerStoreMetrics())
--- a/cmd/fieldvale-node/periodic.go
+++ b/cmd/fieldvale-node/periodic.go
@@ -20,7 +20,7 @@
 func (n *node) runPeriodicTasks(ctx context.Context, hup <-chan os.Signal) error {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
-	var lastReport, lastTrialLog, lastRetryLog time.Time
+	var lastReport, lastTrialLog, lastRetryLog, lastLinkLog time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -43,6 +43,10 @@
 			lastRetryLog = now
 			n.logRetryBudgets()
 		}
+		if now := n.clock(); now.Sub(lastLinkLog) >= linkLogInterval {
+			lastLinkLog = now
+			n.logLinks()
+		}
 	}
 }
 
