connections to replicas go through another instance where the own links don't reach them

Cause: a request could leave an instance only by a connection of its own. What the instance measured of its links it took for the state of each replica: a breaker a replica, ignored once all are open, and 0.7 s for each dial, up to eight in a row.

Change: a direct dial that takes 150 ms, or fails where several did, is joined by a CONNECT to another instance, which only ever connects directly (one hop). Where that one reaches the replica, the link is taken to be broken, and connections to it go through other instances until a direct attempt in the background succeeds; with two such replicas and no direct success since, all do. Idle connections of the other way are not used again. Where no instance reaches a replica, nobody is asked for a second. The router is unchanged: deadlines, ids, retries, permits, fair shares and the outcome of an attempt are decided where the client is, once; a dial that fails both ways is still not run. Bytes from the replica are framed, so that an answer that ends with its connection is never complete because an instance in between was lost.

--- a/adapter/exchange/dial.go
+++ b/adapter/exchange/dial.go
@@ -34,6 +34,15 @@
 // Dial implements Dialer.
 func (f DialFunc) Dial(ctx context.Context, addr string) (net.Conn, error) { return f(ctx, addr) }
 
+// IndirectConn is a connection through another instance.
+type IndirectConn interface {
+	net.Conn
+	// Via names the instance and the connection to it.
+	Via() string
+	// HasUnread reports whether bytes were received that were not read.
+	HasUnread() bool
+}
+
 // DialDirect opens a TCP connection from this process to the server.
 func DialDirect(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
--- a/adapter/exchange/exchange.go
+++ b/adapter/exchange/exchange.go
@@ -159,6 +159,14 @@
 	return time.Duration(n)*time.Second - idleMargin
 }
 
+// Via names the instance through which the connection runs; empty for a direct connection.
+func (s *Response) Via() string {
+	if x, ok := s.conn.netConn.(IndirectConn); ok {
+		return x.Via()
+	}
+	return ""
+}
+
 // Read implements io.Reader on the response's body.
 func (s *Response) Read(b []byte) (int, error) {
 	n, err := s.body.Read(b)
--- a/adapter/exchange/pool.go
+++ b/adapter/exchange/pool.go
@@ -42,6 +42,8 @@
 	nextSweep time.Time
 	clock     func() time.Time
 	dialer    Dialer
+	// isUsable decides whether an idle connection may be used; nil allows all.
+	isUsable func(addr string, c net.Conn) bool
 }
 
 // conn is a connection with its read buffer.
@@ -64,6 +66,18 @@
 	return p
 }
 
+// WithUsable makes the pool close idle connections for which f returns false. It must be called before
+// the first request.
+func (p *Pool) WithUsable(f func(addr string, c net.Conn) bool) *Pool {
+	p.isUsable = f
+	return p
+}
+
+// Add keeps an open connection to the address for the next request.
+func (p *Pool) Add(addr string, c net.Conn) {
+	p.putIdle(addr, newConn(c), defaultIdleTimeout)
+}
+
 // Dialed returns how many connections were opened.
 func (p *Pool) Dialed() int {
 	p.mu.Lock()
@@ -110,7 +124,11 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	return &conn{netConn: k, reader: bufio.NewReaderSize(k, readBufferSize)}, nil
+	return newConn(k), nil
+}
+
+func newConn(c net.Conn) *conn {
+	return &conn{netConn: c, reader: bufio.NewReaderSize(c, readBufferSize)}
 }
 
 // takeIdle removes the most recently used idle connection from the pool and
@@ -127,13 +145,25 @@
 		c := l[len(l)-1]
 		p.idle[addr] = l[:len(l)-1]
 		p.mu.Unlock()
-		if p.clock().Before(c.expires) && httpconn.IsReusable(c.netConn) {
+		if p.clock().Before(c.expires) && p.mayReuse(addr, c.netConn) {
 			return c
 		}
 		_ = c.netConn.Close()
 	}
 }
 
+// mayReuse reports whether an idle connection may be used: it is open, has no unread bytes, and its way
+// to the server is still the one to use.
+func (p *Pool) mayReuse(addr string, c net.Conn) bool {
+	if p.isUsable != nil && !p.isUsable(addr, c) {
+		return false
+	}
+	if x, ok := c.(IndirectConn); ok && x.HasUnread() {
+		return false
+	}
+	return httpconn.IsReusable(c)
+}
+
 // putIdle returns a connection to the pool after its response was read to the
 // end. It closes the connection instead if there are buffered bytes beyond the
 // response, since they belong to no request, or if the pool is full.
--- a/adapter/handover/handover.go
+++ b/adapter/handover/handover.go
@@ -36,10 +36,17 @@
 	Serve(ctx context.Context, after int64, write func([]byte) error) error
 }
 
-// Serve serves the state of s to other instances until the listener is closed.
-func Serve(l net.Listener, s Source) error {
+// Serve serves the state of s to other instances until the listener is closed. Their CONNECT requests
+// are passed to tunnels; if it is nil, they are refused.
+func Serve(l net.Listener, s Source, tunnels http.Handler) error {
 	h := &http.Server{
-		Handler:     http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serveState(w, r, s) }),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodConnect && tunnels != nil {
+				tunnels.ServeHTTP(w, r)
+				return
+			}
+			serveState(w, r, s)
+		}),
 		ReadTimeout: stallTimeout, WriteTimeout: writeTimeout, IdleTimeout: stallTimeout,
 	}
 	return errors.Wrap(h.Serve(l), "handover: serve")
--- a/cmd/fieldvale-node/links.go
+++ b/cmd/fieldvale-node/links.go
@@ -4,12 +4,16 @@
 	"context"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"fieldvale/adapter/exchange"
+	"fieldvale/adapter/tunnel"
+	"fieldvale/pool"
 	"fieldvale/reach"
 )
 
@@ -45,20 +49,73 @@
 	return n.metrics.Counter("replica_dials_total", "Attempts to connect to replicas, by way and result.", "way", "result")
 }
 
-// dialReplica connects to a replica and records the result. An attempt that its request has ended
-// shows nothing about the link.
-func (n *node) dialReplica(ctx context.Context, addr string) (net.Conn, error) {
-	c, err := n.dialDirect(ctx, addr)
-	n.dials.WithLabelValues(reach.Direct.String(), dialResult(err)).Inc()
-	if err != nil && ctx.Err() != nil {
-		return nil, err
+// newReplicaPool returns the pool of connections to replicas. A connection whose way is no longer the
+// one to use is not used again: a direct one may hang, and one through another instance costs that one.
+func (n *node) newReplicaPool() *exchange.Pool {
+	p := exchange.New(n.clock)
+	d := &tunnel.Dialer{
+		Tracker: n.links, Helpers: n.helpers, Spare: p.Add,
+		Direct: exchange.DialFunc(func(ctx context.Context, addr string) (net.Conn, error) {
+			c, err := n.dialDirect(ctx, addr)
+			n.countDial(reach.Direct, err)
+			return c, err
+		}),
+		Tunneled: func(_ string, err error) { n.countDial(reach.Indirect, err) },
 	}
-	if err != nil {
-		n.links.Failed(addr, reach.Direct)
-		return nil, err
+	return p.WithDialer(d).WithUsable(func(addr string, c net.Conn) bool {
+		_, indirect := c.(exchange.IndirectConn)
+		return indirect == n.links.IsIndirect(addr)
+	})
+}
+
+// countDial counts an attempt to connect to a replica.
+func (n *node) countDial(w reach.Way, err error) {
+	n.dials.WithLabelValues(w.String(), dialResult(err)).Inc()
+}
+
+// Reasons for which no tunnel to an address is opened for another instance.
+const (
+	refusedStopping = "this instance is stopping"
+	refusedCutOff   = "this instance does not reach the replica itself"
+	refusedUnknown  = "no replica has this address"
+)
+
+// tunnelsPerMB bounds the tunnels for other instances by this instance's memory: each takes two
+// descriptors and about 30 kB.
+const tunnelsPerMB = 1
+
+// newTunnelServer returns the server of tunnels to replicas for other instances.
+func (n *node) newTunnelServer() *tunnel.Server {
+	opened := n.metrics.Counter("tunnels_total", "Connections to replicas that other instances asked for, by result.", "result")
+	s := &tunnel.Server{
+		Dial:       func(ctx context.Context, addr string) (net.Conn, error) { return n.dialDirect(ctx, addr) },
+		Refusal:    n.tunnelRefusal,
+		MaxTunnels: int(n.settings.MemoryMB * tunnelsPerMB),
+		Event: func(o tunnel.Opened) {
+			result := o.Refused
+			if result == "" {
+				result = "opened"
+			}
+			opened.WithLabelValues(result).Inc()
+			n.logEvent("tunnel", "from", o.From, "replica", o.Server, "result", result)
+		},
+	}
+	n.metrics.GaugeFunc("tunnels_open", "Connections to replicas that are open for other instances.", func() float64 { return float64(s.Open()) })
+	return s
+}
+
+// tunnelRefusal returns why no tunnel to the address may be opened; empty if one may. An instance that
+// is cut off itself never passes a request on to a further one.
+func (n *node) tunnelRefusal(addr string) string {
+	switch {
+	case n.isStopping():
+		return refusedStopping
+	case !slices.ContainsFunc(n.view.Get().Replicas, func(r *pool.Replica) bool { return r.Addr == addr }):
+		return refusedUnknown
+	case n.links.IsIndirect(addr):
+		return refusedCutOff
 	}
-	n.links.Connected(addr, reach.Direct)
-	return c, nil
+	return ""
 }
 
 // dialResult returns the result that an attempt to connect is counted as.
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -20,6 +20,7 @@
 	"fieldvale/adapter/metrics"
 	"fieldvale/adapter/settings"
 	"fieldvale/adapter/socket"
+	"fieldvale/adapter/tunnel"
 	"fieldvale/budget"
 	"fieldvale/clock"
 	"fieldvale/entry"
@@ -97,6 +98,10 @@
 	dials *prometheus.CounterVec
 	// dialDirect connects to a replica over this instance's own links.
 	dialDirect exchange.DialFunc
+	// helpers are the instances through which replicas are reached where the own links don't
+	// reach them; tunnels connects other instances to replicas.
+	helpers *reach.Helpers
+	tunnels *tunnel.Server
 	// loggedLinks is the state of the links as last logged. Only the goroutine of
 	// runPeriodicTasks uses it.
 	loggedLinks reach.Status
@@ -140,7 +145,9 @@
 	n.lease = lease.New(time.Duration(confirmationFraction*float64(s.RevokedKeyTTL)), s.MaxApplyDelay, keyExpiryRule(s), n.clock())
 	n.links = n.newLinkTracker()
 	n.dials = n.registerDialMetrics()
-	n.pool = exchange.New(c.Now).WithDialer(exchange.DialFunc(n.dialReplica))
+	n.helpers = reach.NewHelpers(n.self(), n.clock, rand.Float64)
+	n.tunnels = n.newTunnelServer()
+	n.pool = n.newReplicaPool()
 	n.placer = placement.NewNode(s.ID, startID(), taggedTransport{n, tagPlacement}, n.clock, n.logEvent)
 	n.registerPlacementMetrics()
 	n.store = platform.NewStore(exchange.New(c.Now), s.StoreAddr, c.Now).WithCallObserver(n.registerStoreMetrics())
@@ -201,6 +208,7 @@
 	n.quota.SetMembers(m)
 	n.retries.SetMembers(m)
 	n.relay.SetMembers(m)
+	n.helpers.SetMembers(m)
 }
 
 // routerPorts returns the components and settings that the router uses.
@@ -270,7 +278,9 @@
 	g.Go(func() error { return ignoreClosed(runCtx, n.ingress.Serve(d.clients)) })
 	g.Go(func() error { return ignoreClosed(runCtx, n.serveReady(d.ready)) })
 	g.Go(func() error { return ignoreClosed(runCtx, n.metrics.Serve(d.metrics, n.ready)) })
-	g.Go(func() error { return ignoreClosed(runCtx, handover.Serve(d.peers, countingSource{n.relay, n.traffic})) })
+	g.Go(func() error {
+		return ignoreClosed(runCtx, handover.Serve(d.peers, countingSource{n.relay, n.traffic}, n.tunnels))
+	})
 	g.Go(func() error { return n.followStore(runCtx) })
 	g.Go(func() error { return n.socket.Serve(runCtx, n.receive) })
 	g.Go(func() error { return n.announce(runCtx) })
--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -100,7 +100,7 @@
 			n.staleAnswers.WithLabelValues("routed").Inc()
 		}
 		n.logEvent("routed", "request", q.ID, "content", f.Fingerprint, "route", q.Route.Name, "customer", q.Customer.Name, "session", q.Session, "config", q.Table.Version, "config_age", age,
-			"service", f.Service, "replica", f.Replica, "tried", f.Tried, "left_out", f.Excluded, "load", f.ReportedLoad, "load_age", f.ReportedLoad.Age, "release", f.Release, "model", f.Model, "confidence", f.Confidence, "dropped", f.Dropped, "doubt", f.Escalation, "over_share", shareOutcome(f.Share), "expected", f.ExpectedFinish, "delays_others", f.DelayOfOthers,
+			"service", f.Service, "replica", f.Replica, "tried", f.Tried, "via", f.Via, "left_out", f.Excluded, "load", f.ReportedLoad, "load_age", f.ReportedLoad.Age, "release", f.Release, "model", f.Model, "confidence", f.Confidence, "dropped", f.Dropped, "doubt", f.Escalation, "over_share", shareOutcome(f.Share), "expected", f.ExpectedFinish, "delays_others", f.DelayOfOthers,
 			"prompt", q.Prompt.InputTokens, "most", q.Prompt.MaxOutputTokens, "limited", f.SkippedCount, "passed_over", f.Skipped, "sends", f.Sends, "runs", f.Runs, "events", f.Events, "status", f.Status, "code", code, "run", f.Outcome, "cause", errorText(f.Cause), "stopped", f.StopReason, "moved", f.Moves, "move_declined", f.MoveDeclined,
 			"first", elapsed(f.FirstByteAt, q.ArrivedAt), "took", f.EndedAt.Sub(q.ArrivedAt), "allowed", q.Deadline.Sub(q.ArrivedAt))
 	}
--- a/cmd/fieldvale-node/stop.go
+++ b/cmd/fieldvale-node/stop.go
@@ -20,12 +20,15 @@
 )
 
 // ready reports whether the platform should send new connections to this instance.
-func (n *node) ready() bool {
+func (n *node) ready() bool { return !n.isStopping() && n.state.Ready() }
+
+// isStopping reports whether a graceful shutdown has begun.
+func (n *node) isStopping() bool {
 	select {
 	case <-n.stopping:
-		return false
+		return true
 	default:
-		return n.state.Ready()
+		return false
 	}
 }
 
@@ -52,5 +55,6 @@
 	if err := n.ingress.Shutdown(ctx); err != nil {
 		n.logEvent("stop_incomplete", "error", err)
 	}
+	n.tunnels.Drain(ctx)
 	return nil
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -77,6 +77,7 @@
 	defer reply.Close()
 	a.mayHaveRun, a.headReceived = true, true
 	a.w.result.Runs++
+	a.w.result.recordVia(reply.Head().Via)
 	if !reply.Head().IsSuccess() {
 		a.serverError = reply.Head().Status >= 500
 		return a.handleFailureAnswer(reply)
--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -126,6 +126,8 @@
 	ExpectedFinish, DelayOfOthers time.Duration
 	// Tried are the replicas that the request was sent to, in order.
 	Tried []string
+	// Via names the instances through which replicas answered, in order; empty for direct answers.
+	Via []string
 	// ReportedLoad is the load report of the replica that was last chosen without the placer.
 	ReportedLoad ReportedLoad
 	// Excluded counts the replicas that were draining or backing off at the last choice.
@@ -151,3 +153,10 @@
 func (f *ForwardResult) recordExpectation(p *assignment) {
 	f.ExpectedFinish, f.DelayOfOthers = milliseconds(p.finishMs), milliseconds(p.othersMs)
 }
+
+// recordVia records the instance through which an answer came, if there was one.
+func (f *ForwardResult) recordVia(via string) {
+	if via != "" {
+		f.Via = append(f.Via, via)
+	}
+}
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -23,6 +23,8 @@
 type Head struct {
 	Status int
 	Header http.Header
+	// Via names the instance through which the replica was reached; empty for a direct connection.
+	Via string
 }
 
 // IsSuccess reports whether the status is 2xx.
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -9,8 +9,9 @@
 	// cutOffAddrs is how many servers must be reached indirectly, with no direct connection opened
 	// since, for the instance to count as cut off from all of them.
 	cutOffAddrs = 2
-	// suspectFailures is how many direct connections must fail in succession before a refused
-	// connection is tried indirectly: a single refusal shows a server that is down.
+	// suspectFailures is how many direct connections must fail in succession, at one server or at
+	// all, before a refused connection is tried indirectly: a single refusal shows a server that is
+	// down.
 	suspectFailures = 2
 	// suspicionSpan is how long failures count as being in succession.
 	suspicionSpan = 3 * time.Second
@@ -52,8 +53,10 @@
 
 // link is the state of the way to one server.
 type link struct {
-	// failedAt is the last direct failure, connectedAt the last direct success.
-	failedAt, connectedAt time.Time
+	// failures is the number of direct failures since the last direct success, failedAt the last of
+	// them.
+	failures int
+	failedAt time.Time
 	// indirectAt is when the server was first reached indirectly after a direct failure; zero while
 	// the direct way is not known to be broken.
 	indirectAt time.Time
@@ -111,12 +114,14 @@
 	return t.isIndirect(t.link(addr, t.clock()))
 }
 
-// IsSuspect reports whether direct connections failed in succession, so that a refused connection may
-// be due to the links.
-func (t *Tracker) IsSuspect() bool {
+// IsSuspect reports whether direct connections to the server or to all failed in succession, so that a
+// refused connection may be due to the links.
+func (t *Tracker) IsSuspect(addr string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.failures >= suspectFailures && t.clock().Sub(t.failedAt) < suspicionSpan
+	now := t.clock()
+	l := t.link(addr, now)
+	return l.failures >= suspectFailures || t.failures >= suspectFailures && now.Sub(t.failedAt) < suspicionSpan
 }
 
 // Status returns what the instance knows of its links.
@@ -132,12 +137,12 @@
 func (t *Tracker) Connected(addr string, w Way) {
 	t.update(addr, func(l *link, now time.Time) {
 		if w == Direct {
-			l.connectedAt, l.failedAt, l.indirectAt = now, time.Time{}, time.Time{}
+			l.failures, l.indirectAt = 0, time.Time{}
 			t.connectedAt, t.failures = now, 0
 			return
 		}
 		t.unreached, l.unreachedAt = 0, time.Time{}
-		if l.indirectAt.IsZero() && !l.failedAt.IsZero() {
+		if l.indirectAt.IsZero() && l.failures > 0 {
 			l.indirectAt = now
 		}
 	})
@@ -163,7 +168,11 @@
 	if now.Sub(t.failedAt) >= suspicionSpan {
 		t.failures = 0
 	}
+	if now.Sub(l.failedAt) >= suspicionSpan {
+		l.failures = 0
+	}
 	t.failures++
+	l.failures++
 	l.failedAt, t.failedAt = now, now
 	l.nextProbe = now.Add(probeInterval)
 }
