--- a/adapter/tunnel/server.go
+++ b/adapter/tunnel/server.go
@@ -35,6 +35,8 @@
 
 	mu   sync.Mutex
 	open map[*session]bool
+	// reserved is the number of tunnels that are open or being opened.
+	reserved int
 }
 
 // session is an open tunnel.
@@ -62,13 +64,16 @@
 // ServeHTTP opens the tunnel that a CONNECT request asks for, and serves it until one side ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	o := Opened{From: r.RemoteAddr, Server: r.Host}
-	if o.Refused = s.Refusal(r.Host); o.Refused == "" && s.Open() >= s.MaxTunnels {
-		o.Refused = refusedFull
+	if o.Refused = s.Refusal(r.Host); o.Refused != "" {
+		s.refuse(w, o, http.StatusServiceUnavailable)
+		return
 	}
-	if o.Refused != "" {
+	if !s.reserve() {
+		o.Refused = refusedFull
 		s.refuse(w, o, http.StatusServiceUnavailable)
 		return
 	}
+	defer s.release()
 	ctx, cancel := context.WithTimeout(r.Context(), serverDialTimeout)
 	defer cancel()
 	c, err := s.Dial(ctx, r.Host)
@@ -102,6 +107,23 @@
 	http.Error(w, o.Refused, status)
 }
 
+// reserve counts a tunnel that is to be opened, and reports whether there may be another one.
+func (s *Server) reserve() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reserved >= s.MaxTunnels {
+		return false
+	}
+	s.reserved++
+	return true
+}
+
+func (s *Server) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reserved--
+}
+
 func (s *Server) add(x *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
