quota: replicas that crash when they reject many requests are not made to

New rule LIMIT for replicas that say Server-Brittle (X-Rejections-Per-Second on the product's own interface): N is what one replica may have to turn away in a second, from all instances together; one that has to reject more falls over, and its callers go to the next one.

The owner that counts limits counts these as well: it permits as many requests of unknown fate (under way for less than 0.1 s, their end not reported) as the replica may still reject in this second, and learns from rejections how many requests it takes at a time. What replicas say spreads and ends as limits do. Without an owner all instances together send a replica no more in a second than it may reject. A request waits up to three times 0.1 s for a permit that is about to come; else it is refused at once with a time to return. Log line replica_fragile, metrics replicas_fragile and replica_rejections.

--- a/adapter/backend/backend_test.go
+++ b/adapter/backend/backend_test.go
@@ -163,6 +163,11 @@
 func (w *limitRecorder) Observe(_, replica string, x quota.LimitReport) {
 	*w = append(*w, fmt.Sprint(replica, " ", x.HasLimit, " ", x.PerSecond))
 }
+func (w *limitRecorder) ObserveRejectionLimit(_, replica string, x quota.LimitReport) {
+	if x.HasLimit {
+		*w = append(*w, fmt.Sprint(replica, " rejects ", x.PerSecond))
+	}
+}
 func (w *limitRecorder) LogInvalidLimit(replica string, _ error) {
 	*w = append(*w, replica+" unreadable")
 }
--- a/adapter/backend/limit.go
+++ b/adapter/backend/limit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"fieldvale/notice"
@@ -15,10 +16,18 @@
 // responses have the header.
 const HeaderLimit = "X-Requests-Per-Second"
 
+// HeaderRejectionLimit is the number of requests, as a decimal number, that a backend server may have to
+// reject in a second, from all instances together, without crashing. It holds as long as the server's
+// responses have the header.
+const HeaderRejectionLimit = "X-Rejections-Per-Second"
+
 // LimitObserver receives the rate limits that backend servers advertise.
 type LimitObserver interface {
 	Observe(service, replica string, w quota.LimitReport)
-	// LogInvalidLimit reports that a response has a HeaderLimit that can't be parsed.
+	// ObserveRejectionLimit receives a HeaderRejectionLimit, or that there is none.
+	ObserveRejectionLimit(service, replica string, w quota.LimitReport)
+	// LogInvalidLimit reports that a response has a HeaderLimit or HeaderRejectionLimit that can't be
+	// parsed.
 	LogInvalidLimit(replica string, err error)
 }
 
@@ -83,14 +92,18 @@
 	return l
 }
 
-// observeLimit passes on the rate limit in a response, or that it has none. A refusal without
-// the header is ignored: a refusal can set a limit, but can't end one.
+// observeLimit passes on the limits of requests and of rejections in a response, or that it has none.
+// A refusal without a header is ignored: a refusal can set a limit, but can't end one.
 func observeLimit(l LimitObserver, r *pool.Replica, p *fasthttp.Response, sentAt time.Time) {
-	w, err := quota.ParseLimitReport(headerValues(p, HeaderLimit), sentAt, time.Now())
-	switch {
-	case err != nil:
-		l.LogInvalidLimit(r.ID, err)
-	case w.HasLimit || !isRefusal(p):
-		l.Observe(r.Service, r.ID, w)
+	for header, observe := range map[string]func(service, replica string, w quota.LimitReport){
+		HeaderLimit: l.Observe, HeaderRejectionLimit: l.ObserveRejectionLimit,
+	} {
+		w, err := quota.ParseLimitReport(headerValues(p, header), sentAt, time.Now())
+		switch {
+		case err != nil:
+			l.LogInvalidLimit(r.ID, errors.Wrap(err, header))
+		case w.HasLimit || !isRefusal(p):
+			observe(r.Service, r.ID, w)
+		}
 	}
 }
--- a/cmd/fieldvale-node/quota.go
+++ b/cmd/fieldvale-node/quota.go
@@ -25,6 +25,8 @@
 		}
 		return m
 	})
+	n.metrics.GaugeFunc("replicas_fragile", "Replicas that say how many requests they may have to reject in a second, as this instance knows.", func() float64 { return float64(len(n.quota.FragileReplicas())) })
+	n.metrics.GaugeVecFunc("replica_rejections", "Rejections in the last second of each fragile replica, at the instance that counts.", "replica", n.quota.RecentRejections)
 	n.metrics.GaugeVecFunc("replica_limit_used_per_second", "What each of them got in the last four seconds, at the instance that counts.", "replica", n.quota.UsedRates)
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -114,12 +115,10 @@
 	failed := err != nil && !a.succeeded && !a.clientLeft && !errors.Is(err, errCallerGone)
 	bad := a.mayHaveRun && !a.succeeded && !a.movedForSlowness && (failed || w.result.Status >= 500)
 	w.abandonPrompt(a.assignment, a.placementFault(err, bad))
-	if isUnreachable(err) {
-		r.quota.ReleasePermit(a.assignment.permit)
-		if w.coldPerSecond() > 0 {
-			r.quota.ReportUnreachable(w.result.Service, a.replica.ID)
-		}
+	if isUnreachable(err) && w.coldPerSecond() > 0 {
+		r.quota.ReportUnreachable(w.result.Service, a.replica.ID)
 	}
+	a.endPermit(err)
 	r.backends.doneOpaque(a.replica.ID, bad, isUnreachable(err), r.clock())
 	if failed && !errors.Is(err, errRetryGranted) || bad {
 		w.result.Fingerprint = w.q.Fingerprint().String()
@@ -133,6 +132,18 @@
 	w.quarantineCheck.report(observed, a.replica.ID)
 }
 
+// endPermit returns the permit of a request that did not reach the replica, and reports the end of
+// another one.
+func (a *attempt) endPermit(err error) {
+	if isUnreachable(err) {
+		a.w.r.quota.ReleasePermit(a.assignment.permit)
+		return
+	}
+	o, ok := asOutcome(err)
+	isRejected := ok && o.Kind == outcome.NotRun && o.Status == http.StatusServiceUnavailable
+	a.w.r.quota.ReportEnd(a.assignment.permit, isRejected)
+}
+
 // placementFault is the fault reported to the placer if the prompt was not read.
 func (a *attempt) placementFault(err error, bad bool) placement.Fault {
 	o, ok := asOutcome(err)
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -26,6 +26,9 @@
 	AcquirePermit(ctx context.Context, a quota.PermitRequest) quota.PermitResult
 	// ReleasePermit returns an unused permit.
 	ReleasePermit(t quota.Ticket)
+	// ReportEnd reports the end of the request of the permit; rejected reports whether the replica
+	// rejected it for want of room.
+	ReportEnd(t quota.Ticket, rejected bool)
 	// ReportUnreachable reports that a replica could not be connected to, so that it may be cold again.
 	ReportUnreachable(service, replica string)
 }
@@ -40,6 +43,7 @@
 	return quota.PermitResult{}
 }
 func (noQuota) ReleasePermit(quota.Ticket)       {}
+func (noQuota) ReportEnd(quota.Ticket, bool)     {}
 func (noQuota) ReportUnreachable(string, string) {}
 
 // maxPermitCandidates bounds the replicas in one permit request. Each request names different
--- a/entry/quota_test.go
+++ b/entry/quota_test.go
@@ -61,6 +61,7 @@
 	return quota.PermitResult{Index: last}
 }
 func (g *quotaFake) ReleasePermit(t quota.Ticket)        { g.returned = append(g.returned, t) }
+func (g *quotaFake) ReportEnd(quota.Ticket, bool)        {}
 func (g *quotaFake) ReportUnreachable(_, replica string) { g.suspect[replica] = true }
 
 // firstPlacer chooses the first candidate.
--- a/quota/bound.go
+++ b/quota/bound.go
@@ -23,6 +23,10 @@
 
 // Bound is what one replica may get from all instances together. The zero value is no bound.
 type Bound struct {
+	// IsFragile is true if the replica crashes when it has to reject more than Rejections requests in
+	// a second.
+	IsFragile  bool
+	Rejections float64
 	// IsLimited is true if the replica advertises a limit, which is PerSecond requests a second.
 	IsLimited bool
 	PerSecond float64
@@ -32,7 +36,10 @@
 }
 
 // IsBounded reports whether there is any bound.
-func (b Bound) IsBounded() bool { return b.IsLimited || b.ColdPerSecond > 0 }
+func (b Bound) IsBounded() bool { return b.IsLimited || b.ColdPerSecond > 0 || b.IsFragile }
+
+// isOnlyFragile reports whether the replica is bounded only in what it may have to reject.
+func (b Bound) isOnlyFragile() bool { return b.IsFragile && !b.IsLimited && b.ColdPerSecond <= 0 }
 
 // window allows a replica at most limit requests in any time span of the length span.
 type window struct {
@@ -49,6 +56,7 @@
 	ReasonNone           Reason = ""
 	ReasonLimited        Reason = "limited"
 	ReasonCold           Reason = "cold"
+	ReasonFragile        Reason = "may crash if it rejects more"
 	ReasonNoOwner        Reason = "nobody who counts can be reached"
 	ReasonHigherPriority Reason = "wanted for more urgent requests"
 )
--- a/quota/decide.go
+++ b/quota/decide.go
@@ -5,13 +5,16 @@
 	"time"
 )
 
-// decide decides on the permit as the owner, after merging the limit records of the requesting
-// instance. It returns false if this instance is not the owner.
-func (n *Node) decide(req PermitRequest, records map[string]LimitRecord) (wireAnswer, bool) {
+// decide decides on the permit as the owner, after merging the records of limits and of rejections of
+// the requesting instance. It returns false if this instance is not the owner.
+func (n *Node) decide(req PermitRequest, records, rejections map[string]LimitRecord) (wireAnswer, bool) {
 	now := n.Clock()
 	for r, b := range records {
 		n.mergeRecord(r, b.withService(req.Service))
 	}
+	for r, b := range rejections {
+		n.rejections.merge(r, b.withService(req.Service), now)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.service(req.Service, now)
@@ -30,6 +33,7 @@
 	for _, x := range req.Candidates {
 		b := n.records.get(x.Replica)
 		y := Bound{IsLimited: b.IsLimited(), PerSecond: b.PerSecond, ColdPerSecond: x.Bound.ColdPerSecond}
+		y.IsFragile, y.Rejections = n.rejectionBound(x.Replica, exclusive)
 		if x.ReportsCold && !exclusive {
 			y.ColdPerSecond = noColdRequests
 		}
@@ -60,9 +64,12 @@
 	}
 	var earliest time.Time
 	for i, x := range req.Candidates {
-		d := s.grants.decide(x.Replica, bounds[i], now)
+		d := s.grants.decideFragile(x.Replica, bounds[i], now)
 		if d.Allowed {
 			s.grant(req, x.Replica, now)
+			if bounds[i].IsFragile {
+				s.grants.addOpen(x.Replica, now)
+			}
 			return wireAnswer{IsOwner: true, Index: i, WaitMillis: w.WaitMillis, Granted: &wirePermit{req.Service, x.Replica}}
 		}
 		if i == 0 {
@@ -96,6 +103,9 @@
 	if b.ColdPerSecond > 0 {
 		r = min(r, b.ColdPerSecond)
 	}
+	if b.IsFragile {
+		r = min(r, b.Rejections/undecidedSpan.Seconds())
+	}
 	if math.IsInf(r, 1) {
 		return 0
 	}
--- a/quota/grants.go
+++ b/quota/grants.go
@@ -11,6 +11,10 @@
 	// ownedSince is the time from which this instance counts the permits.
 	ownedSince time.Time
 	grants     []time.Time
+	// rejections are the rejections by the replica that instances reported.
+	rejections []rejection
+	// room is what is known of the replica's room, if it is fragile.
+	room room
 }
 
 // grantLog holds the grant histories of the replicas of a service that this instance owns.
@@ -46,6 +50,7 @@
 func (g *grantLog) cancelLast(replica string) {
 	if h, ok := g.byReplica[replica]; ok && len(h.grants) > 0 {
 		h.grants = h.grants[:len(h.grants)-1]
+		h.room = h.room.withEnd()
 	}
 }
 
--- a/quota/node.go
+++ b/quota/node.go
@@ -40,8 +40,10 @@
 // and owns services itself.
 type Node struct {
 	Config
-	records *recordTable
-	pending *reply.Pending[wireAnswer]
+	// records hold the limits on requests that replicas advertise, rejections those on requests that
+	// they have to reject.
+	records, rejections *recordTable
+	pending             *reply.Pending[wireAnswer]
 
 	mu       sync.Mutex
 	members  []peer.Member
@@ -51,6 +53,8 @@
 	lastReceived map[string]time.Time
 	// avoid maps instances that sent no answer to the time until which they are not asked.
 	avoid map[string]time.Time
+	// lastRejection is the id of the last rejection that this instance reported.
+	lastRejection uint64
 	// exhaustedUntil maps replicas to the time until which their owner grants no permit.
 	exhaustedUntil map[string]time.Time
 	// nextShare is when this instance may next send to a replica without a permit of the owner.
@@ -68,7 +72,7 @@
 func NewNode(start uint64, cfg Config) *Node {
 	now := cfg.Clock()
 	return &Node{
-		Config: cfg, records: newRecordTable(), pending: reply.New[wireAnswer](start), rankings: map[string][]peer.Member{}, services: map[string]*serviceState{},
+		Config: cfg, records: newRecordTable(), rejections: newRecordTable(), lastRejection: start, pending: reply.New[wireAnswer](start), rankings: map[string][]peer.Member{}, services: map[string]*serviceState{},
 		lastReceived: map[string]time.Time{}, avoid: map[string]time.Time{}, exhaustedUntil: map[string]time.Time{}, nextShare: map[string]time.Time{},
 		mayOwnFrom: now.Add(cfg.MaxPropagationDelay + settleMargin), lastTick: now, updates: updates{},
 	}
@@ -127,7 +131,7 @@
 
 // IsUnrestricted reports whether there are no records, so that, as far as this instance knows, no replica
 // has a limit or may be cold.
-func (n *Node) IsUnrestricted() bool { return n.records.len() == 0 }
+func (n *Node) IsUnrestricted() bool { return n.records.len() == 0 && n.rejections.len() == 0 }
 
 // LimitedReplicas returns the records of the replicas that are limited now.
 func (n *Node) LimitedReplicas() map[string]LimitRecord { return n.records.limited() }
@@ -158,6 +162,7 @@
 func (n *Node) Bound(replica string, coldPerSecond float64, isCold bool) Bound {
 	r := n.records.get(replica)
 	x := Bound{IsLimited: r.IsLimited(), PerSecond: r.PerSecond}
+	x.IsFragile, x.Rejections = n.rejectionBound(replica, true)
 	if coldPerSecond > 0 && (isCold || n.Clock().Before(r.MaybeColdUntil)) {
 		x.ColdPerSecond = coldPerSecond
 	}
--- a/quota/permit.go
+++ b/quota/permit.go
@@ -47,6 +47,8 @@
 type Ticket struct {
 	owner, ownerAddr string
 	service, replica string
+	// fragile is true if the owner counts the requests under way at the replica.
+	fragile bool
 }
 
 // AcquirePermit asks the owner for a permit to send the request to one of the candidates. If this instance
@@ -54,11 +56,14 @@
 func (n *Node) AcquirePermit(ctx context.Context, req PermitRequest) PermitResult {
 	now := n.Clock()
 	if n.Net != nil {
-		if v, ok := n.takeFromOwner(ctx, req); ok {
+		if v, ok := n.takeFromOwnerSoon(ctx, req); ok {
 			n.markDecided(req.Service)
 			return v
 		}
 		now = n.Clock()
+		if v, ok := n.decideAlone(req, now); ok {
+			return v
+		}
 		if !n.isIsolated(req.Service, now) {
 			return PermitResult{Index: -1, Reason: ReasonNoOwner, RetryAt: now.Add(noOwnerRetry)}
 		}
@@ -75,7 +80,7 @@
 	asked := 0
 	for _, m := range n.ownerCandidates(req.Service) {
 		if m.ID == n.Self {
-			if v, ok := n.decide(req, n.recordsOf(req)); ok {
+			if v, ok := n.decide(req, recordsOf(n.records, req), nil); ok {
 				return n.result(v, req, m), true
 			}
 			continue
@@ -110,7 +115,7 @@
 
 // ask asks one member for a permit; false if it sends no answer.
 func (n *Node) ask(ctx context.Context, m peer.Member, req PermitRequest) (wireAnswer, bool) {
-	q := newWireRequest(req, n.recordsOf(req), n.Clock())
+	q := newWireRequest(req, recordsOf(n.records, req), recordsOf(n.rejections, req), n.Clock())
 	for range askAttempts {
 		w, ok := n.pending.Call(ctx, answerTimeout, func(id uint64) error {
 			return n.Net.Send(m.Addr, encode(message{QuestionID: id, From: n.Self, Request: q}))
@@ -122,11 +127,11 @@
 	return wireAnswer{}, false
 }
 
-// recordsOf returns the limit records of the candidates.
-func (n *Node) recordsOf(req PermitRequest) map[string]LimitRecord {
+// recordsOf returns the records of the candidates.
+func recordsOf(t *recordTable, req PermitRequest) map[string]LimitRecord {
 	l := map[string]LimitRecord{}
 	for _, c := range req.Candidates {
-		l[c.Replica] = n.records.get(c.Replica)
+		l[c.Replica] = t.get(c.Replica)
 	}
 	return l
 }
@@ -162,7 +167,7 @@
 		res.Index = -1
 	}
 	if res.Index >= 0 {
-		res.Ticket = Ticket{owner: by.ID, ownerAddr: by.Addr, service: req.Service, replica: req.Candidates[res.Index].Replica}
+		res.Ticket = Ticket{owner: by.ID, ownerAddr: by.Addr, service: req.Service, replica: req.Candidates[res.Index].Replica, fragile: req.Candidates[res.Index].Bound.IsFragile}
 	} else if w.RetryMillis > 0 {
 		res.RetryAt = now.Add(millis(w.RetryMillis))
 	}
--- a/quota/publish.go
+++ b/quota/publish.go
@@ -77,7 +77,7 @@
 	}
 	for len(replicas) > 0 {
 		k := min(maxRecordsPerMessage, len(replicas))
-		m := message{From: n.Self, Records: n.wireRecords(replicas[:k], now)}
+		m := message{From: n.Self, Records: n.wireRecords(replicas[:k], now), Rejections: n.wireRejections(replicas[:k], now)}
 		replicas = replicas[k:]
 		b := encode(m)
 		for _, x := range to {
@@ -166,12 +166,11 @@
 
 // refreshLimits schedules an update for each limited replica of the service that has none pending.
 func (n *Node) refreshLimits(service string, now time.Time) {
-	for r, b := range n.records.limited() {
-		if b.Service != service {
-			continue
-		}
-		if _, ok := n.updates[r]; !ok {
-			n.updates[r] = pendingUpdate{nextAt: now.Add(refreshInterval), remaining: 1}
+	for _, t := range []*recordTable{n.records, n.rejections} {
+		for r, b := range t.limited() {
+			if _, ok := n.updates[r]; !ok && b.Service == service {
+				n.updates[r] = pendingUpdate{nextAt: now.Add(refreshInterval), remaining: 1}
+			}
 		}
 	}
 }
@@ -187,6 +186,11 @@
 	}
 	n.nextSweep = now.Add(sweepInterval)
 	n.records.sweep(now)
+	n.rejections.sweep(now)
+	fragile := n.rejections.limited()
+	for _, b := range fragile {
+		n.service(b.Service, now)
+	}
 	limited := n.records.limited()
 	rates := map[string]float64{}
 	for _, b := range limited {
@@ -199,7 +203,7 @@
 			delete(n.services, x)
 			continue
 		}
-		s.grants.sweep(now, func(r string) bool { return limited[r].IsLimited() })
+		s.grants.sweep(now, func(r string) bool { return limited[r].IsLimited() || fragile[r].IsLimited() })
 	}
 	for _, m := range []map[string]time.Time{n.avoid, n.exhaustedUntil} {
 		for k, t := range m {
--- a/quota/receive.go
+++ b/quota/receive.go
@@ -15,20 +15,25 @@
 	n.mu.Unlock()
 	switch {
 	case m.Request != nil:
-		w, _ := n.decide(m.Request.request(), m.Request.records(now))
+		w, _ := n.decide(m.Request.request(), m.Request.records(now), m.Request.rejections(now))
 		if w.IsOwner {
 			w.Records = n.wireRecords(m.Request.replicas(), now)
 		}
 		_ = n.Net.Send(from, encode(message{From: n.Self, QuestionID: m.QuestionID, Answer: &w}))
 	case m.Answer != nil:
 		n.deliver(from, m)
+	case m.Rejected != nil:
+		n.countRejection(m.QuestionID, *m.Rejected)
+	case m.Ended != nil:
+		n.countEnd(*m.Ended)
 	case m.Returned != nil:
 		n.returnPermit(m.Returned.Service, m.Returned.Replica)
 	case m.Service != "":
 		n.handleAnnouncement(from, m)
 	default:
 		n.mergeRecords(m.Records)
-		if !m.Relayed && len(m.Records) > 0 {
+		n.mergeRejections(m.Rejections)
+		if !m.Relayed && len(m.Records)+len(m.Rejections) > 0 {
 			n.relayToFollowers(m)
 		}
 	}
@@ -65,14 +70,7 @@
 
 // mergeRecord merges the record of another instance for one replica.
 func (n *Node) mergeRecord(replica string, r LimitRecord) {
-	now := n.Clock()
-	c := n.records.update(replica, func(x LimitRecord) LimitRecord {
-		if x.isEmpty() && r.isStale(now) {
-			return x
-		}
-		return x.Merge(r)
-	})
-	if c.LimitChanged() {
+	if c := n.records.merge(replica, r, n.Clock()); c.LimitChanged() {
 		n.logChange(c)
 	}
 }
--- a/quota/record_table.go
+++ b/quota/record_table.go
@@ -56,6 +56,16 @@
 	return Change{Replica: replica, Before: before, After: after}
 }
 
+// merge merges the record of another instance for one replica.
+func (t *recordTable) merge(replica string, r LimitRecord, now time.Time) Change {
+	return t.update(replica, func(x LimitRecord) LimitRecord {
+		if x.isEmpty() && r.isStale(now) {
+			return x
+		}
+		return x.Merge(r)
+	})
+}
+
 // limited returns the records of the replicas that are limited now.
 func (t *recordTable) limited() map[string]LimitRecord {
 	t.mu.Lock()
--- a/quota/share.go
+++ b/quota/share.go
@@ -51,22 +51,35 @@
 		if !ok {
 			continue
 		}
-		at, started := n.nextShare[x.Replica]
-		if !started || at.Sub(now) > interval {
-			at = now.Add(time.Duration(n.Rand() * float64(interval)))
-		}
+		at := n.shareDue(x.Replica, interval, now)
 		if !at.After(now) {
 			n.nextShare[x.Replica] = now.Add(interval)
 			return PermitResult{Index: i, DecidedBy: n.Self}
 		}
-		n.nextShare[x.Replica] = at
-		if res.RetryAt.IsZero() || at.Before(res.RetryAt) {
-			res.RetryAt = at
-		}
+		res.RetryAt = earlier(res.RetryAt, at)
 	}
 	return res
 }
 
+// shareDue returns when this instance may next send to the replica without a permit, at the interval,
+// and records it. The caller holds n.mu.
+func (n *Node) shareDue(replica string, interval time.Duration, now time.Time) time.Time {
+	at, started := n.nextShare[replica]
+	if !started || at.Sub(now) > interval {
+		at = now.Add(time.Duration(n.Rand() * float64(interval)))
+	}
+	n.nextShare[replica] = at
+	return at
+}
+
+// earlier returns the earlier of two times, ignoring a zero a.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // shareInterval returns the time between two requests that this instance may send to the candidate
 // without a permit. It returns false if it may send none, because the candidate is cold or has no
 // limit, or because the number of instances is unknown.
--- a/quota/wire.go
+++ b/quota/wire.go
@@ -16,7 +16,13 @@
 	Request    *wireRequest `json:"a,omitempty"`
 	Answer     *wireAnswer  `json:"w,omitempty"`
 	Returned   *wirePermit  `json:"b,omitempty"`
-	Records    []wireRecord `json:"l,omitempty"`
+	// Rejected is a permit whose request the replica rejected, Ended one whose request has ended
+	// otherwise. QuestionID tells repeats of a rejection.
+	Rejected *wirePermit  `json:"x,omitempty"`
+	Ended    *wirePermit  `json:"e,omitempty"`
+	Records  []wireRecord `json:"l,omitempty"`
+	// Rejections are records of how many requests a replica may reject in a second.
+	Rejections []wireRecord `json:"j,omitempty"`
 	// Relayed is true if the records were already relayed to followers.
 	Relayed bool `json:"p,omitempty"`
 	// Service is a service that the sender owns or ranks first for; IsOwner is true if it owns it.
@@ -32,9 +38,10 @@
 }
 
 type wireCandidate struct {
-	Record        wireRecord `json:"b"`
-	ColdPerSecond float64    `json:"p,omitempty"`
-	ReportsCold   bool       `json:"c,omitempty"`
+	Record        wireRecord  `json:"b"`
+	Rejections    *wireRecord `json:"j,omitempty"`
+	ColdPerSecond float64     `json:"p,omitempty"`
+	ReportsCold   bool        `json:"c,omitempty"`
 }
 
 // wireAnswer is the answer of the owner, or of an instance that is not the owner if IsOwner is
@@ -118,10 +125,15 @@
 	return time.Duration(max(0, min(ms, maxAge.Milliseconds()))) * time.Millisecond
 }
 
-func newWireRequest(req PermitRequest, records map[string]LimitRecord, now time.Time) *wireRequest {
+func newWireRequest(req PermitRequest, records, rejections map[string]LimitRecord, now time.Time) *wireRequest {
 	w := &wireRequest{Service: req.Service, Priority: req.Priority, OnlyBounded: req.OnlyBounded}
 	for _, c := range req.Candidates {
-		w.Candidates = append(w.Candidates, wireCandidate{Record: newWireRecord(c.Replica, records[c.Replica], now), ColdPerSecond: c.Bound.ColdPerSecond, ReportsCold: c.ReportsCold})
+		x := wireCandidate{Record: newWireRecord(c.Replica, records[c.Replica], now), ColdPerSecond: c.Bound.ColdPerSecond, ReportsCold: c.ReportsCold}
+		if r := rejections[c.Replica]; !r.isEmpty() {
+			y := newWireRecord(c.Replica, r, now)
+			x.Rejections = &y
+		}
+		w.Candidates = append(w.Candidates, x)
 	}
 	return w
 }
@@ -142,6 +154,17 @@
 	return l
 }
 
+// rejections returns the records of rejections of the candidates that have one.
+func (w *wireRequest) rejections(now time.Time) map[string]LimitRecord {
+	l := map[string]LimitRecord{}
+	for _, c := range w.Candidates {
+		if c.Rejections != nil {
+			l[c.Record.Replica] = c.Rejections.record(now)
+		}
+	}
+	return l
+}
+
 func (w *wireRequest) replicas() []string {
 	var l []string
 	for _, c := range w.Candidates {
