node: cuts in series by seed, with the part of first tries served at the cut instances checked

Five instances, four replicas; one to four of the instances lose their links to all replicas, three times in series, with connections that hang, are reset, live on or carry no answers, and links that are back for up to 1.5 s in between.

--- a/cmd/fieldvale-node/cutoff_test.go
+++ b/cmd/fieldvale-node/cutoff_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -140,6 +142,20 @@
 	return served
 }
 
+// startStreamingReplicas starts replicas that answer /stream/ with a stream.
+func (s *testEnv) startStreamingReplicas(n int) {
+	for i := range n {
+		r := s.startReplica(fmt.Sprint("r", i), "v1")
+		r.Handler = func(k net.Conn, q sitetest.Request) {
+			if q.Target == "/stream/" {
+				r.Stream(2*time.Millisecond, false, 1, 2, 3)(k, q)
+				return
+			}
+			r.RespondOK("ok")(k, q)
+		}
+	}
+}
+
 // cutCase is a line of testdata/cutoff.jsonl.
 type cutCase struct {
 	Name string
@@ -175,16 +191,7 @@
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			s := newTestEnv(t)
-			for i := range 3 {
-				r := s.startReplica(fmt.Sprint("r", i), "v1")
-				r.Handler = func(k net.Conn, q sitetest.Request) {
-					if q.Target == "/stream/" {
-						r.Stream(2*time.Millisecond, false, 1, 2, 3)(k, q)
-						return
-					}
-					r.RespondOK("ok")(k, q)
-				}
-			}
+			s.startStreamingReplicas(3)
 			l := s.startFleet(c.Size)
 			cut := make([]*links, c.Cut)
 			for i := range cut {
@@ -215,3 +222,82 @@
 		})
 	}
 }
+
+// cutSeeds is the number of seeds of TestCutsInSeries, cutRounds the number of cuts of each.
+var (
+	cutSeeds  = flag.Int("cuts.seeds", 1, "seeds of TestCutsInSeries")
+	cutSeed   = flag.Uint64("cuts.seed", 1, "first seed of TestCutsInSeries")
+	cutRounds = flag.Int("cuts.rounds", 3, "cuts in series of each seed")
+)
+
+// Guards against links that heal and break again before an instance has noticed, and against requests
+// that run twice on their way through another instance.
+func TestCutsInSeries(t *testing.T) {
+	for i := range *cutSeeds {
+		t.Run(fmt.Sprint("seed ", *cutSeed+uint64(i)), func(t *testing.T) {
+			s := newTestEnv(t)
+			s.startStreamingReplicas(4)
+			l := s.startFleet(5)
+			var k []*links
+			for _, o := range l {
+				k = append(k, o.cutLinks())
+			}
+			r := rand.New(rand.NewPCG(*cutSeed+uint64(i), 57))
+			for range *cutRounds {
+				s.runCut(r, l, k)
+			}
+			s.checkRunsOnce()
+		})
+	}
+}
+
+// runCut cuts some of the instances from the replicas and compares their first tries with those of the
+// others. Some cuts begin while an earlier one has just healed.
+func (s *testEnv) runCut(r *rand.Rand, l []*testEnv, k []*links) {
+	n := 1 + r.IntN(len(l)-1)
+	order := r.Perm(len(l))
+	fault := []linkFault{linkHangs, linkResets, linkKeepsOpen, linkLosesAnswers}[r.IntN(4)]
+	for _, i := range order[:n] {
+		k[i].set(fault)
+	}
+	time.Sleep(contactDelay)
+	served := make([]int, len(l))
+	var g sync.WaitGroup
+	for i := range l {
+		g.Go(func() { served[i] = l[i].firstTries() })
+	}
+	g.Wait()
+	cut, others := 0, 0
+	for j, i := range order {
+		if j < n {
+			cut += served[i]
+			k[i].set(linkUp)
+			continue
+		}
+		others += served[i]
+	}
+	sentCut, sentOthers := n*firstTryRequests, (len(l)-n)*firstTryRequests
+	failed := sentCut - cut
+	s.t.Logf("%d of %d instances cut (%s): %d of %d first tries served, %d of %d at the others", n, len(l), fault, cut, sentCut, others, sentOthers)
+	if 3*cut*sentOthers < 2*others*sentCut && failed > 10+(sentCut+sentOthers)/50 {
+		s.t.Errorf("%d of %d instances cut (%s): %d of %d first tries served, %d of %d at the others, want two thirds as many\n%s", n, len(l), fault, cut, sentCut, others, sentOthers, s.logs)
+	}
+	time.Sleep(time.Duration(r.IntN(1500)) * time.Millisecond)
+}
+
+// checkRunsOnce checks that no request that may run once has reached two replicas.
+func (s *testEnv) checkRunsOnce() {
+	runs := map[string]int{}
+	for _, x := range s.replicas {
+		for _, q := range x.Requests() {
+			if q.Target == "/once/" {
+				runs[q.Header.Get(sitetest.HeaderRequestID)]++
+			}
+		}
+	}
+	for id, n := range runs {
+		if n > 1 {
+			s.t.Errorf("request %s ran %d times, want once", id, n)
+		}
+	}
+}
