budget: what a new process earns is held though it had few requests yet

Cause: an account holds at most a part of its last window's requests and its share of the burst. A new process has few requests in that window, and no share until it knows the size of the fleet, 0.5 to 1 s after its start: what its first requests earned was cut off at nearly nothing (0.42 held after three requests that had earned 2.16).

Change: the requests of an account that is younger than a window are extrapolated to a window from its age, 1.5 s at least: its clients' other requests of that window went to the process before, or were lost with it.

--- a/budget/account.go
+++ b/budget/account.go
@@ -14,7 +14,8 @@
 //	+ (heldPart + pooledPart) x Ratio x R(the window before w)
 //	+ Burst x sum of 1/size
 //
-// and those that arrive in w at most delay / windowLength more of the first term. The parts add up
+// where an account that is younger than a window counts as having had its requests at the same rate
+// before. Those that arrive in w are at most delay / windowLength more of the first term. The parts add up
 // to 1 with that, so that the sum is at most Ratio times the larger R, plus Burst: sizes err high, so
 // that the sum of their reciprocals is at most 1.
 const (
@@ -29,6 +30,9 @@
 	// pooledPart the part that pools may hold.
 	heldPart   = 1 - earnedPart*(1+float64(delay)/float64(windowLength)) - pooledPart
 	pooledPart = 0.03
+	// minAge is the age of an account below which its requests are not extrapolated further: many
+	// clients may come at once when a process starts.
+	minAge = 1500 * time.Millisecond
 	// burstMargin is the part of the burst that is used. The rest covers requests that are read
 	// later than they were sent, and instances that joined since sizes were last recorded.
 	burstMargin = 0.97
@@ -36,7 +40,8 @@
 
 // account is the account of one service. It is not safe for concurrent use.
 type account struct {
-	limit Limit
+	limit     Limit
+	createdAt time.Time
 	// requests counts the requests of the last window.
 	requests window
 	// held is the number of retries that may be made now.
@@ -54,7 +59,7 @@
 // newAccount returns an account. restarted states that an earlier process may have made retries within
 // the last window.
 func newAccount(l Limit, restarted bool, now time.Time) *account {
-	return &account{limit: l, isUnshared: !restarted, surplusExpiresAt: now.Add(maxExchangeDelay)}
+	return &account{limit: l, createdAt: now, isUnshared: !restarted, surplusExpiresAt: now.Add(maxExchangeDelay)}
 }
 
 // update brings what is held up to date and returns the capacity.
@@ -70,7 +75,15 @@
 // capacity is the largest number of retries that the account may hold. share is this instance's part
 // of the fleet's burst.
 func (a *account) capacity(now time.Time, share float64) float64 {
-	return heldPart*a.limit.Ratio*a.requests.sum(now) + share
+	return heldPart*a.limit.Ratio*a.requestsOfWindow(now) + share
+}
+
+// requestsOfWindow is the number of requests in the last window. For an account that is younger than a
+// window it is extrapolated from its age: the instance's earlier process got the other requests. What a
+// new process earns would else be lost until it has got many requests.
+func (a *account) requestsOfWindow(now time.Time) float64 {
+	age := max(minAge, now.Sub(a.createdAt))
+	return a.requests.sum(now) * float64(windowLength) / float64(min(age, windowLength))
 }
 
 // recordRequest records a request.
