usage: counts are kept as long as their window may be reported

Counts were kept for six windows, whatever their length. With windows of 1 s that may be reported until 8 s after their end, an instance that takes the reports over summed windows whose counts were gone. Deployments have windows of seconds that six of them cover; the settings allow shorter ones.

TestCountsAreKeptWhileTheyAreDue fails before (0 of 1 request in a window that is due).

--- a/cmd/fieldvale-node/dutyworker.go
+++ b/cmd/fieldvale-node/dutyworker.go
@@ -76,8 +76,9 @@
 	if n.settings.CloudAddr == "" {
 		return nil
 	}
+	retained := usage.RetainedWindows(n.settings.UsageWindow, n.settings.MaxUsageDelay)
 	return &dutyWorker{
-		node: n, client: platform.NewDutyClient(exchange.New(n.clock), n.settings.CloudAddr, n.settings.ID), tenure: duty.New(n.settings.ID), tally: usage.NewTally(n.settings.UsageWindow), book: usage.NewFleetCounts(),
+		node: n, client: platform.NewDutyClient(exchange.New(n.clock), n.settings.CloudAddr, n.settings.ID), tenure: duty.New(n.settings.ID), tally: usage.NewTally(n.settings.UsageWindow, retained), book: usage.NewFleetCounts(retained),
 		incarnation: startID(), reported: map[int64]bool{}, planners: map[string]*scaling.Planner{}, recorded: map[int64]usage.Counts{}, loads: map[string]instanceLoad{},
 	}
 }
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -26,25 +26,32 @@
 // CountsByWindow holds counts by window number.
 type CountsByWindow map[int64]Counts
 
-// retainedWindows is the number of windows for which counts are kept: a report may be
-// due ten seconds after the end of its window, and another instance may have to take
-// it over.
-const retainedWindows = 6
+// minRetainedWindows is the smallest number of windows for which counts are kept.
+const minRetainedWindows = 6
+
+// RetainedWindows returns for how many windows of the length counts are kept, if a window may be
+// reported until late after its end: those, the current one, and one that has just begun elsewhere.
+func RetainedWindows(length, late time.Duration) int64 {
+	return max(minRetainedWindows, int64((late+length-1)/length)+2)
+}
 
 // trim deletes the windows that are too old to be retained.
-func (w CountsByWindow) trim(newest int64) {
-	maps.DeleteFunc(w, func(n int64, _ Counts) bool { return n <= newest-retainedWindows })
+func (w CountsByWindow) trim(newest, retained int64) {
+	maps.DeleteFunc(w, func(n int64, _ Counts) bool { return n <= newest-retained })
 }
 
 // Tally holds the counts of one instance. It is safe for concurrent use.
 type Tally struct {
-	length time.Duration
-	mu     sync.Mutex
-	counts CountsByWindow
+	length   time.Duration
+	retained int64
+	mu       sync.Mutex
+	counts   CountsByWindow
 }
 
-// NewTally returns an empty tally with windows of the given length.
-func NewTally(length time.Duration) *Tally { return &Tally{length: length, counts: CountsByWindow{}} }
+// NewTally returns an empty tally with windows of the given length, of which so many are kept.
+func NewTally(length time.Duration, retained int64) *Tally {
+	return &Tally{length: length, retained: retained, counts: CountsByWindow{}}
+}
 
 // CountRequest counts a request of the customer that started at the given time.
 func (t *Tally) CountRequest(customer string, began time.Time) {
@@ -53,7 +60,7 @@
 	w := WindowNumber(began, t.length)
 	if t.counts[w] == nil {
 		t.counts[w] = Counts{}
-		t.counts.trim(w)
+		t.counts.trim(w, t.retained)
 	}
 	t.counts[w][customer]++
 }
@@ -78,12 +85,15 @@
 
 // FleetCounts sums the reported counts of all instances. It is safe for concurrent use.
 type FleetCounts struct {
+	retained int64
 	mu       sync.Mutex
 	reported map[int64]map[origin]Counts
 }
 
-// NewFleetCounts returns a sum without any reported counts.
-func NewFleetCounts() *FleetCounts { return &FleetCounts{reported: map[int64]map[origin]Counts{}} }
+// NewFleetCounts returns a sum without any reported counts, in which so many windows are kept.
+func NewFleetCounts(retained int64) *FleetCounts {
+	return &FleetCounts{retained: retained, reported: map[int64]map[origin]Counts{}}
+}
 
 // Merge merges the counts of an instance's incarnation so far. Reports may arrive
 // repeatedly and in any order: counts only grow, so the larger one is kept.
@@ -98,7 +108,7 @@
 		}
 		b.reported[w][origin{id, incarnation}] = maxCounts(b.reported[w][origin{id, incarnation}], c)
 	}
-	maps.DeleteFunc(b.reported, func(w int64, _ map[origin]Counts) bool { return w <= newest-retainedWindows })
+	maps.DeleteFunc(b.reported, func(w int64, _ map[origin]Counts) bool { return w <= newest-b.retained })
 }
 
 // maxCounts returns the larger of the two counts for each customer.
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -10,7 +10,12 @@
 	"fieldvale/usage"
 )
 
-const length = 5 * time.Second
+const (
+	length = 5 * time.Second
+	late   = 10 * time.Second
+)
+
+var retained = usage.RetainedWindows(length, late)
 
 var start = time.Unix(1_700_000_000, 0)
 
@@ -30,7 +35,7 @@
 // order count once, and the counts of an instance before its restart are added to those
 // of its new incarnation.
 func TestBookSumsIncarnations(t *testing.T) {
-	a, b := usage.NewTally(length), usage.NewFleetCounts()
+	a, b := usage.NewTally(length, retained), usage.NewFleetCounts(retained)
 	for range 3 {
 		a.CountRequest("acme", start)
 	}
@@ -48,3 +53,26 @@
 		t.Error(d)
 	}
 }
+
+// Guards against counts that are dropped while their window may still be reported, where windows are
+// short: another instance that takes the reports over would report too few.
+func TestCountsAreKeptWhileTheyAreDue(t *testing.T) {
+	for _, c := range []struct{ length, late time.Duration }{{time.Second, 8 * time.Second}, {length, late}, {3 * time.Second, 20 * time.Second}} {
+		k := usage.RetainedWindows(c.length, c.late)
+		a, b := usage.NewTally(c.length, k), usage.NewFleetCounts(k)
+		now := start
+		for range 40 {
+			a.CountRequest("acme", now)
+			b.Merge("n1", 1, a.Counts())
+			now = now.Add(c.length)
+			for _, w := range usage.DueWindows(now, c.length, c.late) {
+				if !usage.WindowEnd(w, c.length).After(start) {
+					continue
+				}
+				if got := b.Sum(w)["acme"]; got != 1 {
+					t.Errorf("windows of %s, late after %s: got %d requests in a window that is due, want 1", c.length, c.late, got)
+				}
+			}
+		}
+	}
+}
