duty: an instance that is stopped hands the duties over at once

Cause: a stopping holder kept its lease until it ran out, 3 s after its last renewal, which it made until its end. A window's report is due from 3 s to 8 s after its end there; where the holder ended just before a window was due, the next holder was late. In the test the fake store never ends a lease by time, so that nobody took over at all: it passed only where the old holder had reported every window before its end.

Change: with a planned stop the holder ends the lease (one call of the store) and calls no more; its counts are sent once more at the end.

--- a/cmd/fieldvale-node/dutyworker.go
+++ b/cmd/fieldvale-node/dutyworker.go
@@ -111,6 +111,10 @@
 		if i%usageReportTicks == 0 {
 			c.sendUsage()
 		}
+		if c.node.isStopping() {
+			c.releaseDuty(ctx)
+			continue
+		}
 		c.maintainDuty(ctx)
 		if f, ok := c.tenure.FencingToken(c.node.clock()); ok {
 			c.performDuties(ctx, f)
@@ -236,6 +240,20 @@
 	c.tenure.RecordRenewed(c.node.clock(), a.RenewBy)
 }
 
+// releaseDuty ends the lease of the duty if this instance holds it, so that another instance takes over
+// at once: reports of usage that are due would be late by the time at which the lease expires.
+func (c *dutyWorker) releaseDuty(ctx context.Context) {
+	if !c.tenure.IsHeld() {
+		return
+	}
+	c.loseDuty("this instance is stopping")
+	callCtx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
+	defer cancel()
+	if err := c.node.store.End(callCtx, c.lease); err != nil {
+		c.node.logEvent("duty_not_released", "error", err)
+	}
+}
+
 // loseDuty gives up the duty and logs the reason.
 func (c *dutyWorker) loseDuty(reason string) {
 	c.tenure.RecordLost(c.node.clock())
--- a/cmd/fieldvale-node/stop.go
+++ b/cmd/fieldvale-node/stop.go
@@ -56,5 +56,8 @@
 		n.logEvent("stop_incomplete", "error", err)
 	}
 	n.tunnels.Drain(ctx)
+	if n.dutyWorker != nil {
+		n.dutyWorker.sendUsage()
+	}
 	return nil
 }
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -141,3 +141,10 @@
 	defer t.mu.Unlock()
 	return t.fence != 0 && !now.Before(t.expiresAt)
 }
+
+// IsHeld reports whether this instance holds the duty, or may still hold it.
+func (t *State) IsHeld() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fence != 0
+}
