reach: a server that no instance reaches is not asked for round the fleet by an instance that is cut off

While an instance was cut off, each connection to a server that was down as well asked up to eight instances, and then waited for 0.7 s on the direct way.

The race of both ways is a type with short methods.

--- a/adapter/tunnel/dialer.go
+++ b/adapter/tunnel/dialer.go
@@ -18,8 +18,8 @@
 	// slowDial is how long a connection may take before the other way is tried beside it. Connections
 	// within a region take a few milliseconds.
 	slowDial = 150 * time.Millisecond
-	// tunnelTimeout bounds one attempt to open a tunnel.
-	tunnelTimeout = 700 * time.Millisecond
+	// attemptTimeout bounds one attempt to connect, by either way.
+	attemptTimeout = exchange.DialTimeout
 )
 
 // Dialer connects to servers directly, or through another instance where this one's own links don't
@@ -52,53 +52,80 @@
 	if p.Probe {
 		go d.probe(addr)
 	}
-	results := make(chan dialed, 2)
-	go d.try(ctx, addr, p.First, results)
+	if p.IsUnreachable {
+		return nil, errors.Wrap(errUnreached, "tunnel: dial")
+	}
+	r := &race{d: d, ctx: ctx, addr: addr, plan: p, mayUseOther: p.MayUseOther, results: make(chan dialed, 2)}
+	return r.run()
+}
+
+// race is one connection that is tried by both ways.
+type race struct {
+	d    *Dialer
+	ctx  context.Context
+	addr string
+	plan reach.Plan
+	// mayUseOther is set while the other way is not tried yet and may be.
+	mayUseOther bool
+	// results receives the result of each attempt; pending is how many are still to come.
+	results chan dialed
+	pending int
+	failed  error
+}
+
+// run returns the first connection that comes up.
+func (r *race) run() (net.Conn, error) {
+	r.start(r.plan.First)
 	slow := time.NewTimer(slowDial)
 	defer slow.Stop()
-	pending, other := 1, p.MayUseOther
-	startOther := func() {
-		if other {
-			other = false
-			pending++
-			go d.try(ctx, addr, 1-p.First, results)
-		}
-	}
-	var first error
-	for {
+	for r.pending > 0 {
 		select {
-		case r := <-results:
-			pending--
-			if r.err == nil {
-				d.connected(addr, r, p, pending, results)
-				return r.conn, nil
-			}
-			first = errors.CombineErrors(first, r.err)
-			if r.way == reach.Direct && p.First == reach.Direct && !d.Tracker.IsSuspect(addr) {
-				other = false
-			}
-			startOther()
-			if pending == 0 {
-				return nil, first
+		case x := <-r.results:
+			r.pending--
+			if x.err == nil {
+				r.recordConnected(x)
+				return x.conn, nil
 			}
+			r.recordFailed(x)
 		case <-slow.C:
-			startOther()
-		case <-ctx.Done():
-			go d.collect(addr, pending, results)
-			return nil, errors.CombineErrors(errors.Wrap(ctx.Err(), "tunnel: dial"), first)
+			r.startOther()
+		case <-r.ctx.Done():
+			go r.d.collect(r.addr, r.pending, r.results)
+			return nil, errors.CombineErrors(errors.Wrap(r.ctx.Err(), "tunnel: dial"), r.failed)
 		}
 	}
+	return nil, r.failed
+}
+
+func (r *race) start(w reach.Way) {
+	r.pending++
+	go r.d.try(r.ctx, r.addr, w, r.results)
+}
+
+// startOther tries the other way, once.
+func (r *race) startOther() {
+	if r.mayUseOther {
+		r.mayUseOther = false
+		r.start(1 - r.plan.First)
+	}
 }
 
-// connected records which way worked and, if the other one is still tried, that it was slow.
-func (d *Dialer) connected(addr string, r dialed, p reach.Plan, pending int, results <-chan dialed) {
-	if pending > 0 && r.way == reach.Indirect && p.First == reach.Direct {
-		d.Tracker.Failed(addr, reach.Direct)
+// recordFailed tries the other way after a failure, unless the server itself seems to be down.
+func (r *race) recordFailed(x dialed) {
+	r.failed = errors.CombineErrors(r.failed, x.err)
+	if x.way == reach.Direct && r.plan.First == reach.Direct && !r.d.Tracker.IsSuspect(r.addr) {
+		return
 	}
-	d.Tracker.Connected(addr, r.way)
-	if pending > 0 {
-		go d.collect(addr, pending, results)
+	r.startOther()
+}
+
+// recordConnected records which way worked and, if the direct one is still tried, that it was slow.
+func (r *race) recordConnected(x dialed) {
+	if r.pending > 0 && x.way == reach.Indirect && r.plan.First == reach.Direct {
+		r.d.Tracker.Failed(r.addr, reach.Direct)
 	}
+	r.d.Tracker.Connected(r.addr, x.way)
+	go r.d.collect(r.addr, r.pending, r.results)
 }
 
 // collect receives the results of attempts that are not waited for. A direct connection is kept for
@@ -127,7 +154,7 @@
 // try makes one attempt to connect and sends its result. It goes on when the request ends, since its
 // result shows whether the way works.
 func (d *Dialer) try(ctx context.Context, addr string, w reach.Way, results chan<- dialed) {
-	x, cancel := context.WithTimeout(context.WithoutCancel(ctx), tunnelTimeout)
+	x, cancel := context.WithTimeout(context.WithoutCancel(ctx), attemptTimeout)
 	defer cancel()
 	r := dialed{way: w}
 	if w == reach.Direct {
@@ -217,7 +244,7 @@
 }
 
 // errRefused reports that the other instance takes no more tunnels, or is cut off from the server
-// itself. errUnreached reports that it could not connect to the server.
+// itself. errUnreached reports that no instance that was asked could connect to the server.
 var (
 	errRefused   = errors.New("refused")
 	errUnreached = errors.New("the server was not reached")
--- a/cmd/fieldvale-node/links.go
+++ b/cmd/fieldvale-node/links.go
@@ -49,8 +49,7 @@
 	return n.metrics.Counter("replica_dials_total", "Attempts to connect to replicas, by way and result.", "way", "result")
 }
 
-// newReplicaPool returns the pool of connections to replicas. A connection whose way is no longer the
-// one to use is not used again: a direct one may hang, and one through another instance costs that one.
+// newReplicaPool returns the pool of connections to replicas.
 func (n *node) newReplicaPool() *exchange.Pool {
 	p := exchange.New(n.clock)
 	d := &tunnel.Dialer{
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -37,6 +37,8 @@
 	Probe bool
 	// MayUseOther allows the other way if the first one fails or is slow.
 	MayUseOther bool
+	// IsUnreachable reports that the server is reached by neither way.
+	IsUnreachable bool
 }
 
 // Status is what an instance knows of its links.
@@ -101,10 +103,15 @@
 	defer t.mu.Unlock()
 	now := t.clock()
 	l := t.link(addr, now)
-	if t.isIndirect(l) {
-		return Plan{First: Indirect, Probe: t.takeProbe(l, now), MayUseOther: true}
+	mayTryIndirect := t.mayTryIndirect(l, now)
+	if !t.isIndirect(l) {
+		return Plan{First: Direct, MayUseOther: mayTryIndirect}
 	}
-	return Plan{First: Direct, MayUseOther: t.mayTryIndirect(l, now)}
+	p := Plan{First: Indirect, Probe: t.takeProbe(l, now), MayUseOther: true}
+	if !mayTryIndirect {
+		p.IsUnreachable, p.MayUseOther = true, false
+	}
+	return p
 }
 
 // IsIndirect reports whether the server is reached through other instances only.
--- a/reach/tracker_test.go
+++ b/reach/tracker_test.go
@@ -80,6 +80,9 @@
 		if p.MayUseOther {
 			got += " other"
 		}
+		if p.IsUnreachable {
+			got += " unreachable"
+		}
 	case "suspect", "sound":
 		got = "sound " + f[1]
 		if x.IsSuspect(f[1]) {
