reach: the direct way is tried again also where open connections are enough

After its links had healed, an instance went on through others for as long as its open connections were enough for its requests: only a new connection brought a direct attempt in the background.

--- a/adapter/tunnel/dialer.go
+++ b/adapter/tunnel/dialer.go
@@ -59,6 +59,17 @@
 	return r.run()
 }
 
+// IsUsable reports whether an idle connection to the server may be used. One whose way is no longer the
+// one to use may not: a direct one may hang, and one through another instance costs that instance.
+func (d *Dialer) IsUsable(addr string, c net.Conn) bool {
+	w, probe := d.Tracker.Reuse(addr)
+	if probe {
+		go d.probe(addr)
+	}
+	_, isIndirect := c.(exchange.IndirectConn)
+	return isIndirect == (w == reach.Indirect)
+}
+
 // race is one connection that is tried by both ways.
 type race struct {
 	d    *Dialer
--- a/cmd/fieldvale-node/cutoff_test.go
+++ b/cmd/fieldvale-node/cutoff_test.go
@@ -208,6 +208,12 @@
 				}
 				cut[i].set(linkUp)
 			}
+			for _, o := range l[:c.Cut] {
+				o.eventually("connections are direct again", func() bool {
+					o.send("POST", "/again/", "x", apiKeyHeader)
+					return o.node.links.Status().Indirect == 0
+				})
+			}
 			if others < firstTryRequests*9/10 {
 				t.Errorf("an instance with its links: %d of %d first tries served, want nine in ten", others, firstTryRequests)
 			}
--- a/cmd/fieldvale-node/links.go
+++ b/cmd/fieldvale-node/links.go
@@ -61,10 +61,7 @@
 		}),
 		Tunneled: func(_ string, err error) { n.countDial(reach.Indirect, err) },
 	}
-	return p.WithDialer(d).WithUsable(func(addr string, c net.Conn) bool {
-		_, indirect := c.(exchange.IndirectConn)
-		return indirect == n.links.IsIndirect(addr)
-	})
+	return p.WithDialer(d).WithUsable(d.IsUsable)
 }
 
 // countDial counts an attempt to connect to a replica.
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -114,6 +114,20 @@
 	return p
 }
 
+// Reuse returns the way that an open connection to the server must have to be used again, and whether the
+// direct way is to be tried in the background: where open connections are enough, no new one would
+// show that it works again.
+func (t *Tracker) Reuse(addr string) (w Way, probe bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	l := t.link(addr, now)
+	if !t.isIndirect(l) {
+		return Direct, false
+	}
+	return Indirect, t.takeProbe(l, now)
+}
+
 // IsIndirect reports whether the server is reached through other instances only.
 func (t *Tracker) IsIndirect(addr string) bool {
 	t.mu.Lock()
