--- a/quota/rejections_test.go
+++ b/quota/rejections_test.go
@@ -167,9 +167,6 @@
 func TestFragileReplicasRejectFew(t *testing.T) {
 	for _, c := range readFragileCases(t) {
 		t.Run(c.Name, func(t *testing.T) {
-			if testing.Short() && c.Size > 100 {
-				t.Skip("large")
-			}
 			synctest.Test(t, func(t *testing.T) {
 				f := newFragileFleet(c)
 				began := time.Now()
