--- a/cmd/fieldvale-node/cutoff_test.go
+++ b/cmd/fieldvale-node/cutoff_test.go
@@ -156,6 +156,8 @@
 	Fault     linkFault
 	// Spare keeps the links to one of three replicas.
 	Spare bool
+	// NeverReached cuts the instances before their first request.
+	NeverReached bool
 }
 
 // readCutCases reads the scripted cuts.
@@ -191,7 +193,9 @@
 				if c.Spare {
 					cut[i].spared = s.replicas["r0"].Addr()
 				}
-				l[i].firstTries()
+				if !c.NeverReached {
+					l[i].firstTries()
+				}
 				cut[i].set(c.Fault)
 			}
 			time.Sleep(contactDelay)
