--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,7 +29,8 @@
 		AttemptJudged:  func(service, release, verdict string) { judged.WithLabelValues(service, release, verdict).Inc() },
 		AttemptFailed: func(f entry.FailedAttempt) {
 			broken.WithLabelValues(f.Service, strconv.FormatBool(f.AnswerStarted)).Inc()
-			n.logEvent("attempt_failed", "request", f.Request, "content", f.Fingerprint, "replica", f.Replica, "began", f.AnswerStarted, "events", f.Events, "retry_in", retryDelay(f.Err, n.clock()), "error", f.Err)
+			n.logEvent("attempt_failed", "request", f.Request, "content", f.Fingerprint, "parts", partList(f.SharedParts), "replica", f.Replica, "replica_crashed", f.ReplicaCrashed,
+				"began", f.AnswerStarted, "began_ago", headAge(f, n.clock()), "events", f.Events, "retry_in", retryDelay(f.Err, n.clock()), "error", f.Err)
 		},
 		BadReleaseFound: func(r rollout.Release, t rollout.Tally, f rollout.Finding) {
 			n.logEvent("release_bad", append(trialFields(r, t, f), "cause", f.Cause)...)
@@ -116,6 +118,17 @@
 	return elapsed(o.RetryAt, now)
 }
 
+// maxLoggedParts bounds the parts of a prompt in one log line.
+const maxLoggedParts = 16
+
+// partList returns the ids of the parts of a prompt, at most maxLoggedParts, separated by commas.
+func partList(ids []string) string {
+	if len(ids) > maxLoggedParts {
+		return strings.Join(ids[:maxLoggedParts], ",") + ",..."
+	}
+	return strings.Join(ids, ",")
+}
+
 // errorText returns the text of err, empty for nil.
 func errorText(err error) string {
 	if err == nil {
@@ -124,6 +137,14 @@
 	return err.Error()
 }
 
+// headAge returns the time since the head of the attempt's answer arrived; 0 if it did not.
+func headAge(f entry.FailedAttempt, now time.Time) time.Duration {
+	if f.HeadAt.IsZero() {
+		return 0
+	}
+	return now.Sub(f.HeadAt)
+}
+
 // elapsed returns the time from start to t; 0 if t is not set.
 func elapsed(t, start time.Time) time.Duration {
 	if t.IsZero() {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -10,6 +10,7 @@
 	"fieldvale/outcome"
 	"fieldvale/placement"
 	"fieldvale/pool"
+	"fieldvale/quarantine"
 	"fieldvale/route"
 )
 
@@ -42,10 +43,11 @@
 	// then not the replica's fault.
 	clientLeft bool
 	// mayHaveRun is set unless the replica is known not to have run the request. headReceived is
-	// set once the answer's head arrived: an engine sends it when the run starts, a plain service
-	// at its end.
+	// set once the answer's head arrived, at headAt: an engine sends it when the run starts, a plain
+	// service at its end.
 	mayHaveRun   bool
 	headReceived bool
+	headAt       time.Time
 	// serverError is set if the replica answered with a status of 500 or above, failureComplete
 	// if an error response of any status arrived completely.
 	serverError     bool
@@ -76,7 +78,7 @@
 		return err
 	}
 	defer reply.Close()
-	a.mayHaveRun, a.headReceived = true, true
+	a.mayHaveRun, a.headReceived, a.headAt = true, true, a.w.r.clock()
 	a.w.result.Runs++
 	a.w.result.recordVia(reply.Head().Via)
 	if !reply.Head().IsSuccess() {
@@ -120,14 +122,15 @@
 	}
 	a.endPermit(err)
 	r.backends.doneOpaque(a.replica.ID, bad, isUnreachable(err), r.clock())
+	observed := a.quarantineOutcome(err)
 	if failed && !errors.Is(err, errRetryGranted) || bad {
 		w.result.Fingerprint = w.q.Fingerprint().String()
 		r.hooks.attemptFailed(FailedAttempt{
 			Request: w.q.ID, Service: w.result.Service, Replica: a.replica.ID, Fingerprint: w.result.Fingerprint,
-			AnswerStarted: a.headReceived, Events: a.events, Err: errorOrStatus(err, w.result.Status),
+			SharedParts: w.q.Prompt.SharedPartIDs(), AnswerStarted: a.headReceived, HeadAt: a.headAt, Events: a.events,
+			ReplicaCrashed: observed == quarantine.ReplicaCrashed, Err: errorOrStatus(err, w.result.Status),
 		})
 	}
-	observed := a.quarantineOutcome(err)
 	a.judgeRelease(bad, observed)
 	w.quarantineCheck.report(observed, a.replica.ID)
 }
--- a/entry/hooks.go
+++ b/entry/hooks.go
@@ -1,10 +1,11 @@
 package entry
 
 import (
+	"time"
+
 	"fieldvale/answerbuffer"
 	"fieldvale/claim"
 	"fieldvale/rollout"
-	"time"
 )
 
 // FailedAttempt describes an attempt that failed.
@@ -14,11 +15,16 @@
 	Replica string
 	// Fingerprint is equal for requests with the same content; empty where it was not computed.
 	Fingerprint string
-	// AnswerStarted reports that the answer's head had arrived; Events is the number of events
-	// relayed after it.
+	// SharedParts are the ids of the parts of the prompt that other requests share.
+	SharedParts []string
+	// AnswerStarted reports that the answer's head had arrived, at HeadAt; Events is the number of
+	// events relayed after it.
 	AnswerStarted bool
+	HeadAt        time.Time
 	Events        int
-	Err           error
+	// ReplicaCrashed reports that the attempt ended because its replica crashed.
+	ReplicaCrashed bool
+	Err            error
 }
 
 // SlowClient describes an answer that its client read more slowly than the replica sent it.
--- a/prompt/prompt.go
+++ b/prompt/prompt.go
@@ -39,6 +39,15 @@
 	return p.Parts[:max(0, len(p.Parts)-1)]
 }
 
+// SharedPartIDs returns the ids of the parts that are shared with other requests, in order.
+func (p Prompt) SharedPartIDs() []string {
+	var l []string
+	for _, x := range p.SharedParts() {
+		l = append(l, x.ID)
+	}
+	return l
+}
+
 // SharedTokens returns the number of tokens of the shared parts.
 func (p Prompt) SharedTokens() int {
 	n := 0
