--- a/cmd/fieldvale-node/crash_test.go
+++ b/cmd/fieldvale-node/crash_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -28,8 +29,8 @@
 	// deployments.
 	reportBound = 3 * time.Second
 	// maxLateArrivals is how many crashing requests may reach replicas later than that,
-	// and maxCrashes is how many replicas one request may crash if it is sent to one
-	// instance after another.
+	// and maxCrashes is how many replicas one request, or one part of prompts, may crash if
+	// requests are sent to one instance after another.
 	maxLateArrivals = 3
 	maxCrashes      = 5
 )
@@ -41,13 +42,14 @@
 	arrivals []time.Time
 }
 
-// lateArrivals returns how many crashing requests arrived later than d after the third crash.
-func (c *crashLog) lateArrivals(d time.Duration) int {
+// lateArrivals returns how many crashing requests arrived later than d after the given number of
+// crashes.
+func (c *crashLog) lateArrivals(crashes int, d time.Duration) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
 	for _, t := range c.arrivals {
-		if len(c.times) >= 3 && t.After(c.times[2].Add(d)) {
+		if len(c.times) >= crashes && t.After(c.times[crashes-1].Add(d)) {
 			n++
 		}
 	}
@@ -61,9 +63,9 @@
 	return len(c.times)
 }
 
-// startCrashingReplica starts a replica that crashes when it runs the crashing request, and
-// that is then replaced by another one of the same kind.
-func (s *testEnv) startCrashingReplica(id string, c *crashLog) {
+// startCrashingReplica starts a replica that crashes when it runs a request for which crashes
+// returns true, and that is then replaced by another one of the same kind.
+func (s *testEnv) startCrashingReplica(id string, c *crashLog, crashes func(sitetest.Request) bool) {
 	r, err := sitetest.NewReplica(id)
 	if err != nil {
 		s.t.Error(err)
@@ -72,7 +74,7 @@
 	s.t.Cleanup(r.Close)
 	var once sync.Once
 	r.Handler = func(conn net.Conn, q sitetest.Request) {
-		if q.Body != crashingBody {
+		if !crashes(q) {
 			time.Sleep(2 * time.Millisecond)
 			r.RespondOK("ok")(conn, q)
 			return
@@ -90,7 +92,7 @@
 			s.store.Remove("servers/" + id)
 			time.AfterFunc(replacementDelay, func() {
 				if s.t.Context().Err() == nil {
-					s.startCrashingReplica(id+"x", c)
+					s.startCrashingReplica(id+"x", c, crashes)
 				}
 			})
 		})
@@ -98,6 +100,8 @@
 	s.store.PutReplica(r, "svc", "v1", sitetest.ReplicaReady)
 }
 
+func hasCrashingBody(q sitetest.Request) bool { return q.Body == crashingBody }
+
 // startFleet starts the instance of s and others, which share its store, until there are
 // size instances that have received each other's announcements.
 func (s *testEnv) startFleet(size int) []*testEnv {
@@ -131,7 +135,7 @@
 	s := newTestEnv(t)
 	c := &crashLog{}
 	for i := range 12 {
-		s.startCrashingReplica(fmt.Sprint("r", i), c)
+		s.startCrashingReplica(fmt.Sprint("r", i), c, hasCrashingBody)
 	}
 	l := s.startFleet(3)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -170,7 +174,7 @@
 	if n := c.count(); n > maxCrashes {
 		t.Errorf("one request crashed %d replicas, want %d at most", n, maxCrashes)
 	}
-	if n := c.lateArrivals(reportBound); n > maxLateArrivals {
+	if n := c.lateArrivals(3, reportBound); n > maxLateArrivals {
 		t.Errorf("the request reached replicas %d times later than %s after the third crash, want %d at most", n, reportBound, maxLateArrivals)
 	}
 	for _, r := range refused {
@@ -179,3 +183,73 @@
 		}
 	}
 }
+
+// crashingPart is the id of the part of prompts that crashes replicas.
+const crashingPart = "dead0001"
+
+// hasCrashingPart reports whether the part is in the request's prompt, but not at its end.
+func hasCrashingPart(q sitetest.Request) bool {
+	return strings.Contains(q.Header.Get(sitetest.HeaderPromptPrefix), crashingPart+":200,")
+}
+
+// promptWithCrashingPart returns a prompt header with the crashing part as the first, the second or
+// the last but one of the parts.
+func promptWithCrashingPart(n int) string {
+	l := []string{"c0de0001:100", "c0de0002:50", fmt.Sprintf("%08x:10", n)}
+	return strings.Join(slices.Insert(l, n%len(l), crashingPart+":200"), ",")
+}
+
+// sendInnocentPrompts sends requests with the other parts of the crashing requests' prompts until ctx
+// ends, and returns those that were not served.
+func sendInnocentPrompts(ctx context.Context, l []*testEnv) []string {
+	var failed []string
+	for n := 0; ctx.Err() == nil; n++ {
+		body := fmt.Sprintf("innocent %d", n)
+		r := l[n%len(l)].send("POST", "/stream/x", body, apiKeyHeader, sitetest.HeaderRequestID+": "+body,
+			sitetest.HeaderPromptPrefix+": "+fmt.Sprintf("c0de0001:100,c0de0002:50,%08x:10", 1<<20+n))
+		if r.status != 200 {
+			failed = append(failed, fmt.Sprint(r.status, " ", r.body))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return failed
+}
+
+// Guards against a part of prompts that crashes replicas in ever new requests: suspicion of whole
+// requests starts from nothing at each of them.
+func TestOnePromptPartCrashesFewReplicas(t *testing.T) {
+	s := newTestEnv(t)
+	c := &crashLog{}
+	for i := range 12 {
+		s.startCrashingReplica(fmt.Sprint("r", i), c, hasCrashingPart)
+	}
+	l := s.startFleet(3)
+	ctx, cancel := context.WithCancel(t.Context())
+	innocent := make(chan []string, 1)
+	go func() { innocent <- sendInnocentPrompts(ctx, l) }()
+	for i := range 30 {
+		r := l[rand.IntN(len(l))].send("POST", "/stream/x", fmt.Sprint("request ", i), apiKeyHeader,
+			sitetest.HeaderRequestID+": "+fmt.Sprint("c", i), sitetest.HeaderPromptPrefix+": "+promptWithCrashingPart(i))
+		if r.status == 200 && r.err == nil {
+			t.Fatalf("request %d with the crashing part was served, want a failure: %q", i, r.body)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	cancel()
+	defer func() {
+		if t.Failed() {
+			t.Log(s.logs)
+		}
+	}()
+	if n := c.count(); n > maxCrashes {
+		t.Errorf("one part crashed %d replicas, want %d at most", n, maxCrashes)
+	}
+	if n := c.lateArrivals(5, reportBound); n > maxLateArrivals {
+		t.Errorf("requests with the part reached replicas %d times later than %s after the fifth crash, want %d at most", n, reportBound, maxLateArrivals)
+	}
+	for _, r := range <-innocent {
+		if strings.HasPrefix(r, "503") {
+			t.Errorf("a request without the part was refused, want 200: %s", r)
+		}
+	}
+}
