entry: an answer without a length whose replica crashed is not taken as complete

An answer with neither a length nor chunks ends with its connection, and so does the beginning of one whose replica crashes: the kernel closes a killed process's connections like a sound end. Clients got 200 with half a body, or a stream without events, and the crash counted as a served answer.

Where an answer is read to such an end, the replica is asked for a connection: if it refuses, the answer was broken off. A stream that ends so without any event was too. Other answers are not affected.

--- a/adapter/exchange/exchange.go
+++ b/adapter/exchange/exchange.go
@@ -47,6 +47,8 @@
 	idleTimeout time.Duration
 	// bodyRead is set once the response's body was read to its end.
 	bodyRead bool
+	// endsWithConnection is set if the body has neither a length nor chunks.
+	endsWithConnection bool
 }
 
 // maxSkipped bounds how many responses to other requests are skipped.
@@ -136,6 +138,7 @@
 		}
 		s.Status, s.Header, s.body = r.StatusCode, r.Header, r.Body
 		s.idleTimeout = idleTimeoutOf(r)
+		s.endsWithConnection = r.ContentLength < 0 && len(r.TransferEncoding) == 0
 		return nil
 	}
 	return ErrUnmatched
@@ -159,6 +162,10 @@
 	return time.Duration(n)*time.Second - idleMargin
 }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that its end is that of
+// the connection. The body then may be incomplete although it was read without an error.
+func (s *Response) EndsWithConnection() bool { return s.endsWithConnection }
+
 // Via names the instance through which the connection runs; empty for a direct connection.
 func (s *Response) Via() string {
 	if x, ok := s.conn.netConn.(IndirectConn); ok {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -19,10 +19,10 @@
 // handleFailureAnswer reads a replica's error response. It is relayed to the client unless
 // another replica may be tried.
 func (a *attempt) handleFailureAnswer(reply Reply) error {
-	b, err := reply.Body()
+	b, err := a.readBody(reply)
 	h := reply.Head()
 	if err != nil {
-		return outcome.New(outcome.Unknown, "read", a.replica.ID, err)
+		return err
 	}
 	a.failureComplete = true
 	w := a.w
@@ -60,9 +60,9 @@
 
 // relayBody relays an answer after reading it completely.
 func (a *attempt) relayBody(reply Reply) error {
-	b, err := reply.Body()
+	b, err := a.readBody(reply)
 	if err != nil {
-		return outcome.New(outcome.Unknown, "read", a.replica.ID, err)
+		return err
 	}
 	w := a.w
 	w.result.FirstByteAt = w.r.clock()
@@ -80,6 +80,24 @@
 	return nil
 }
 
+// readBody reads the whole body of an answer.
+func (a *attempt) readBody(reply Reply) ([]byte, error) {
+	b, err := reply.Body()
+	if err == nil && a.isCutOff(reply, false) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, outcome.New(outcome.Unknown, "read", a.replica.ID, err)
+	}
+	return b, nil
+}
+
+// isCutOff reports whether an answer that was read to its end may be incomplete: it ends with its
+// connection, and the replica crashed or sent nothing at all.
+func (a *attempt) isCutOff(reply Reply, isEmpty bool) bool {
+	return reply.Head().EndsWithConnection && (isEmpty || a.w.r.isDown(a.replica))
+}
+
 // relayEvents relays the events of a stream on arrival. It calls responded on the first one.
 func (a *attempt) relayEvents(reply Reply, responded func()) error {
 	for {
@@ -87,6 +105,9 @@
 		if isStreamMove(err) {
 			return err
 		}
+		if isStreamEnd(err) && a.isCutOff(reply, a.events == 0 && a.w.lastEventID == "") {
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil && !isStreamEnd(err) {
 			return outcome.New(outcome.Unknown, "read", a.replica.ID, err)
 		}
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -25,6 +25,9 @@
 	Header http.Header
 	// Via names the instance through which the replica was reached; empty for a direct connection.
 	Via string
+	// EndsWithConnection is set if the answer has neither a length nor chunks. A server that crashes
+	// may end it like a complete one.
+	EndsWithConnection bool
 }
 
 // IsSuccess reports whether the status is 2xx.
