--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -101,6 +101,8 @@
 	staleListPart float64
 	// justStarted is true if the nodes start when the limit is first advertised.
 	justStarted bool
+	// hotPart is the part of the requests that one instance gets.
+	hotPart float64
 	// unconfirmed is true if no node's list is confirmed.
 	unconfirmed bool
 	// limitEndsAt is when the replica stops advertising a limit; 0 for never. nextLimits are
@@ -220,6 +222,9 @@
 func (p *simulation) request() {
 	p.fleet.mu.Lock()
 	id := p.ids[p.rand.IntN(p.size)]
+	if p.hotPart > 0 && p.rand.Float64() < p.hotPart {
+		id = p.ids[p.size-1]
+	}
 	n := p.fleet.nodes[id]
 	up := !p.frozen[id] && !p.dead[id]
 	p.fleet.mu.Unlock()
@@ -444,6 +449,7 @@
 	relaxed := 1.5 + 5/(4*base.limit)
 	return []scenarioCase{
 		{with("no fault", func(*scenario) {}), 1, 0.8, true},
+		{with("most requests at one instance", func(d *scenario) { d.hotPart = 0.9 }), 1, 0.8, true},
 		{with("2.1 a second", func(d *scenario) { d.limit = 2.1 }), 1, 0.8, false},
 		{with("8 a second", func(d *scenario) { d.limit, d.perSecond = 8, 40+s/5 }), 1, 0.8, false},
 		{with("0.25 a second", func(d *scenario) { d.limit = 0.25 }), 1, 0.7, false},
