quarantine: requests wait while survivals of a part are collected; doubts about a held part are counted; earlier builds never see parts

TestOnePromptPartCrashesFewReplicas failed once with six replicas (in 4 of 6 beside each other): while survivals were collected, for 60 ms, two more tries got a replica. They now wait that long and ask again: 8 of 8 beside each other pass.

A held part whose crashes others explain gets two trials, whatever its trials before; counted by all its trials, sound parts stayed held that had been on trial together with the deadly one.

Datagrams about parts have fields of their own: an instance of an earlier build took a part at most crashes for a content that causes them.

--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -145,7 +145,7 @@
 		id := fmt.Sprint("n", i)
 		f.nodes[i] = quarantine.NewNode(f.rand.Uint64()>>16, quarantine.Config{
 			Self: id, Net: transport{f, id}, Clock: func() time.Time { return f.now }, Log: func(string, ...any) {},
-			Followers: func() []string { return f.followers(i) }, OnHeld: f.hold, AnswerTimeout: time.Millisecond,
+			Followers: func() []string { return f.followers(i) }, OnHeld: f.hold, AnswerTimeout: time.Millisecond, Wait: func(context.Context, time.Time) {},
 		})
 		f.byAddr[id] = f.nodes[i]
 		if i < maxRegistered {
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -53,6 +53,8 @@
 	Log        func(event string, fields ...any)
 	// AnswerTimeout bounds the wait for an owner's answer; 0 selects defaultAnswerTimeout.
 	AnswerTimeout time.Duration
+	// Wait returns at the given time of Clock, or when ctx ends; nil selects a timer.
+	Wait func(ctx context.Context, until time.Time)
 }
 
 // Node is one instance's part of the quarantine. It asks the owners of records, and owns records
@@ -83,7 +85,11 @@
 	if cfg.AnswerTimeout == 0 {
 		cfg.AnswerTimeout = defaultAnswerTimeout
 	}
-	return &Node{Config: cfg, records: NewRecordTable(), survivals: newSurvivals(), pending: reply.New[wireAnswer](start), avoid: map[string]time.Time{}, broadcasts: broadcasts{}, stored: map[Fingerprint]bool{}, removed: map[Fingerprint]time.Time{}}
+	n := &Node{Config: cfg, records: NewRecordTable(), survivals: newSurvivals(), pending: reply.New[wireAnswer](start), avoid: map[string]time.Time{}, broadcasts: broadcasts{}, stored: map[Fingerprint]bool{}, removed: map[Fingerprint]time.Time{}}
+	if n.Wait == nil {
+		n.Wait = n.waitUntil
+	}
+	return n
 }
 
 // SetMembers replaces the list of registered members.
--- a/quarantine/part_record.go
+++ b/quarantine/part_record.go
@@ -32,9 +32,8 @@
 	// partSuspectScore. Survivals of other instances arrive meanwhile: they are several round trips
 	// between regions away.
 	collectFor = 60 * time.Millisecond
-	// maxDoubtTrials is the number of trials without a survival after which a part stays held though
-	// its crashes may have another cause.
-	maxDoubtTrials = 3
+	// maxDoubtTrials bounds the trials of a held part whose crashes others explain.
+	maxDoubtTrials = 2
 )
 
 // withPart makes the record that of a part.
@@ -71,7 +70,7 @@
 // cause of its crashes, as it is only sent on trial if others explain all of them.
 func (r Record) WithPartServed(now time.Time) Record {
 	if r.isHeld(now) {
-		r.Score = 0
+		r.Score, r.DoubtTrials = 0, 0
 	}
 	r.TrialCrashes, r.TrialsWithoutResult, r.TrialUntil = 0, 0, time.Time{}
 	return r
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -1,10 +1,14 @@
 package quarantine_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
+
+	"fieldvale/peer"
+	"fieldvale/quarantine"
 )
 
 // subjectsOfRoute is how many second parts the prompts of a route share.
@@ -151,3 +155,55 @@
 		})
 	}
 }
+
+// recordingTransport keeps the datagrams that were sent.
+type recordingTransport struct{ sent [][]byte }
+
+func (r *recordingTransport) Send(_ string, b []byte) error {
+	r.sent = append(r.sent, b)
+	return nil
+}
+
+// Guards against instances of a build that knows no parts, which would take a part at most crashes for a
+// content that causes them and refuse most requests.
+func TestPartsAreHiddenFromBuildsThatKnowNone(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	net := &recordingTransport{}
+	n := quarantine.NewNode(1, quarantine.Config{Self: "n1", Net: net, Clock: func() time.Time { return now }, Log: func(string, ...any) {}})
+	n.SetMembers([]peer.Member{{ID: "n1"}, {ID: "n2", Addr: "n2"}})
+	s := quarantine.Subjects{Content: func() quarantine.Fingerprint { return quarantine.Fingerprint{1} }, Parts: quarantine.NewParts("s", []string{"1"})}
+	for i := range 6 {
+		n.ReportRequest(s, quarantine.RequestResult{Outcome: quarantine.ReplicaCrashed, Replica: fmt.Sprint("r", i), SentAt: now, AnswerBegan: true})
+		now = now.Add(time.Second)
+		n.Tick()
+	}
+	part := s.Parts[0].Fingerprint.String()
+	parts := 0
+	for _, b := range net.sent {
+		var old struct {
+			Attempt *struct {
+				Fingerprint string `json:"c"`
+			} `json:"e"`
+			Records []struct {
+				Fingerprint string `json:"c"`
+			} `json:"r"`
+		}
+		if err := json.Unmarshal(b, &old); err != nil {
+			t.Fatal(err)
+		}
+		if old.Attempt != nil && old.Attempt.Fingerprint == part {
+			t.Errorf("an earlier build reads the part as a content: %s", b)
+		}
+		for _, r := range old.Records {
+			if r.Fingerprint == part {
+				t.Errorf("an earlier build reads the record of the part: %s", b)
+			}
+		}
+		if old.Attempt == nil && len(old.Records) == 0 {
+			parts++
+		}
+	}
+	if parts == 0 {
+		t.Error("no datagram about the part was sent")
+	}
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -23,6 +23,8 @@
 	// Credit is for survivals that offset no crash yet. It ends at CreditUntil.
 	Credit      float64
 	CreditUntil time.Time
+	// DoubtTrials counts the trials of a held part whose crashes others explain.
+	DoubtTrials int
 	// CountedAt is when the last crash of a part was counted with a weight, Counted that weight.
 	CountedAt time.Time
 	Counted   float64
--- a/quarantine/record_table.go
+++ b/quarantine/record_table.go
@@ -71,6 +71,7 @@
 	d := r.Decide(now)
 	if d == Held && t.isExplained(f, carried, now) {
 		d = AllowTrial
+		r.DoubtTrials++
 	}
 	if d == AllowTrial {
 		r = r.WithTrial(now)
@@ -143,7 +144,7 @@
 // are not among the given ones. The caller holds t.mu.
 func (t *RecordTable) isExplained(f Fingerprint, carried []Fingerprint, now time.Time) bool {
 	r := t.records[f]
-	if r.Kind != KindPart || r.TrialCrashes+r.TrialsWithoutResult >= maxDoubtTrials {
+	if r.Kind != KindPart || r.DoubtTrials >= maxDoubtTrials {
 		return false
 	}
 	isOther := func(c Fingerprint) bool { return c != f && !slices.Contains(carried, c) }
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -36,7 +36,7 @@
 		if carried == nil {
 			carried = s.carried()
 		}
-		if v = n.merge(v, n.ask(ctx, p.Fingerprint, carried)); !v.IsAllowed() {
+		if v = n.merge(v, n.askOnceCollected(ctx, p.Fingerprint, carried)); !v.IsAllowed() {
 			v.RetryAt = v.partRetryAt(n.Clock())
 			return v
 		}
@@ -44,6 +44,27 @@
 	return n.merge(v, n.Check(ctx, s.Content()))
 }
 
+// askOnceCollected is ask, but waits while survivals of the part are collected: requests that are sent
+// meanwhile would cost a replica each.
+func (n *Node) askOnceCollected(ctx context.Context, f Fingerprint, carried []Fingerprint) Verdict {
+	v := n.ask(ctx, f, carried)
+	if !v.Record.isCollecting(n.Clock()) {
+		return v
+	}
+	n.Wait(ctx, v.Record.SuspectFrom)
+	return n.ask(ctx, f, carried)
+}
+
+// waitUntil returns at the given time of the node's clock, or when ctx ends.
+func (n *Node) waitUntil(ctx context.Context, at time.Time) {
+	t := time.NewTimer(at.Sub(n.Clock()))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // partRetryAt returns when to ask again about a part.
 func (v Verdict) partRetryAt(now time.Time) time.Time {
 	if t := now.Add(partRetryDelay); v.Decision == Wait && t.Before(v.RetryAt) {
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -17,6 +17,10 @@
 	Carried []string    `json:"d,omitempty"`
 	Answer  *wireAnswer `json:"w,omitempty"`
 	Records []wireEntry `json:"r,omitempty"`
+	// PartAttempt and PartRecords are Attempt and Records if they are about parts. Builds that know no
+	// parts would take them for contents.
+	PartAttempt *wireAttempt `json:"x,omitempty"`
+	PartRecords []wireEntry  `json:"y,omitempty"`
 	// Relayed is true if the records were already relayed to followers.
 	Relayed bool `json:"p,omitempty"`
 	// From is the id of the sender.
@@ -105,9 +109,10 @@
 	Age        int64  `json:"g,omitempty"`
 	ReportedBy string `json:"b,omitempty"`
 	// Kind and the fields below are for parts. Credit is left out, as it ends soon.
-	Kind       Kind     `json:"k,omitempty"`
-	Label      string   `json:"n,omitempty"`
-	Bystanders []string `json:"y,omitempty"`
+	Kind        Kind     `json:"k,omitempty"`
+	Label       string   `json:"n,omitempty"`
+	Bystanders  []string `json:"y,omitempty"`
+	DoubtTrials int      `json:"u,omitempty"`
 	// CollectLeft is the time until the part becomes suspect.
 	CollectLeft int64 `json:"c,omitempty"`
 }
@@ -120,7 +125,7 @@
 func newWireRecord(r Record, now time.Time) wireRecord {
 	w := wireRecord{
 		Score: r.Score, Replicas: r.Replicas, TrialReplicas: r.TrialReplicas, TrialCrashes: r.TrialCrashes, TrialsWithoutResult: r.TrialsWithoutResult, ReportedBy: r.ReportedBy,
-		Kind: r.Kind, Label: r.Label, Bystanders: r.Bystanders,
+		Kind: r.Kind, Label: r.Label, Bystanders: r.Bystanders, DoubtTrials: r.DoubtTrials,
 	}
 	if !r.LastCrashAt.IsZero() {
 		w.Age = max(0, now.Sub(r.LastCrashAt).Milliseconds())
@@ -147,7 +152,7 @@
 
 func (w wireRecord) record(now time.Time) Record {
 	r := Record{Score: min(maxScore, max(0, w.Score)), Replicas: newestOf(w.Kind, w.Replicas), TrialReplicas: newest(w.TrialReplicas), TrialCrashes: max(0, w.TrialCrashes), TrialsWithoutResult: max(0, w.TrialsWithoutResult), ReportedBy: w.ReportedBy}
-	r.Kind, r.Label, r.Bystanders = w.Kind, w.Label[:min(len(w.Label), maxLabel)], newestOf(w.Kind, w.Bystanders)
+	r.Kind, r.Label, r.Bystanders, r.DoubtTrials = w.Kind, w.Label[:min(len(w.Label), maxLabel)], newestOf(w.Kind, w.Bystanders), max(0, w.DoubtTrials)
 	r.LastCrashAt = now.Add(-time.Duration(max(0, min(w.Age, maxAge.Milliseconds()))) * time.Millisecond)
 	if w.CollectLeft > 0 {
 		r.SuspectFrom = now.Add(time.Duration(min(collectFor.Milliseconds(), w.CollectLeft)) * time.Millisecond)
@@ -161,6 +166,18 @@
 // encode returns the JSON of the message. It can't fail, as a message consists of numbers, booleans
 // and strings.
 func encode(m message) []byte {
+	if m.Attempt != nil && m.Attempt.Kind == KindPart {
+		m.Attempt, m.PartAttempt = nil, m.Attempt
+	}
+	var contents []wireEntry
+	for _, e := range m.Records {
+		if e.Record.Kind == KindPart {
+			m.PartRecords = append(m.PartRecords, e)
+			continue
+		}
+		contents = append(contents, e)
+	}
+	m.Records = contents
 	b, _ := json.Marshal(m)
 	return b
 }
@@ -170,6 +187,10 @@
 	if err := json.Unmarshal(b, &m); err != nil {
 		return m, errors.Wrap(err, "quarantine.decode")
 	}
+	if m.PartAttempt != nil {
+		m.Attempt, m.PartAttempt = m.PartAttempt, nil
+	}
+	m.Records, m.PartRecords = append(m.Records, m.PartRecords...), nil
 	if m.Answer != nil && (m.Answer.Decision < Allow || m.Answer.Decision > Held) {
 		return m, errors.Newf("quarantine.decode: unknown decision %d", int(m.Answer.Decision))
 	}
