--- a/quarantine/part_record.go
+++ b/quarantine/part_record.go
@@ -28,9 +28,8 @@
 	clearedPartFor = 10 * time.Second
 	// maxPartReplicas bounds the incarnations in the record of a part.
 	maxPartReplicas = 24
-	// collectFor is how long a part is still sent freely after its score has risen to
-	// partSuspectScore. Survivals of other instances arrive meanwhile: they are several round trips
-	// between regions away.
+	// collectFor is how long survivals of all instances are collected before a part whose score has
+	// risen to partSuspectScore becomes suspect: several round trips between regions.
 	collectFor = 60 * time.Millisecond
 	// maxDoubtTrials bounds the trials of a held part whose crashes others explain.
 	maxDoubtTrials = 2
@@ -87,7 +86,7 @@
 		r.TrialCrashes++
 		r.TrialReplicas = appendBounded(r.TrialReplicas, e.Replica)
 	}
-	if slices.Contains(r.Replicas, e.Replica) || !e.AnswerBegan && slices.Contains(r.Bystanders, e.Replica) {
+	if r.hasCrash(e) {
 		return r
 	}
 	r.LastCrashAt, r.ReportedBy = now, e.ReportedBy
@@ -106,6 +105,11 @@
 	return r.withSimultaneous(weight, simultaneousFor, e.SentAt, now)
 }
 
+// hasCrash reports whether the record already counts the crash.
+func (r Record) hasCrash(e AttemptResult) bool {
+	return slices.Contains(r.Replicas, e.Replica) || !e.AnswerBegan && slices.Contains(r.Bystanders, e.Replica)
+}
+
 // withSimultaneous adds the weight of a crash, less that of another one counted within the given time
 // and after the request was sent.
 func (r Record) withSimultaneous(weight float64, within time.Duration, sentAt, now time.Time) Record {
--- a/quarantine/survivals.go
+++ b/quarantine/survivals.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -10,6 +11,10 @@
 	// part went well, and for how long this offsets crashes. It exceeds BeginWindow, so that a part
 	// in much of the traffic has more survivals than it has answers that are just beginning.
 	survivalWindow = time.Second
+	// survivalReportInterval is the time between two reports of the survivals of a part that this
+	// instance knows to have been at a crash. It is shorter than survivalWindow, so that none are
+	// forgotten.
+	survivalReportInterval = 500 * time.Millisecond
 	// maxSurvivalParts bounds the parts of one window.
 	maxSurvivalParts = 4096
 )
@@ -61,3 +66,35 @@
 	}
 	s.rotateAt = now.Add(survivalWindow)
 }
+
+// AddSurvival counts an answer that went on for BeginWindow, or was complete earlier, as evidence for
+// the parts of its prompt, and ends their trials.
+func (n *Node) AddSurvival(parts []Part, trials []Fingerprint) {
+	n.survivals.add(parts, n.Clock())
+	for _, p := range parts {
+		if slices.Contains(trials, p.Fingerprint) {
+			n.reportPart(p, AttemptResult{Outcome: Served, OnTrial: true})
+		}
+	}
+}
+
+// reportSurvivals reports the survivals of the part since the last report.
+func (n *Node) reportSurvivals(f Fingerprint, r Record) {
+	if k := n.survivals.take(f, n.Clock()); k > 0 {
+		n.ReportAttempt(f, AttemptResult{Outcome: NoAttempt, Kind: KindPart, Label: r.Label, Survivals: k})
+	}
+}
+
+// reportAllSurvivals reports the survivals of all parts that were at a crash by the records of this
+// instance: at each call of those that are suspect, of the others every survivalReportInterval.
+func (n *Node) reportAllSurvivals(now time.Time) {
+	isDue := !now.Before(n.nextSurvivalReport)
+	if isDue {
+		n.nextSurvivalReport = now.Add(survivalReportInterval)
+	}
+	for _, e := range n.records.partsWithCrashes() {
+		if isDue || e.Record.Score >= partSuspectScore {
+			n.reportSurvivals(e.Fingerprint, e.Record)
+		}
+	}
+}
