soak: replicas that crash when they reject many requests

Replicas are fragile again and again during the faults; after them all are, without other faults, and at most 2 and a tenth of them may crash.

--- a/cmd/fieldvale-soak/main.go
+++ b/cmd/fieldvale-soak/main.go
@@ -38,6 +38,7 @@
 	CrashingRequest bool          `long:"crashing" description:"keep sending a request that crashes the replicas that run it"`
 	CrashingPart    bool          `long:"crashing-part" description:"keep sending requests with a part of their prompts that crashes the replicas that answer them"`
 	Skewed          bool          `long:"skewed" description:"send most requests to one instance, to another one every few seconds"`
+	Fragile         bool          `long:"fragile" description:"have replicas take few requests at a time and crash when they reject many"`
 	Limits          bool          `long:"limited" description:"have replicas advertise rate limits throughout the run"`
 	StoreOutages    bool          `long:"forgetting" description:"have the store refuse instances and drop its history throughout the run"`
 	Notices         bool          `long:"noticing" description:"have replicas announce that they drain, or request backoff, throughout the run"`
@@ -94,7 +95,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
-	result, err := soak.Run(ctx, soak.Settings{Seed: seed, Binary: binary, FaultTime: opts.FaultTime, Nodes: opts.Nodes, Replicas: opts.Replicas, Clients: opts.Clients, CrashingRequest: opts.CrashingRequest, CrashingPart: opts.CrashingPart, Skewed: opts.Skewed, Limits: opts.Limits, Notices: opts.Notices, StoreOutages: opts.StoreOutages, Loaded: opts.Loaded, Failing: opts.Failing, Dir: dir})
+	result, err := soak.Run(ctx, soak.Settings{Seed: seed, Binary: binary, FaultTime: opts.FaultTime, Nodes: opts.Nodes, Replicas: opts.Replicas, Clients: opts.Clients, CrashingRequest: opts.CrashingRequest, CrashingPart: opts.CrashingPart, Skewed: opts.Skewed, Fragile: opts.Fragile, Limits: opts.Limits, Notices: opts.Notices, StoreOutages: opts.StoreOutages, Loaded: opts.Loaded, Failing: opts.Failing, Dir: dir})
 	ok := err == nil && len(result.Violations) == 0
 	fmt.Printf("seed=%d ok=%t answered=%d failed=%d after: answered=%d failed=%d faults=%d crashed=%d resumed=%d slow_read=%d release=%s\n", seed, ok, result.Answered, result.Failed, result.AnsweredAfterFaults, result.FailedAfterFaults, len(result.Faults), result.CrashedReplicas, result.Resumed, result.SlowRead, result.Release)
 	for _, c := range slices.Sorted(maps.Keys(result.Causes)) {
