--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -137,7 +137,7 @@
 	if a.succeeded && !a.escalated {
 		a.recordSurvival()
 	}
-	w.quarantineCheck.report(a.quarantineResult(observed))
+	w.guard.Report(a.quarantineResult(observed))
 }
 
 // endPermit returns the permit of a request that did not reach the replica, and reports the end of
--- a/entry/escalate.go
+++ b/entry/escalate.go
@@ -52,7 +52,7 @@
 	if !ok || w.modelIndex < 0 || w.modelIndex >= last || w.answerStarted || c >= w.acceptConfidence() {
 		return nil
 	}
-	if w.quarantineCheck.onTrial {
+	if w.guard.IsOnTrial() {
 		// Cutting the answer off would prevent the trial from showing whether the content crashes
 		// replicas.
 		w.result.Escalation = keptOnTrial
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -10,6 +10,7 @@
 	"fieldvale/outcome"
 	"fieldvale/pool"
 	"fieldvale/prompt"
+	"fieldvale/quarantine"
 )
 
 const (
@@ -50,8 +51,8 @@
 	// answerStarted is set once a part of the answer was written to the client.
 	answerStarted bool
 	// lastEventID is the id of the last event written to the client or buffered for it.
-	lastEventID     string
-	quarantineCheck quarantineCheck
+	lastEventID string
+	guard       quarantine.Guard
 	// startReported is set once the RequestStarted hook was called.
 	startReported bool
 	// mayHaveRun is set if an attempt may have run without an answer.
@@ -69,7 +70,7 @@
 	defer cancel()
 	w := &forwarding{r: r, q: q, out: out, lastEventID: q.LastEventID, modelIndex: -1, escalatedFrom: -1}
 	w.result = &ForwardResult{Request: q, Service: q.Route.SelectService(q.ID), Confidence: -1}
-	w.quarantineCheck = quarantineCheck{quarantine: r.quarantine, subjects: q.subjects(w.result.Service)}
+	w.guard = quarantine.NewGuard(r.quarantine, q.subjects(w.result.Service))
 	if len(q.Route.Models) > 0 && (q.Prompt.Model == prompt.AnyModel || q.Prompt.Model == "") {
 		w.modelIndex = 0
 	}
@@ -110,7 +111,7 @@
 	if errors.Is(err, errNoAttemptLeft) {
 		return w.stopIf(true, "no replica left")
 	}
-	if errors.Is(err, errQuarantined) {
+	if errors.Is(err, quarantine.ErrQuarantined) {
 		w.cause = errors.CombineErrors(err, w.cause)
 		return w.stopIf(true, "quarantined: "+w.result.Verdict.Decision.String())
 	}
@@ -187,11 +188,11 @@
 		return err
 	}
 	if p = w.acquireReplica(ctx, p); p == nil {
-		w.quarantineCheck.cancelTrial()
+		w.guard.CancelTrial()
 		return errors.CombineErrors(errNoAttemptLeft, w.cause)
 	}
 	if err := w.refusal(p); err != nil {
-		w.quarantineCheck.cancelTrial()
+		w.guard.CancelTrial()
 		w.releaseAssignment(p)
 		return err
 	}
@@ -250,8 +251,8 @@
 	if w.cause != nil {
 		f.Cause = w.cause
 	}
-	if errors.Is(err, errQuarantined) {
-		f.Code, f.Message = Quarantined, errQuarantined.Error()
+	if errors.Is(err, quarantine.ErrQuarantined) {
+		f.Code, f.Message = Quarantined, quarantine.ErrQuarantined.Error()
 	}
 	switch {
 	case w.mayHaveRun || w.answerStarted:
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -21,6 +21,7 @@
 	"fieldvale/placement"
 	"fieldvale/pool"
 	"fieldvale/prompt"
+	"fieldvale/quarantine"
 	"fieldvale/rollout"
 	"fieldvale/route"
 )
@@ -70,7 +71,7 @@
 
 // runForwardScriptWith runs a script with the given quota and quarantine, and returns the number
 // of attempts.
-func runForwardScriptWith(t *testing.T, path string, bounds Quota, contents Quarantine) int {
+func runForwardScriptWith(t *testing.T, path string, bounds Quota, contents quarantine.Checker) int {
 	s := readForwardScript(t, path)
 	s.route.Split = []route.WeightedService{{Service: "s"}}
 	v := NewCurrentView()
--- a/entry/notices_test.go
+++ b/entry/notices_test.go
@@ -163,7 +163,7 @@
 	w *noticingReplicas
 }
 
-// ignoredResults implements the methods of Quarantine that receive results.
+// ignoredResults implements the methods of quarantine.Checker that receive results.
 type ignoredResults struct{}
 
 func (ignoredResults) CancelTrials([]quarantine.Fingerprint)                       {}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -12,108 +12,23 @@
 	"fieldvale/route"
 )
 
-// Quarantine tracks request contents and parts of prompts that crash the replicas that run them,
-// across attempts and instances.
-type Quarantine interface {
-	// IsEmpty reports whether nothing is suspected.
-	IsEmpty() bool
-	// CheckRequest decides whether a request that carries the subjects may be sent once more.
-	CheckRequest(ctx context.Context, s quarantine.Subjects) quarantine.Verdict
-	// CancelTrials gives up trials whose request was not sent.
-	CancelTrials(trials []quarantine.Fingerprint)
-	// ReportRequest reports the result of an attempt.
-	ReportRequest(s quarantine.Subjects, e quarantine.RequestResult)
-	// AddSurvival counts an answer that went on for quarantine.BeginWindow, or was complete earlier.
-	AddSurvival(parts []quarantine.Part, trials []quarantine.Fingerprint)
-}
-
 // Prober checks whether a replica that closed a connection is down.
 type Prober interface {
 	// HasCrashed reports whether the replica refuses connections; false if that is uncertain.
 	HasCrashed(ctx context.Context, r *pool.Replica) bool
 }
 
-// errQuarantined reports that requests with this content, or with a part of this prompt, may not be
-// sent now.
-var errQuarantined = errors.New("requests with this content or prompt bring down the backend servers that run them")
-
 // probeTimeout bounds the probe of a replica; a closed port answers within one round trip.
 const probeTimeout = 150 * time.Millisecond
 
-// quarantineCheck handles the quarantine for one request. Its zero value allows everything.
-type quarantineCheck struct {
-	quarantine Quarantine
-	subjects   quarantine.Subjects
-	// verdict is the last decision on whether the request may be sent.
-	verdict quarantine.Verdict
-	// suspected is set if the content or a part is suspected, onTrial if the current attempt is only
-	// allowed as a trial.
-	suspected, onTrial bool
-}
-
-// check decides whether the request may be sent to one more replica.
-func (w *quarantineCheck) check(ctx context.Context) error {
-	w.onTrial, w.verdict.Trials = false, nil
-	if w.quarantine == nil || w.quarantine.IsEmpty() {
-		return nil
-	}
-	v := w.quarantine.CheckRequest(ctx, w.subjects)
-	if v.Decision == quarantine.Allow {
-		return nil
-	}
-	w.verdict, w.suspected, w.onTrial = v, true, v.Decision == quarantine.AllowTrial
-	if v.IsAllowed() {
-		return nil
-	}
-	return errQuarantined
-}
-
-// allowsAnother reports whether the request may be sent to one more replica at present, without
-// sending it. A trial that is granted is given up, as the attempt asks again.
-func (w *quarantineCheck) allowsAnother(ctx context.Context) bool {
-	if w.quarantine == nil || w.quarantine.IsEmpty() {
-		return true
-	}
-	v := w.quarantine.CheckRequest(ctx, w.subjects)
-	w.quarantine.CancelTrials(v.Trials)
-	return v.IsAllowed()
-}
-
-// cancelTrial gives up a trial whose attempt was not sent.
-func (w *quarantineCheck) cancelTrial() {
-	if w.onTrial {
-		w.quarantine.CancelTrials(w.verdict.Trials)
-	}
-}
-
-// report reports the result of an attempt.
-func (w *quarantineCheck) report(e quarantine.RequestResult) {
-	if w.quarantine == nil {
-		return
-	}
-	w.suspected = w.suspected || e.Outcome == quarantine.ReplicaCrashed
-	if !w.suspected {
-		return
-	}
-	e.Trials = w.verdict.Trials
-	w.quarantine.ReportRequest(w.subjects, e)
-}
-
-// reportSurvival reports that the answer did not crash its replica as it began.
-func (w *quarantineCheck) reportSurvival() {
-	if w.quarantine != nil && len(w.subjects.Parts) > 0 {
-		w.quarantine.AddSurvival(w.subjects.Parts, w.verdict.Trials)
-	}
-}
-
 // checkQuarantine decides whether the opaque request may be sent to one more replica.
 func (w *forwarding) checkQuarantine(ctx context.Context) error {
-	err := w.quarantineCheck.check(ctx)
-	if w.quarantineCheck.suspected {
-		w.result.Fingerprint, w.result.Verdict = w.q.Fingerprint().String(), w.quarantineCheck.verdict
+	err := w.guard.Check(ctx)
+	if w.guard.IsSuspected() {
+		w.result.Fingerprint, w.result.Verdict = w.q.Fingerprint().String(), w.guard.Verdict()
 	}
 	if err != nil {
-		w.retryAt = w.quarantineCheck.verdict.RetryAt
+		w.retryAt = w.guard.Verdict().RetryAt
 	}
 	return err
 }
@@ -148,7 +63,7 @@
 		return
 	}
 	a.survived = true
-	a.w.quarantineCheck.reportSurvival()
+	a.w.guard.ReportSurvival()
 }
 
 // drainGrace is how long a draining replica still serves the requests that reach it, at least:
@@ -190,14 +105,14 @@
 	return quarantine.Inconclusive
 }
 
-// refusal is the error for a quarantined request that was not sent.
-func (w *quarantineCheck) refusal() error {
-	return &Failure{Code: Quarantined, Outcome: outcome.NotRun, RetryAt: w.verdict.RetryAt, Message: errQuarantined.Error(), Cause: errQuarantined}
+// quarantined is the error for a quarantined request that was not sent.
+func quarantined(g *quarantine.Guard) error {
+	return &Failure{Code: Quarantined, Outcome: outcome.NotRun, RetryAt: g.Verdict().RetryAt, Message: quarantine.ErrQuarantined.Error(), Cause: quarantine.ErrQuarantined}
 }
 
-// newQuarantineCheck returns the check for a request with the content.
-func (r *Router) newQuarantineCheck(c quarantine.RequestContent) *quarantineCheck {
-	return &quarantineCheck{quarantine: r.quarantine, subjects: quarantine.Subjects{Content: c.Fingerprint}}
+// newGuard returns the quarantine's guard for a request with the content.
+func (r *Router) newGuard(c quarantine.RequestContent) quarantine.Guard {
+	return quarantine.NewGuard(r.quarantine, quarantine.Subjects{Content: c.Fingerprint})
 }
 
 // takesNewRequests reports whether the service's replica takes new requests.
--- a/entry/router.go
+++ b/entry/router.go
@@ -63,7 +63,7 @@
 	upstream         Upstream
 	activeForwards   *activeForwards
 	prober           Prober
-	quarantine       Quarantine
+	quarantine       quarantine.Checker
 	placer           Placer
 	prefillTimes     *timing.PrefillTimes
 	slotTimes        *timing.SlotTimes
@@ -112,7 +112,7 @@
 	Upstream Upstream
 	Retries  *budget.Budget
 	// Quarantine and Prober may be nil; requests that crash replicas are then not detected.
-	Quarantine Quarantine
+	Quarantine quarantine.Checker
 	Prober     Prober
 	// FleetSize returns the number of instances, or 0 if it is unknown. It may be nil.
 	FleetSize func() int
@@ -342,22 +342,22 @@
 	var tried []string
 	var last error
 	var retryAt time.Time
-	w := r.newQuarantineCheck(q.content())
+	g := r.newGuard(q.content())
 	for range maxAttempts {
 		v := r.view.Get()
 		if ok := v.mayRun(q.Caller, x); !ok {
 			return errors.CombineErrors(errWithdrawn, last)
 		}
-		if w.check(ctx) != nil {
-			return lessCertain(last, w.refusal())
+		if g.Check(ctx) != nil {
+			return lessCertain(last, quarantined(&g))
 		}
 		var b *pool.Replica
 		if b, retryAt = r.takeReplica(ctx, x.String(), v.byVersion[x], pool.Request{AffinityKey: q.Session.ID}, tried, q.Priority); b == nil {
-			w.cancelTrial()
+			g.CancelTrial()
 			break
 		}
 		err := call(b)
-		w.report(quarantine.RequestResult{Outcome: r.quarantineOutcomeOf(b, err), Replica: b.ID})
+		g.Report(quarantine.RequestResult{Outcome: r.quarantineOutcomeOf(b, err), Replica: b.ID})
 		r.backends.done(b.ID, err, r.clock())
 		r.countVersionFailure(x, err)
 		if err == nil {
--- a/entry/service.go
+++ b/entry/service.go
@@ -122,19 +122,19 @@
 	var tried []string
 	var last error
 	var retryAt time.Time
-	w := r.newQuarantineCheck(q.content())
+	g := r.newGuard(q.content())
 	for range maxAttempts {
-		if w.check(ctx) != nil {
-			last = lessCertain(last, w.refusal())
+		if g.Check(ctx) != nil {
+			last = lessCertain(last, quarantined(&g))
 			break
 		}
 		var b *pool.Replica
 		if b, retryAt = r.takeReplica(ctx, q.Service, r.view.Get().byService[q.Service], pool.Request{}, tried, 0); b == nil {
-			w.cancelTrial()
+			g.CancelTrial()
 			break
 		}
 		a, err := r.callReplica(ctx, b, q)
-		w.report(quarantine.RequestResult{Outcome: r.quarantineOutcomeOf(b, err), Replica: b.ID})
+		g.Report(quarantine.RequestResult{Outcome: r.quarantineOutcomeOf(b, err), Replica: b.ID})
 		r.backends.done(b.ID, err, r.clock())
 		if err == nil {
 			return a, nil
--- a/entry/streammonitor.go
+++ b/entry/streammonitor.go
@@ -58,7 +58,7 @@
 func (a *attempt) monitorStream(ctx, parent context.Context) (x context.Context, end func()) {
 	w := a.w
 	// A trial that is cut off would not show whether the content crashes replicas.
-	if !w.placesByCompletion() || !w.q.Route.AllowsRetry() || w.result.Runs+1 >= w.q.Route.MaxAttempts || w.quarantineCheck.onTrial {
+	if !w.placesByCompletion() || !w.q.Route.AllowsRetry() || w.result.Runs+1 >= w.q.Route.MaxAttempts || w.guard.IsOnTrial() {
 		return ctx, func() {}
 	}
 	x, cancel := context.WithCancelCause(ctx)
@@ -211,7 +211,7 @@
 	if m.withoutID {
 		return nil, keptUnresumable
 	}
-	if !w.quarantineCheck.allowsAnother(m.ctx) {
+	if !w.guard.AllowsAnother(m.ctx) {
 		return nil, keptQuarantined
 	}
 	if p = w.assignReplica(m.ctx); p == nil {
--- a/quarantine/record_test.go
+++ b/quarantine/record_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -29,10 +30,14 @@
 	// held
 }
 
-// TestRecordScripts runs testdata/*.txt, each the history of one content:
+// TestRecordScripts runs testdata/*.txt, each the history of one content, or of a part of prompts if its
+// name begins with part:
 //
-//	end REPLICA         a replica crashed while it had a request with the content
+//	end REPLICA         a replica crashed while it had a request with the content; for a part, as an
+//	                    answer began there
 //	trial-end REPLICA   the same, with the request there on trial
+//	beside REPLICA      a replica crashed while a request with the part waited there
+//	survived N          N answers with the part went on
 //	served|unclear|unsent
 //	at DURATION         sets the time since the start
 //	ask DECISION        checks the decision; a trial that is allowed is counted
@@ -48,7 +53,7 @@
 
 var outcomes = map[string]quarantine.Outcome{
 	"end": quarantine.ReplicaCrashed, "trial-end": quarantine.ReplicaCrashed, "served": quarantine.Served,
-	"unclear": quarantine.Inconclusive, "unsent": quarantine.NotRun,
+	"unclear": quarantine.Inconclusive, "unsent": quarantine.NotRun, "beside": quarantine.ReplicaCrashed, "survived": quarantine.NoAttempt,
 }
 
 var decisions = map[string]quarantine.Decision{"free": quarantine.Allow, "try": quarantine.AllowTrial, "wait": quarantine.Wait, "held": quarantine.Held}
@@ -63,6 +68,10 @@
 	now := start
 	b := quarantine.NewRecordTable()
 	content := quarantine.RequestContent{Target: "/x"}.Fingerprint()
+	kind := quarantine.KindContent
+	if strings.HasPrefix(filepath.Base(path), "part") {
+		kind = quarantine.KindPart
+	}
 	n := 0
 	for s := bufio.NewScanner(f); s.Scan(); {
 		n++
@@ -87,8 +96,14 @@
 			if !ok {
 				t.Fatalf("line %d: unknown step %q", n, words[0])
 			}
-			e := quarantine.AttemptResult{Outcome: outcome, OnTrial: words[0] != "end"}
-			if len(words) > 1 {
+			e := quarantine.AttemptResult{Outcome: outcome, OnTrial: strings.HasPrefix(words[0], "trial-") || len(words) == 1, Kind: kind, AnswerBegan: words[0] != "beside"}
+			switch {
+			case words[0] == "survived":
+				e.Survivals, err = strconv.Atoi(words[1])
+				if err != nil {
+					t.Fatalf("line %d: %v", n, err)
+				}
+			case len(words) > 1:
 				e.Replica = words[1]
 			}
 			b.AddResult(content, e, now)
