exchange: a connection is kept where writing a long body returns after the response was read

A long body is written beside the reading of the response; on a busy machine the response was read before the writer had returned, and the connection was closed as if the body were unwritten. The end of a response now waits up to 10 ms for the writer. Callers lose nothing; replicas saw more new connections.

--- a/adapter/exchange/exchange.go
+++ b/adapter/exchange/exchange.go
@@ -193,15 +193,21 @@
 	_ = s.conn.netConn.Close()
 }
 
+// bodyWriteGrace is how long the end of a response waits for the result of writing the request's body: on
+// a busy machine the response may be read before the writer has returned.
+const bodyWriteGrace = 10 * time.Millisecond
+
 // bodyWritten reports whether the request's body has been written without an error.
 func (s *Response) bodyWritten() bool {
 	if s.bodyWrite == nil {
 		return true
 	}
+	t := time.NewTimer(bodyWriteGrace)
+	defer t.Stop()
 	select {
 	case err := <-s.bodyWrite:
 		return err == nil
-	default:
+	case <-t.C:
 		return false
 	}
 }
--- a/adapter/exchange/exchange_test.go
+++ b/adapter/exchange/exchange_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -163,6 +164,45 @@
 	}
 }
 
+// lateConn returns from writing a long body some time after the bytes have left.
+type lateConn struct{ net.Conn }
+
+func (c lateConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if len(b) > maxInlineBody {
+		time.Sleep(2 * time.Millisecond)
+	}
+	return n, err
+}
+
+// Guards against a new connection for each long body where the response is read before the writer of the
+// body has returned.
+func TestConnectionIsKeptWhereWritingTheBodyReturnsLate(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "ok")
+	}))
+	t.Cleanup(s.Close)
+	p := New(time.Now).WithDialer(DialFunc(func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := DialDirect(ctx, addr)
+		return lateConn{c}, err
+	}))
+	for range 2 {
+		r, err := p.Do(t.Context(), s.Listener.Addr().String(), &Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, 4<<10)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if b, err := io.ReadAll(r); err != nil || string(b) != "ok" {
+			t.Fatalf("got body %q and error %v, want body ok and no error", b, err)
+		}
+		r.Close()
+		time.Sleep(5 * time.Millisecond)
+	}
+	if p.Dialed() != 1 {
+		t.Errorf("got %d connections opened, want 1", p.Dialed())
+	}
+}
+
 // A stream that is cut within an event must not yield the partial event, nor end as if it
 // were complete. Nor may an event be split where a line fills the read buffer: if the stream is
 // resumed after the first part, the rest of the event is lost.
