quarantine: a held part without known replicas is held

A held part gets a trial where other causes explain all of its crashes. A record without replicas, as an operator or a test may write it to the store, had all of none explained, and requests with the part were sent. TestNodeReadsHeldPartsFromTheStore failed before (3 of 3 requests sent); records that instances write name their replicas and were not affected.

--- a/cmd/fieldvale-node/quarantine_test.go
+++ b/cmd/fieldvale-node/quarantine_test.go
@@ -53,3 +53,36 @@
 		})
 	}
 }
+
+// Guards against a part of prompts that crashes replicas again after all instances that held it have
+// stopped, and against refusing requests without it.
+func TestNodeReadsHeldPartsFromTheStore(t *testing.T) {
+	s := newTestEnv(t)
+	r := s.startReplica("r1", "v1")
+	r.Handler = r.Stream(0, false, 1, 2)
+	p := quarantine.NewParts("svc", []string{"dead0001"})[0]
+	s.store.PutHeldPart(p.Fingerprint.String(), p.Label, 5, time.Now())
+	s.start()
+	send := func(parts string) response {
+		return s.send("POST", "/stream/x", parts, apiKeyHeader, sitetest.HeaderRequestID+": q-"+parts, sitetest.HeaderPromptPrefix+": "+parts)
+	}
+	for _, held := range []string{"dead0001:9,01:1", "c0de:5,dead0001:9,02:1", "c0de:5,dead0001:9,beef:2,03:1"} {
+		if a := send(held); a.status != http.StatusServiceUnavailable {
+			t.Errorf("prompt %s: got %d %q, want 503", held, a.status, a.body)
+		}
+	}
+	s.eventually("the refusal is logged with the part", func() bool {
+		return strings.Contains(s.logs.String(), "event=request_quarantined") && strings.Contains(s.logs.String(), "part=svc/dead0001")
+	})
+	if n := len(r.Requests()); n > 0 {
+		t.Errorf("%d requests with the held part reached the replica, want 0", n)
+	}
+	// The last part of a prompt belongs to the request alone.
+	for _, free := range []string{"c0de:5,04:1", "c0de:5,dead0001:9", "05:1"} {
+		if a := send(free); a.status != http.StatusOK {
+			t.Errorf("prompt %s: got %d %q, want 200", free, a.status, a.body)
+		}
+	}
+	s.store.RemoveHeld(p.Fingerprint.String())
+	s.eventually("requests with the part are sent after its entry was removed", func() bool { return send("dead0001:9,06:1").status == http.StatusOK })
+}
--- a/quarantine/record_table.go
+++ b/quarantine/record_table.go
@@ -148,13 +148,14 @@
 		return false
 	}
 	isOther := func(c Fingerprint) bool { return c != f && !slices.Contains(carried, c) }
-	for _, x := range slices.Concat(r.Replicas, r.Bystanders) {
+	crashes := slices.Concat(r.Replicas, r.Bystanders)
+	for _, x := range crashes {
 		a := t.attributed[x]
 		if !now.Before(a.expires) || !slices.ContainsFunc(a.culprits, isOther) {
 			return false
 		}
 	}
-	return true
+	return len(crashes) > 0
 }
 
 // Put replaces the record of the content by one received from another instance, or deletes it if
