--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -93,6 +93,13 @@
 				f.sendPrompts(promptStream{perSecond: 2, until: length, parts: f.deadlyParts("route0", id, -1), deadly: newDeadlyPart(id)})
 			}
 		}, -1, 3, -1},
+		{"a sound part nearly always beside it", 7, 18, 140, 0, func(f *fleet) {
+			twin := func(parts ...string) func(int) []string {
+				return func(int) []string { return parts }
+			}
+			f.sendPrompts(promptStream{perSecond: 3, until: length, parts: twin("route0", "dead", "twin"), deadly: newDeadlyPart("dead")})
+			f.sendPrompts(promptStream{perSecond: 0.5, until: length, parts: twin("route0", "twin"), resembles: true})
+		}, -1, 3, -1},
 		{"heads never seen", 7, 18, 140, 0, func(f *fleet) {
 			d := newDeadlyPart("dead")
 			d.headIsLost = true
