--- a/cmd/fieldvale-node/fleetsize.go
+++ b/cmd/fieldvale-node/fleetsize.go
@@ -11,8 +11,8 @@
 	// fleetSizeInterval is the interval at which the record of the number of instances is compared
 	// with what this instance knows.
 	fleetSizeInterval = time.Second
-	// fleetSizeTolerance is the ratio of the two from which the record is replaced. Estimates of
-	// different instances differ by less.
+	// fleetSizeTolerance is the ratio of the two from which the record is replaced. Most estimates of
+	// different instances differ by less, so that the record is written rarely.
 	fleetSizeTolerance = 1.25
 )
 
