--- a/review/standins/machine.go
+++ b/review/standins/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -29,28 +30,32 @@
 	killed  bool
 }
 
-// ports are the ports that were handed out. The system gives a port that was closed again to nobody else
-// for a while.
+// firstPort and portCount are a range of ports that the system doesn't give to outgoing connections, so that
+// the address of a machine whose process is down stays free.
+const firstPort, portCount = 20000, 12000
+
+// ports are the addresses that were handed out.
 var ports = map[string]bool{}
 
 // freeAddr returns a loopback address that is free for TCP and UDP.
 func freeAddr() (string, error) {
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 1000 {
+		a := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.Intn(portCount))
+		if ports[a] {
+			continue
+		}
+		l, err := net.Listen("tcp", a)
 		if err != nil {
-			return "", err
+			continue
 		}
-		a := l.Addr().String()
 		u, err := net.ListenPacket("udp", a)
 		l.Close()
 		if err != nil {
 			continue
 		}
 		u.Close()
-		if !ports[a] {
-			ports[a] = true
-			return a, nil
-		}
+		ports[a] = true
+		return a, nil
 	}
 	return "", fmt.Errorf("no free port")
 }
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -37,6 +37,7 @@
 
 var scripts = map[string]func(*env) (broken bool, err error){
 	"restart": playRestart,
+	"stray":   playStray,
 }
 
 func main() { os.Exit(run()) }
