--- a/review/standins/restart.go
+++ b/review/standins/restart.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"sync"
 	"time"
 )
@@ -90,7 +91,11 @@
 	time.Sleep(4 * time.Second)
 	final, back := time.Now(), time.Now()
 	if e.trouble {
-		if final, back, err = replaceAndKillAll(e, s, machines, add); err != nil {
+		disrupt := replaceAndKillAll
+		if os.Getenv("FRESH") == "1" {
+			disrupt = killAllAndReplace
+		}
+		if final, back, err = disrupt(e, s, machines, add); err != nil {
 			return false, err
 		}
 	}
@@ -160,6 +165,40 @@
 	return final, back, nil
 }
 
+// darkSpan is how long the machines are without power in killAllAndReplace.
+const darkSpan = 3200 * time.Millisecond
+
+// killAllAndReplace is another order of the same events, without stale answers of the store: all machines lose
+// power right after a change was acknowledged, one of them for good, and the new machine starts at once.
+func killAllAndReplace(e *env, s *kv, machines func() []*machine, add func(id, zone string, stale time.Duration) (*machine, error)) (final, back time.Time, err error) {
+	configure(s, 5)
+	final = time.Now()
+	e.printf("a change of the configuration is acknowledged, and all machines lose power, %s for good", lost)
+	for _, m := range machines() {
+		m.kill()
+	}
+	x, err := add(added, "leith-hall", 0)
+	if err != nil {
+		return final, back, err
+	}
+	if err := x.start(false); err != nil {
+		return final, back, err
+	}
+	e.printf("%s is added at another address", added)
+	time.Sleep(time.Until(final.Add(darkSpan)))
+	e.printf("%s has registered: %t", added, s.Has("fieldvale/instance/"+added))
+	for _, m := range machines() {
+		if m != x && m.id != lost {
+			if err := m.start(false); err != nil {
+				return final, back, err
+			}
+		}
+	}
+	back = time.Now()
+	e.printf("all machines but %s have power again", lost)
+	return final, back, nil
+}
+
 // configure writes a version of the configuration.
 func configure(s *kv, version int) {
 	s.Put("op/config", map[string]any{
