--- a/review/standins/machine.go
+++ b/review/standins/machine.go
@@ -30,20 +30,41 @@
 	killed  bool
 }
 
-// firstPort and portCount are a range of ports that the system doesn't give to outgoing connections, so that
-// the address of a machine whose process is down stays free.
-const firstPort, portCount = 20000, 12000
+// firstPort, blockPorts and blockCount are a range of ports that the system doesn't give to outgoing
+// connections, so that the address of a machine whose process is down stays free. A run takes a block of them.
+const firstPort, blockPorts, blockCount = 20000, 64, 180
+
+// ports is the block of this run.
+var ports struct {
+	// next is the next port to hand out, end that after the last one.
+	next, end int
+	// lock holds the first port of the block, so that no other run takes it.
+	lock net.Listener
+}
 
-// ports are the addresses that were handed out.
-var ports = map[string]bool{}
+// takeBlock takes a block that no other run has.
+func takeBlock() error {
+	for range 10 * blockCount {
+		p := firstPort + blockPorts*rand.Intn(blockCount)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		if err == nil {
+			ports.lock, ports.next, ports.end = l, p+1, p+blockPorts
+			return nil
+		}
+	}
+	return fmt.Errorf("no free block of ports")
+}
 
 // freeAddr returns a loopback address that is free for TCP and UDP.
 func freeAddr() (string, error) {
-	for range 1000 {
-		a := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.Intn(portCount))
-		if ports[a] {
-			continue
+	if ports.lock == nil {
+		if err := takeBlock(); err != nil {
+			return "", err
 		}
+	}
+	for ports.next < ports.end {
+		a := fmt.Sprintf("127.0.0.1:%d", ports.next)
+		ports.next++
 		l, err := net.Listen("tcp", a)
 		if err != nil {
 			continue
@@ -54,7 +75,6 @@
 			continue
 		}
 		u.Close()
-		ports[a] = true
 		return a, nil
 	}
 	return "", fmt.Errorf("no free port")
