--- a/relay/changelog.go
+++ b/relay/changelog.go
@@ -273,26 +273,3 @@
 	defer l.mu.Unlock()
 	return l.disconnected
 }
-
-// status is the status of an answer or the result of a query.
-type status int
-
-const (
-	// statusOK: the answer has the changes after the queried revision.
-	statusOK status = iota
-	// statusFetchSnapshot: the follower is too far behind and has to fetch a snapshot.
-	statusFetchSnapshot
-	// statusDisconnected: the answering instance has no current state.
-	statusDisconnected
-	// statusTooLarge: the changes exceed maxPackedBytes and have to be fetched.
-	statusTooLarge
-	// statusStarting: the answering instance is about to have a snapshot.
-	statusStarting
-	// statusNoAnswer: no answer arrived. It is never sent.
-	statusNoAnswer
-	// statusBusy: the link has no capacity for the changes.
-	statusBusy
-	// statusWaiting: the answering instance is starting and waits for others, perhaps for this one.
-	// It is never sent.
-	statusWaiting
-)
--- a/relay/read.go
+++ b/relay/read.go
@@ -76,6 +76,7 @@
 	}
 	started := n.clock()
 	registerWait := registerAfter + rand.N(registerSpread)
+	logged := statusOK
 	for {
 		primary, fallback, tier := n.sources()
 		if tier == 0 {
@@ -84,6 +85,10 @@
 		n.ownReadAt = started.Add(time.Duration(tier) * disconnectedTierDelay)
 		p, s := n.fetchSnapshot(ctx, primary, fallback)
 		waited := n.clock().Sub(started)
+		if s != logged {
+			n.event("snapshot_awaited", "sources", s, "queried", len(primary)+len(fallback), "tier", tier, "waited", waited)
+			logged = s
+		}
 		switch {
 		case s == statusOK:
 			return p, nil
