--- a/relay/fleetstart_test.go
+++ b/relay/fleetstart_test.go
@@ -220,6 +220,18 @@
 	_ = mirror.New(n, "", n.timing.StoreWait, time.Now, Tee{ChangeLog: l, Listener: completionListener{listener, f, m.ID}}).Run(ctx)
 }
 
+// runUntil runs one instance that starts again at each of the times after began, without the keys of its earlier run.
+func (f *startingFleet) runUntil(ctx context.Context, m peer.Member, began time.Time, restarts []time.Duration) {
+	for _, d := range restarts {
+		x, cancel := context.WithDeadline(ctx, began.Add(d))
+		f.runNode(x, m)
+		cancel()
+		f.mu.Lock()
+		delete(f.completeAt, m.ID)
+		f.mu.Unlock()
+	}
+}
+
 // startScenario is the start of a whole fleet.
 type startScenario struct {
 	instances, replicas int
@@ -233,6 +245,8 @@
 	absent int
 	// isAbsent reports whether an instance doesn't run; nil if only the absent first ones don't.
 	isAbsent func(id string) bool
+	// restarts are the times at which all unregistered instances end and start again.
+	restarts []time.Duration
 	// within is the time within which all instances must have all keys.
 	within time.Duration
 	// maxIncomplete is how many instances may miss keys nevertheless.
@@ -275,6 +289,9 @@
 			}
 			g.Go(func() {
 				sleep(ctx, p.spread*time.Duration(i*7919%p.instances)/time.Duration(p.instances))
+				if i >= p.registered {
+					f.runUntil(ctx, p.member(i), began, p.restarts)
+				}
 				f.runNode(ctx, p.member(i))
 			})
 		}
--- a/relay/node.go
+++ b/relay/node.go
@@ -63,9 +63,6 @@
 
 	// reading is set while this instance reads a snapshot from the store, and until a page fails.
 	reading atomic.Bool
-	// ownReadAt is when this instance reads the store itself if all others wait as well. Only the caller
-	// of Read uses it.
-	ownReadAt time.Time
 
 	// The fields from backoff to batchUntil are used only by the single caller of Changes.
 	// backoff is until when the store must not be asked again.
--- a/relay/read.go
+++ b/relay/read.go
@@ -35,8 +35,6 @@
 	// disconnectedTierDelay replaces tierDelay where the instances of the tiers before
 	// answered that they can't reach the store, or that they wait for others themselves.
 	disconnectedTierDelay = 300 * time.Millisecond
-	// minWaitingFetch is the least time for a fetch from an instance that waits for others itself.
-	minWaitingFetch = 50 * time.Millisecond
 	// registerAfter is how long an unregistered instance queries the members without an
 	// answer until it assumes that all of them have ended. Up to registerSpread is added
 	// at random: the others then find the first instance that registers.
@@ -82,7 +80,6 @@
 		if tier == 0 {
 			return n.readOrFetch(ctx, prefix, fallback, noRevision)
 		}
-		n.ownReadAt = started.Add(time.Duration(tier) * disconnectedTierDelay)
 		p, s := n.fetchSnapshot(ctx, primary, fallback)
 		waited := n.clock().Sub(started)
 		if s != logged {
@@ -217,19 +214,19 @@
 			n.avoidSource(m, shortAvoid)
 			return a, statusDisconnected
 		}
+		if a.Status == statusStarting && a.Waits {
+			return a, statusWaiting
+		}
 		from := m.Addr
 		if a.FetchFrom != "" {
 			from = a.FetchFrom
 		}
-		w, err := n.fetchUntil(ctx, from, n.fetchDeadline(a))
+		w, err := n.fetch(ctx, from, noRevision)
 		if err == nil {
 			n.event("whole_fetched", "source", m.ID, "addr", from, "after", after, "revision", w.Revision, "items", len(w.Items), "age", w.age())
 			return w, statusOK
 		}
 		n.event("whole_unfetched", "source", m.ID, "addr", from, "error", err)
-		if a.Status == statusStarting && a.Waits {
-			return a, statusWaiting
-		}
 		if from == m.Addr {
 			return a, a.Status
 		}
@@ -238,28 +235,6 @@
 	return answer{}, statusStarting
 }
 
-// fetchDeadline returns until when a fetch may take from an instance that gave the answer; zero for no limit.
-// One that waits for others may wait for this instance, which must then read the store.
-func (n *Node) fetchDeadline(a answer) time.Time {
-	if a.Status != statusStarting || !a.Waits {
-		return time.Time{}
-	}
-	if t := n.clock().Add(minWaitingFetch); t.After(n.ownReadAt) {
-		return t
-	}
-	return n.ownReadAt
-}
-
-// fetchUntil fetches a snapshot and gives up at the deadline, unless that is zero.
-func (n *Node) fetchUntil(ctx context.Context, addr string, deadline time.Time) (answer, error) {
-	if deadline.IsZero() {
-		return n.fetch(ctx, addr, noRevision)
-	}
-	x, cancel := context.WithTimeout(ctx, deadline.Sub(n.clock()))
-	defer cancel()
-	return n.fetch(x, addr, noRevision)
-}
-
 // askSnapshotAddr queries an instance for the address from which to fetch a snapshot;
 // failedAddr, if not empty, is the address from which that failed before.
 func (n *Node) askSnapshotAddr(ctx context.Context, m peer.Member, after int64, failedAddr string) (answer, bool) {
@@ -269,10 +244,11 @@
 	})
 }
 
-// answerSnapshotQuery sends the address from which to fetch a snapshot.
+// answerSnapshotQuery sends the address from which to fetch a snapshot. An instance that waits for others
+// names none: two instances that fetch from each other, each as another source told it, would both wait.
 func (n *Node) answerSnapshotQuery(to string, q query) {
 	a := answer{ID: q.ID, Status: n.snapshotStatus(q.After), Waits: !n.reading.Load()}
-	if q.After == noRevision && a.Status != statusDisconnected {
+	if q.After == noRevision && (a.Status == statusFetchSnapshot || a.Status == statusStarting && !a.Waits) {
 		a.FetchFrom = n.tree.parent(to, q.FailedAddr, n.clock())
 	}
 	if err := n.send(to, q.ID, message{Answer: &a}, nil); err != nil {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -14,7 +14,7 @@
 	// holdSnapshot and holdChanges are how long a fetch is held while this instance does
 	// not have the snapshot or the changes yet. It may be fetching them at the same moment
 	// from the instance that named it as the address to fetch from.
-	holdSnapshot = 2 * time.Second
+	holdSnapshot = time.Second
 	holdChanges  = 300 * time.Millisecond
 )
 
--- a/relay/startorder_test.go
+++ b/relay/startorder_test.go
@@ -13,6 +13,8 @@
 const (
 	// startOrderSeeds is the number of drawn starts for each size of a fleet.
 	startOrderSeeds = 6
+	// restartSeeds is the number of drawn series of restarts.
+	restartSeeds = 3
 	// startOrderWithin is the time from the last start within which all instances must have all keys.
 	startOrderWithin = 3 * time.Second
 	// maxStartReads bounds how often a snapshot may be read from the store at a start.
@@ -71,8 +73,8 @@
 // them reads the store.
 func TestStartingInstancesDoNotWaitForEachOther(t *testing.T) { checkDrawnStarts(t, 7, 65) }
 
-// Guards against the same in fleets with hundreds of unregistered instances, and against fetches that wait for
-// instances that wait themselves.
+// Guards against the same in fleets with hundreds of unregistered instances, and against two of them that fetch from
+// each other.
 func TestStartingInstancesOfLargeFleetsDoNotWaitForEachOther(t *testing.T) {
 	checkDrawnStarts(t, 300, 985)
 }
@@ -92,3 +94,21 @@
 	}
 	p.run(t)
 }
+
+// Guards against instances that start again in series and fetch from each other, as those that have all keys still
+// name them.
+func TestInstancesThatStartAgainDoNotWaitForEachOther(t *testing.T) {
+	for seed := range uint64(restartSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 0))
+			p := startScenario{instances: 300, replicas: 900, registered: 48, spread: startSpread}
+			last := startOrderWithin
+			for range 3 {
+				last += time.Duration(r.IntN(3000)) * time.Millisecond
+				p.restarts = append(p.restarts, last)
+			}
+			p.within = last + startOrderWithin
+			p.run(t)
+		})
+	}
+}
