node: the capacity line says for how long and for what connections were refused in its second

Cause: the line took the resource of the moment at which it was written. With one instance left of 85 it said refusing_for=none refused_for=0s while nearly nothing was accepted, and could not tell whether that moment was a lucky one.

Now: refused_time, refusing_for (the resource for which connections were refused longest in the second), accepted connections, and the bytes to and from other instances; metric accept_refused_seconds{resource}. Test: TestRefusedTimeIsCountedByResource.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -6,6 +6,7 @@
 package capacity
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -72,14 +73,19 @@
 	binding                   Resource
 	refusedSince, lastRefused time.Time
 	lastAccepted              time.Time
-	// pauses counts how often connections began to be refused, by resource.
-	pauses                   map[Resource]int
+	// pauses counts how often connections began to be refused, and refusedTime for how long they were
+	// refused until lastAsked, by resource.
+	pauses      map[Resource]int
+	refusedTime map[Resource]time.Duration
+	lastAsked   time.Time
+	// accepted is the number of connections from clients since the start of the process.
+	accepted                 uint64
 	sent, received, requests uint64
 }
 
 // New returns an account of an instance with these resources.
 func New(clock func() time.Time, l Limits) *Account {
-	a := &Account{clock: clock, limits: l, pacer: newPacer(), pauses: map[Resource]int{}, lastAccepted: clock()}
+	a := &Account{clock: clock, limits: l, pacer: newPacer(), pauses: map[Resource]int{}, refusedTime: map[Resource]time.Duration{}, lastAccepted: clock()}
 	a.in.rate = l.LinkBytes
 	a.out.rate = a.in.rate
 	return a
@@ -181,6 +187,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.unread++
+	a.accepted++
 	a.pacer.accepted++
 	a.lastAccepted = a.clock()
 	return a.beginProbing()
@@ -238,6 +245,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock()
+	a.addRefusedTime(now)
 	r, wait := a.shortage(now)
 	if r == None || r != Descriptors && r != Memory && now.Sub(a.lastAccepted) >= maxRefusal {
 		a.binding = None
@@ -253,6 +261,14 @@
 	return r, now.Add(max(minWait, wait))
 }
 
+// addRefusedTime counts the time until now for which connections were refused.
+func (a *Account) addRefusedTime(now time.Time) {
+	if a.binding != None {
+		a.refusedTime[a.binding] += now.Sub(a.lastAsked)
+	}
+	a.lastAsked = now
+}
+
 // shortage returns the resource that is used up, and how long that lasts at least; None if there is none.
 func (a *Account) shortage(now time.Time) (Resource, time.Duration) {
 	limit := maxLinkDelay
@@ -309,8 +325,11 @@
 	Memory int64
 	// Pauses is how often connections began to be refused since the start of the process.
 	Pauses int
-	// Sent and Received are bytes since the start of the process, Requests the requests read.
-	Sent, Received, Requests uint64
+	// RefusedTime is for how long connections were refused since the start of the process, by resource.
+	RefusedTime map[Resource]time.Duration
+	// Sent and Received are bytes since the start of the process, Requests the requests read, and Accepted
+	// the connections accepted from clients.
+	Sent, Received, Requests, Accepted uint64
 	// SentPerRequest and ReceivedPerRequest are the mean bytes of the last requests, with headers.
 	SentPerRequest, ReceivedPerRequest float64
 }
@@ -320,9 +339,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock()
+	a.addRefusedTime(now)
 	s := Status{
 		Binding: a.binding, LinkInDelay: a.in.delay(0, now), LinkOutDelay: a.out.delay(0, now), LinkDelay: a.linkDelay(now), Lateness: a.pacer.late, Open: a.open, Unread: a.unread,
-		Window: int(a.pacer.window), Memory: a.memory, Sent: a.sent, Received: a.received, Requests: a.requests,
+		Window: int(a.pacer.window), Memory: a.memory, Sent: a.sent, Received: a.received, Requests: a.requests, Accepted: a.accepted, RefusedTime: maps.Clone(a.refusedTime),
 		SentPerRequest: a.outPerRequest.value(), ReceivedPerRequest: a.inPerRequest.value(),
 	}
 	for _, c := range a.pauses {
@@ -334,6 +354,20 @@
 	return s
 }
 
+// RefusedAfter returns for how long connections were refused after the status before, and the resource for which
+// they were refused longest; None if they were accepted all the time.
+func (s Status) RefusedAfter(before Status) (total time.Duration, longest Resource) {
+	most := time.Duration(0)
+	for r, d := range s.RefusedTime {
+		d -= before.RefusedTime[r]
+		total += d
+		if d > most {
+			most, longest = d, r
+		}
+	}
+	return total, longest
+}
+
 // IsRefusing reports whether connections are refused now.
 func (a *Account) IsRefusing() bool {
 	a.mu.Lock()
@@ -357,9 +391,5 @@
 func (a *Account) Pauses() map[Resource]int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	m := make(map[Resource]int, len(a.pauses))
-	for r, n := range a.pauses {
-		m[r] = n
-	}
-	return m
+	return maps.Clone(a.pauses)
 }
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -102,3 +102,22 @@
 		})
 	}
 }
+
+// Guards against a log line that names no resource in a second in which nearly no connection was accepted.
+func TestRefusedTimeIsCountedByResource(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := New(func() time.Time { return now }, Limits{LinkBytes: 1e6})
+	before := a.Status()
+	a.Sent(1_000_000)
+	for range 90 {
+		if r, _ := a.MayAccept(); r == None {
+			a.Accepted()
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	s := a.Status()
+	total, longest := s.RefusedAfter(before)
+	if want := 880 * time.Millisecond; total < want || longest != LinkOut || s.Accepted != 1 {
+		t.Errorf("refused for %s, longest for %s, accepted %d connections, want at least %s for %s and 1", total, longest, s.Accepted, want, LinkOut)
+	}
+}
--- a/cmd/fieldvale-node/capacity.go
+++ b/cmd/fieldvale-node/capacity.go
@@ -36,6 +36,13 @@
 		}
 		return m
 	})
+	n.metrics.GaugeVecFunc("accept_refused_seconds", "For how long the instance refused connections, by the resource that was used up.", "resource", func() map[string]float64 {
+		m := map[string]float64{}
+		for r, d := range a.Status().RefusedTime {
+			m[r.String()] = d.Seconds()
+		}
+		return m
+	})
 	n.metrics.GaugeFunc("memory_used_bytes", "Memory that the process has from the operating system.", func() float64 { return float64(a.Status().Memory) })
 	return a
 }
@@ -120,15 +127,24 @@
 	return int64(s[0].Value.Uint64() - s[1].Value.Uint64())
 }
 
+// capacityUse is what the instance's resources were used for at one moment.
+type capacityUse struct {
+	capacity.Status
+	// peerSent and peerReceived are bytes since the start of the process, to and from other instances.
+	peerSent, peerReceived int64
+}
+
 // logCapacity logs the use of the resources for each second in which connections were refused, or in which the
-// link or the processor fell behind. Only the goroutine of runPeriodicTasks calls it.
+// link or the processor fell behind. Requests, connections and bytes are those since the second before. Only the goroutine of runPeriodicTasks calls it.
 func (n *node) logCapacity() {
-	s, last := n.capacity.Status(), n.loggedCapacity
+	s, last := capacityUse{n.capacity.Status(), n.traffic.sent.Load(), n.traffic.received.Load()}, n.loggedCapacity
 	n.loggedCapacity = s
-	if s.Pauses == last.Pauses && max(s.LinkInDelay, s.LinkOutDelay, s.LinkDelay, s.Lateness) < notableDelay {
+	refused, longest := s.RefusedAfter(last.Status)
+	if refused == 0 && max(s.LinkInDelay, s.LinkOutDelay, s.LinkDelay, s.Lateness) < notableDelay {
 		return
 	}
-	n.logEvent("capacity", "refusing_for", s.Binding, "refused_for", elapsed(n.clock(), s.RefusedSince), "pauses", s.Pauses-last.Pauses, "requests", s.Requests-last.Requests, "sent", s.Sent-last.Sent, "received", s.Received-last.Received,
+	n.logEvent("capacity", "refusing_for", longest, "refused_time", refused, "refused_for", elapsed(n.clock(), s.RefusedSince), "accepted", s.Accepted-last.Accepted, "pauses", s.Pauses-last.Pauses, "requests", s.Requests-last.Requests, "sent", s.Sent-last.Sent, "received", s.Received-last.Received,
+		"peer_sent", s.peerSent-last.peerSent, "peer_received", s.peerReceived-last.peerReceived,
 		"sent_per_request", int(s.SentPerRequest), "received_per_request", int(s.ReceivedPerRequest), "link_delay", s.LinkDelay, "link_out_delay", s.LinkOutDelay, "link_in_delay", s.LinkInDelay,
 		"processor_late", s.Lateness, "window", s.Window, "open", s.Open, "unread", s.Unread, "memory", s.Memory)
 }
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -97,7 +97,7 @@
 	// capacity tracks what this instance's resources are used for; loggedCapacity is its state as last
 	// logged, which only the goroutine of runPeriodicTasks uses.
 	capacity       *capacity.Account
-	loggedCapacity capacity.Status
+	loggedCapacity capacityUse
 	// clients is the listener for clients.
 	clients *socket.GatedListener
 	// links tracks which replicas can be connected to; dials counts the attempts.
--- a/cmd/fieldvale-node/traffic.go
+++ b/cmd/fieldvale-node/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -26,6 +27,8 @@
 // peerTraffic counts the bytes and messages between this instance and others.
 type peerTraffic struct {
 	bytes, messages *prometheus.CounterVec
+	// sent and received are the bytes of all duties.
+	sent, received *atomic.Int64
 }
 
 // newTraffic registers the counters of traffic between instances.
@@ -33,6 +36,8 @@
 	return peerTraffic{
 		bytes:    n.metrics.Counter("peer_bytes_total", "Bytes to and from other instances, by duty.", "duty", "direction"),
 		messages: n.metrics.Counter("peer_messages_total", "Messages to and from other instances, by duty.", "duty", "direction"),
+		sent:     new(atomic.Int64),
+		received: new(atomic.Int64),
 	}
 }
 
@@ -40,6 +45,11 @@
 func (t peerTraffic) count(duty, direction string, bytes int) {
 	t.bytes.WithLabelValues(duty, direction).Add(float64(bytes))
 	t.messages.WithLabelValues(duty, direction).Inc()
+	if direction == directionSent {
+		t.sent.Add(int64(bytes))
+	} else {
+		t.received.Add(int64(bytes))
+	}
 }
 
 // countingFetcher counts what this instance fetches from others.
