relay: an instance that is back from a cut no longer avoids the sources that were silent meanwhile

Callers saw: a change of the configuration not in force within 2 s at an instance whose own cut had ended 3 s before (CONFIG), while all others had it.

The rule for the case that all are silent (silentSources) does not apply once one answers.

Change: an answer of an instance that was silent, after no answer of any for longer than a query takes, ends the avoidance of the silent ones: this instance may have been the one that was cut off.

--- a/relay/node.go
+++ b/relay/node.go
@@ -84,7 +84,9 @@
 	avoidUntil map[string]time.Time
 	// silent are the instances that did not answer the last query.
 	silent map[string]bool
-	source string
+	// answeredAt is when an instance last answered a query.
+	answeredAt time.Time
+	source     string
 	// linkFreeAt is when the link of this instance has capacity for another answer.
 	linkFreeAt time.Time
 	// sourceFollowers is how many unregistered followers, this instance included, the last
--- a/relay/sources.go
+++ b/relay/sources.go
@@ -112,10 +112,18 @@
 	n.avoidSource(m, longAvoid)
 }
 
-// markResponsive records that an instance answered.
+// markResponsive records that an instance answered. Where none had answered for longer than a query takes, this
+// instance may have been the one that was cut off: those that were silent then are no longer avoided.
 func (n *Node) markResponsive(m peer.Member) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := n.clock()
+	if n.silent[m.ID] && now.Sub(n.answeredAt) > n.timing.PeerWait+answerSlack {
+		for id := range n.silent {
+			delete(n.avoidUntil, id)
+		}
+	}
+	n.answeredAt = now
 	delete(n.silent, m.ID)
 }
 
