--- a/cmd/fieldvale-soak/main.go
+++ b/cmd/fieldvale-soak/main.go
@@ -44,6 +44,8 @@
 	Notices         bool          `long:"noticing" description:"have replicas announce that they drain, or request backoff, throughout the run"`
 	Failing         bool          `long:"failing" description:"have replicas fail most requests, and check the retries of all instances"`
 	Replacing       bool          `long:"replacing" description:"replace instances that are lost for good, and kill all others meanwhile"`
+	Garbled         bool          `long:"garbled" description:"have replicas send bytes that are no answer before some of their answers"`
+	Endless         bool          `long:"endless" description:"as garbled, with bytes that never end"`
 	Loaded          bool          `long:"loaded" description:"place streams by completion, with slow replicas and clients and one customer that sends more than the others"`
 }
 
@@ -96,7 +98,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
-	result, err := soak.Run(ctx, soak.Settings{Seed: seed, Binary: binary, FaultTime: opts.FaultTime, Nodes: opts.Nodes, Replicas: opts.Replicas, Clients: opts.Clients, CrashingRequest: opts.CrashingRequest, CrashingPart: opts.CrashingPart, Skewed: opts.Skewed, Fragile: opts.Fragile, Limits: opts.Limits, Notices: opts.Notices, StoreOutages: opts.StoreOutages, Loaded: opts.Loaded, Replacing: opts.Replacing, Failing: opts.Failing, Dir: dir})
+	result, err := soak.Run(ctx, soak.Settings{Seed: seed, Binary: binary, FaultTime: opts.FaultTime, Nodes: opts.Nodes, Replicas: opts.Replicas, Clients: opts.Clients, CrashingRequest: opts.CrashingRequest, CrashingPart: opts.CrashingPart, Skewed: opts.Skewed, Fragile: opts.Fragile, Limits: opts.Limits, Notices: opts.Notices, StoreOutages: opts.StoreOutages, Loaded: opts.Loaded, Replacing: opts.Replacing, Failing: opts.Failing, Garbled: opts.Garbled, Endless: opts.Endless, Dir: dir})
 	ok := err == nil && len(result.Violations) == 0
 	fmt.Printf("seed=%d ok=%t answered=%d failed=%d after: answered=%d failed=%d faults=%d crashed=%d resumed=%d slow_read=%d release=%s\n", seed, ok, result.Answered, result.Failed, result.AnsweredAfterFaults, result.FailedAfterFaults, len(result.Faults), result.CrashedReplicas, result.Resumed, result.SlowRead, result.Release)
 	for _, c := range slices.Sorted(maps.Keys(result.Causes)) {
