--- a/adapter/exchange/exchange.go
+++ b/adapter/exchange/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -86,17 +87,36 @@
 	}
 	s := &Response{pool: p, addr: addr, conn: c, idleTimeout: defaultIdleTimeout}
 	s.stopCancel = context.AfterFunc(ctx, func() { _ = c.netConn.SetDeadline(time.Unix(1, 0)) })
+	c.requests++
 	if err := s.writeRequest(q); err != nil {
 		s.Close()
-		return nil, outcome.New(outcome.Unknown, "write", addr, err)
+		return nil, outcome.New(outcome.Unknown, "write", addr, errors.Wrap(err, s.Use().String()))
 	}
 	if err := s.readHeader(q); err != nil {
 		s.Close()
-		return nil, outcome.New(outcome.Unknown, "read", addr, err)
+		return nil, outcome.New(outcome.Unknown, "read", addr, errors.Wrap(err, s.Use().String()))
 	}
 	return s, nil
 }
 
+// Use identifies an exchange by its connection.
+type Use struct {
+	// LocalAddr is this end of the connection.
+	LocalAddr string
+	// Number is the number of the exchange among those of the connection, from 1.
+	Number int
+}
+
+// String returns the use as in logs.
+func (u Use) String() string {
+	return fmt.Sprintf("request %d of connection %s", u.Number, u.LocalAddr)
+}
+
+// Use returns the connection of the exchange.
+func (s *Response) Use() Use {
+	return Use{LocalAddr: s.conn.netConn.LocalAddr().String(), Number: s.conn.requests}
+}
+
 // maxInlineBody is the longest body, in bytes, that is sent in one write with its
 // header. A longer body is written concurrently with reading the response, since a
 // server may respond before it has read the body.
--- a/adapter/exchange/pool.go
+++ b/adapter/exchange/pool.go
@@ -50,6 +50,8 @@
 type conn struct {
 	netConn net.Conn
 	reader  *bufio.Reader
+	// requests is how many requests were sent over the connection.
+	requests int
 	// expires is when the idle connection must no longer be reused, since the
 	// server may close it.
 	expires time.Time
