--- a/adapter/exchange/exchange.go
+++ b/adapter/exchange/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fieldvale/adapter/httphead"
 	"fieldvale/outcome"
 )
 
@@ -164,6 +165,9 @@
 		if err != nil {
 			return err
 		}
+		if err := httphead.Check(r.Status, r.Header); err != nil {
+			return err
+		}
 		if r.StatusCode < http.StatusOK {
 			continue
 		}
