exchange: a request is not sent twice over one connection

A late copy of a replica's answer was taken for the answer to a second attempt of the same request, if both went over one connection: as "not run", though the second attempt ran, or as the answer of a smaller model. It needs a request that goes to one replica twice, as where a larger model is asked after a smaller one; a request that may run once never does. A connection now keeps the ids of its last four requests and isn't used for one of them again.

--- a/adapter/exchange/exchange.go
+++ b/adapter/exchange/exchange.go
@@ -24,6 +24,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// ID identifies the request in answers; empty if answers don't have it. A request with the id of an earlier one
+	// is not sent over the same connection, as a late answer to that one would be taken for its own.
+	ID string
 	// Attribute returns which request a response with this header belongs to. nil takes any
 	// response for the request's own.
 	Attribute func(http.Header) Attribution
@@ -79,7 +82,7 @@
 // Do sends the request and reads the response's header. A failure is an
 // *outcome.Error of kind NotRun if no byte was sent, else Unknown.
 func (p *Pool) Do(ctx context.Context, addr string, q *Request) (*Response, error) {
-	c, err := p.getConn(ctx, addr)
+	c, err := p.getConn(ctx, addr, q.ID)
 	if err != nil {
 		return nil, outcome.New(outcome.NotRun, "dial", addr, err)
 	}
@@ -88,7 +91,7 @@
 	}
 	s := &Response{pool: p, addr: addr, conn: c, idleTimeout: defaultIdleTimeout}
 	s.stopCancel = context.AfterFunc(ctx, func() { _ = c.netConn.SetDeadline(time.Unix(1, 0)) })
-	c.requests++
+	c.recordSent(q.ID)
 	if err := s.writeRequest(q); err != nil {
 		s.Close()
 		return nil, outcome.New(outcome.Unknown, "write", addr, errors.Wrap(err, s.Use().String()))
--- a/adapter/exchange/pool.go
+++ b/adapter/exchange/pool.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	// maxIdlePerAddr bounds the idle connections to one address.
 	maxIdlePerAddr = 24
 	readBufferSize = 4 << 10
+	// idsKept is how many ids of requests a connection keeps. A late answer comes in the place of the next ones.
+	idsKept = 4
 )
 
 // Pool holds idle connections by server address. It is safe for concurrent
@@ -50,8 +53,9 @@
 type conn struct {
 	netConn net.Conn
 	reader  *bufio.Reader
-	// requests is how many requests were sent over the connection.
+	// requests is how many requests were sent over the connection, ids are the ids of the last of them.
 	requests int
+	ids      [idsKept]string
 	// expires is when the idle connection must no longer be reused, since the
 	// server may close it.
 	expires time.Time
@@ -114,9 +118,10 @@
 	}
 }
 
-// getConn returns an idle connection to the address, or else a new one.
-func (p *Pool) getConn(ctx context.Context, addr string) (*conn, error) {
-	if c := p.takeIdle(addr); c != nil {
+// getConn returns an idle connection to the address over which no request with the id was sent lately, or else a
+// new one.
+func (p *Pool) getConn(ctx context.Context, addr, id string) (*conn, error) {
+	if c := p.takeIdle(addr, id); c != nil {
 		return c, nil
 	}
 	k, err := p.dialer.Dial(ctx, addr)
@@ -133,20 +138,15 @@
 	return &conn{netConn: c, reader: bufio.NewReaderSize(c, readBufferSize)}
 }
 
-// takeIdle removes the most recently used idle connection from the pool and
-// returns it; nil if there is none. It closes connections that have expired,
+// takeIdle removes the most recently used idle connection from the pool over which no request with the id was
+// sent lately, and returns it; nil if there is none. It closes connections that have expired,
 // were closed by the server or have unread bytes.
-func (p *Pool) takeIdle(addr string) *conn {
+func (p *Pool) takeIdle(addr, id string) *conn {
 	for {
-		p.mu.Lock()
-		l := p.idle[addr]
-		if len(l) == 0 {
-			p.mu.Unlock()
+		c := p.popIdle(addr, id)
+		if c == nil {
 			return nil
 		}
-		c := l[len(l)-1]
-		p.idle[addr] = l[:len(l)-1]
-		p.mu.Unlock()
 		if p.clock().Before(c.expires) && p.mayReuse(addr, c.netConn) {
 			return c
 		}
@@ -154,6 +154,29 @@
 	}
 }
 
+// popIdle removes the connection that takeIdle looks at next.
+func (p *Pool) popIdle(addr, id string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.idle[addr]
+	for i := len(l) - 1; i >= 0; i-- {
+		if c := l[i]; !c.hasSent(id) {
+			p.idle[addr] = slices.Delete(l, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// recordSent records that a request with the id is sent over the connection.
+func (c *conn) recordSent(id string) {
+	c.ids[c.requests%idsKept] = id
+	c.requests++
+}
+
+// hasSent reports whether a request with the id was among the last ones sent over the connection.
+func (c *conn) hasSent(id string) bool { return id != "" && slices.Contains(c.ids[:], id) }
+
 // mayReuse reports whether an idle connection may be used: it is open, has no unread bytes, and its way
 // to the server is still the one to use.
 func (p *Pool) mayReuse(addr string, c net.Conn) bool {
--- a/adapter/exchange/probe.go
+++ b/adapter/exchange/probe.go
@@ -20,7 +20,7 @@
 		if p.hasSettledIdle(addr) {
 			return false, nil
 		}
-		c, err := p.getConn(ctx, addr)
+		c, err := p.getConn(ctx, addr, "")
 		if err != nil {
 			return errors.Is(err, syscall.ECONNREFUSED), nil
 		}
@@ -33,7 +33,7 @@
 // hasSettledIdle reports whether an idle connection to the address is still open after probeSettle. Those that
 // are not are closed.
 func (p *Pool) hasSettledIdle(addr string) bool {
-	for c := p.takeIdle(addr); c != nil; c = p.takeIdle(addr) {
+	for c := p.takeIdle(addr, ""); c != nil; c = p.takeIdle(addr, "") {
 		time.Sleep(probeSettle)
 		if p.mayReuse(addr, c.netConn) {
 			p.putIdle(addr, c, c.expires.Sub(p.clock()))
