exchange: the head of an answer, and what is skipped before it, have a bound in bytes and in time

A head has 32 kB and, from its first byte on, 2 s; the body of another request's answer 256 kB and 2 s. A cancellation that comes while the deadline of a part is set is kept (TestCancellationWhileAHeadIsRead).

--- a/adapter/exchange/exchange.go
+++ b/adapter/exchange/exchange.go
@@ -12,7 +12,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"fieldvale/adapter/httphead"
 	"fieldvale/outcome"
 )
 
@@ -65,19 +64,14 @@
 	idleTimeout time.Duration
 	// bodyRead is set once the response's body was read to its end.
 	bodyRead bool
+	// length is the body's length in bytes; negative if the head has none.
+	length int64
 	// endsWithConnection is set if the body has neither a length nor chunks.
 	endsWithConnection bool
 }
 
-// maxSkipped bounds how many responses to other requests are skipped.
-const maxSkipped = 2
-
-// ErrUnmatched is returned if more than maxSkipped responses belong to other requests, ErrUnattributed if
-// nothing tells which request a response belongs to.
-var (
-	ErrUnmatched    = errors.New("the answer is another request's")
-	ErrUnattributed = errors.New("the answer does not say which request it is to")
-)
+// canceled is the deadline of a connection whose request was canceled.
+var canceled = time.Unix(1, 0)
 
 // Do sends the request and reads the response's header. A failure is an
 // *outcome.Error of kind NotRun if no byte was sent, else Unknown.
@@ -90,13 +84,13 @@
 		_ = c.netConn.SetDeadline(d)
 	}
 	s := &Response{pool: p, addr: addr, conn: c, idleTimeout: defaultIdleTimeout}
-	s.stopCancel = context.AfterFunc(ctx, func() { _ = c.netConn.SetDeadline(time.Unix(1, 0)) })
+	s.stopCancel = context.AfterFunc(ctx, func() { _ = c.netConn.SetDeadline(canceled) })
 	c.recordSent(q.ID)
 	if err := s.writeRequest(q); err != nil {
 		s.Close()
 		return nil, outcome.New(outcome.Unknown, "write", addr, errors.Wrap(err, s.Use().String()))
 	}
-	if err := s.readHeader(q); err != nil {
+	if err := s.readHeader(ctx, q); err != nil {
 		s.Close()
 		return nil, outcome.New(outcome.Unknown, "read", addr, errors.Wrap(err, s.Use().String()))
 	}
@@ -160,37 +154,6 @@
 	return b.Bytes()
 }
 
-// readHeader reads the header of the response to the request. It skips
-// informational responses and those to other requests.
-func (s *Response) readHeader(q *Request) error {
-	for range maxSkipped + 1 {
-		r, err := http.ReadResponse(s.conn.reader, &http.Request{Method: q.Method})
-		if err != nil {
-			return err
-		}
-		if err := httphead.Check(r.Status, r.Header); err != nil {
-			return err
-		}
-		if r.StatusCode < http.StatusOK {
-			continue
-		}
-		switch q.attribute(r.Header) {
-		case Unattributed:
-			return ErrUnattributed
-		case Other:
-			if _, err := io.Copy(io.Discard, r.Body); err != nil {
-				return err
-			}
-			continue
-		}
-		s.Status, s.Header, s.body = r.StatusCode, r.Header, r.Body
-		s.idleTimeout = idleTimeoutOf(r)
-		s.endsWithConnection = r.ContentLength < 0 && len(r.TransferEncoding) == 0
-		return nil
-	}
-	return ErrUnmatched
-}
-
 // attribute returns which request a response with the header belongs to.
 func (q *Request) attribute(h http.Header) Attribution {
 	if q.Attribute == nil {
--- a/adapter/exchange/pool.go
+++ b/adapter/exchange/pool.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"fieldvale/adapter/httpconn"
+	"fieldvale/adapter/readlimit"
 )
 
 const (
@@ -53,6 +54,8 @@
 type conn struct {
 	netConn net.Conn
 	reader  *bufio.Reader
+	// limit bounds what reader reads from netConn for one part of an answer.
+	limit *readlimit.Reader
 	// requests is how many requests were sent over the connection, ids are the ids of the last of them.
 	requests int
 	ids      [idsKept]string
@@ -135,7 +138,8 @@
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{netConn: c, reader: bufio.NewReaderSize(c, readBufferSize)}
+	l := readlimit.New(c)
+	return &conn{netConn: c, reader: bufio.NewReaderSize(l, readBufferSize), limit: l}
 }
 
 // takeIdle removes the most recently used idle connection from the pool over which no request with the id was
