platform, entry: the body of an answer has a bound, and a refusal's is not waited for

Causes: whole answers were read without a bound; the body of a refusal was read to its end before the next replica was tried; blank lines and comments counted as events of a stream.

After a refusal only what was received is read; else its connection is closed. A block without data or id is a comment: it is passed on, but is no progress, and 1,000 of them or 64 kB without an event end the attempt. A comment before the first event waits for it.

--- a/adapter/exchange/events.go
+++ b/adapter/exchange/events.go
@@ -16,22 +16,35 @@
 
 // EventReader splits the body of a stream of server-sent events into complete events.
 type EventReader struct {
-	r *bufio.Reader
+	r      *bufio.Reader
+	memory Memory
 }
 
-// NewEventReader returns a reader of the body's events.
-func NewEventReader(body io.Reader) *EventReader {
-	return &EventReader{r: bufio.NewReaderSize(body, readBufferSize)}
+// Memory bounds the memory of an answer.
+type Memory interface {
+	// Grow counts n more bytes, or returns an error if there is no room for them.
+	Grow(n int64) error
+	// Release frees all bytes.
+	Release()
+}
+
+// NewEventReader returns a reader of the body's events. The memory is that of the event being read.
+func NewEventReader(body io.Reader, m Memory) *EventReader {
+	return &EventReader{r: bufio.NewReaderSize(body, readBufferSize), memory: m}
 }
 
 // Next returns the next event with the empty line that ends it, and io.EOF after
 // the last event. It returns io.ErrUnexpectedEOF if the body ends within an event.
 func (e *EventReader) Next() (entry.Event, error) {
-	var v entry.Event
+	e.memory.Release()
+	v := entry.Event{IsComment: true}
 	// lineStart is the index of the current line in v.Data. Lines may exceed the read buffer.
 	lineStart := 0
 	for {
 		l, err := e.r.ReadSlice('\n')
+		if err := e.memory.Grow(int64(len(l))); err != nil {
+			return v, err
+		}
 		v.Data = append(v.Data, l...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -53,6 +66,9 @@
 		if len(bytes.TrimRight(l, "\r\n")) == 0 {
 			return v, nil
 		}
+		if bytes.HasPrefix(l, []byte("data")) || bytes.HasPrefix(l, []byte("id")) {
+			v.IsComment = false
+		}
 		if id, ok := bytes.CutPrefix(l, []byte("id:")); ok {
 			v.ID = string(bytes.TrimSpace(id))
 		}
--- a/adapter/exchange/exchange.go
+++ b/adapter/exchange/exchange.go
@@ -211,6 +211,18 @@
 	_ = s.conn.netConn.Close()
 }
 
+// CloseReceived ends the exchange without waiting for the rest of the body. The connection goes back to the pool
+// only if all of the body was received already.
+func (s *Response) CloseReceived() {
+	s.conn.limit.Limit(0)
+	_, _ = io.Copy(io.Discard, s)
+	s.conn.limit.Unlimit()
+	s.Close()
+}
+
+// Length returns the length that the head states for the body, in bytes; negative if it states none.
+func (s *Response) Length() int64 { return s.length }
+
 // bodyWriteGrace is how long the end of a response waits for the result of writing the request's body: on
 // a busy machine the response may be read before the writer has returned.
 const bodyWriteGrace = 10 * time.Millisecond
--- a/adapter/exchange/exchange_test.go
+++ b/adapter/exchange/exchange_test.go
@@ -208,6 +208,12 @@
 	}
 }
 
+// unbounded is memory without a bound.
+type unbounded struct{}
+
+func (unbounded) Grow(int64) error { return nil }
+func (unbounded) Release()         {}
+
 // A stream that is cut within an event must not yield the partial event, nor end as if it
 // were complete. Nor may an event be split where a line fills the read buffer: if the stream is
 // resumed after the first part, the rest of the event is lost.
@@ -227,7 +233,7 @@
 		{"a line as long as the read buffer, with CRLF", "id: 1\r\n" + fullLine + "\r\n\r\nid: 2\r\n\r\n", "1 2", io.EOF},
 		{"an id in the middle of a long line", "id: 1\n" + fullLine + "id: 9\n\n", "1", io.EOF},
 	} {
-		e := NewEventReader(strings.NewReader(c.body))
+		e := NewEventReader(strings.NewReader(c.body), unbounded{})
 		var l []string
 		var v entry.Event
 		var err error
@@ -249,7 +255,7 @@
 	f.Add([]byte("id: 1\ndata: x\n\nid: 2\n\n"))
 	f.Add([]byte("\n\n\r\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		e := NewEventReader(bytes.NewReader(b))
+		e := NewEventReader(bytes.NewReader(b), unbounded{})
 		var got []byte
 		for {
 			v, err := e.Next()
--- a/cmd/fieldvale-node/answerbuffer.go
+++ b/cmd/fieldvale-node/answerbuffer.go
@@ -20,6 +20,20 @@
 	return b
 }
 
+// bodyMemoryPart is the part of the memory that long answers may take while they are read, and minBodyBytes the
+// least that they may.
+const (
+	bodyMemoryPart = 1.0 / 32
+	minBodyBytes   = 4 << 20
+)
+
+// newBodies returns the bound of the memory for long answers that are being read.
+func (n *node) newBodies() *answerbuffer.Bodies {
+	b := answerbuffer.NewBodies(max(minBodyBytes, int64(float64(n.settings.MemoryMB<<20)*bodyMemoryPart)))
+	n.metrics.GaugeFunc("answers_read_bytes", "Memory of long answers that are being read from replicas.", func() float64 { return float64(b.Held()) })
+	return b
+}
+
 // clientSlowHook returns the hook that counts and logs the clients that were slower than their
 // replicas.
 func (n *node) clientSlowHook() func(entry.SlowClient) {
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -221,7 +221,7 @@
 
 // routerPorts returns the components and settings that the router uses.
 func (n *node) routerPorts() entry.Ports {
-	u := platform.NewUpstream(n.pool, n.clock, n.quota, n.logUnknownHeader).WithNotices(n.notices).WithLoads(n.loads)
+	u := platform.NewUpstream(n.pool, n.clock, n.quota, n.logUnknownHeader).WithNotices(n.notices).WithLoads(n.loads).WithBodies(n.newBodies())
 	return entry.Ports{
 		View: n.view, Clock: n.clock, Self: n.settings.ID, DataCentre: n.settings.DataCentre, Regions: n.settings.Regions, Placer: n.placer, Rand: rand.NewPCG(rand.Uint64(), rand.Uint64()), Hooks: n.routerHooks(),
 		Upstream: u, Prober: u, Quarantine: n.quarantine, AcceptConfidence: n.settings.AcceptConfidence, CompletionPause: n.settings.CompletionPause, AnswerBuffers: n.newAnswerBuffers(),
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -111,6 +111,12 @@
 		if err != nil && !isStreamEnd(err) {
 			return outcome.New(outcome.Unknown, "read", a.replica.ID, err)
 		}
+		if err == nil && e.IsComment {
+			if err := a.relayComment(e); err != nil {
+				return err
+			}
+			continue
+		}
 		if !a.promptRead {
 			responded()
 			a.recordFirstEvent()
@@ -118,7 +124,7 @@
 		if isStreamEnd(err) {
 			a.succeeded = true
 			a.w.r.answerSizes.observe(a.w.q.Route.Name, a.bytes)
-			return a.sendHead(reply)
+			return a.endEvents(reply)
 		}
 		if err := a.sendEvent(reply, e); err != nil {
 			return err
@@ -163,11 +169,14 @@
 	if err := a.sendHead(reply); err != nil {
 		return err
 	}
-	acceptedFrom := a.w.r.clock()
-	if err := a.w.out.Event(e.Data); err != nil {
-		return callerGone(err)
+	data := e.Data
+	if len(a.comments) > 0 {
+		data = append(a.comments, data...)
 	}
-	a.clientWait += a.w.r.clock().Sub(acceptedFrom)
+	if err := a.writeEvent(data); err != nil {
+		return err
+	}
+	a.comments, a.commentBytes, a.commentCount = nil, 0, 0
 	a.w.result.Events++
 	a.events++
 	a.recordSurvival()
@@ -178,5 +187,47 @@
 	return nil
 }
 
+// writeEvent writes data of the stream to the client.
+func (a *attempt) writeEvent(data []byte) error {
+	acceptedFrom := a.w.r.clock()
+	if err := a.w.out.Event(data); err != nil {
+		return callerGone(err)
+	}
+	a.clientWait += a.w.r.clock().Sub(acceptedFrom)
+	return nil
+}
+
+const (
+	// maxCommentBytes and maxComments bound the comments and blank lines between two events of a stream.
+	maxCommentBytes = 64 << 10
+	maxComments     = 1000
+)
+
+// errOnlyComments reports a stream that goes on without events.
+var errOnlyComments = errors.New("the stream has no event in as many comments and blank lines as it may have")
+
+// relayComment writes a comment to the client. Before the first event of the run it is kept, since another replica
+// may still give the answer.
+func (a *attempt) relayComment(e Event) error {
+	a.commentBytes += len(e.Data)
+	a.commentCount++
+	if a.commentBytes > maxCommentBytes || a.commentCount > maxComments {
+		return outcome.New(outcome.Unknown, "read", a.replica.ID, errOnlyComments)
+	}
+	if a.events == 0 {
+		a.comments = append(a.comments, e.Data...)
+		return nil
+	}
+	return a.writeEvent(e.Data)
+}
+
+// endEvents ends a complete stream.
+func (a *attempt) endEvents(reply Reply) error {
+	if err := a.sendHead(reply); err != nil || len(a.comments) == 0 {
+		return err
+	}
+	return a.writeEvent(a.comments)
+}
+
 // isStreamEnd reports whether a stream ended properly.
 func isStreamEnd(err error) bool { return errors.Is(err, io.EOF) }
--- a/entry/streammonitor.go
+++ b/entry/streammonitor.go
@@ -283,6 +283,7 @@
 	e, err := reply.Next()
 	m.endWait()
 	switch {
+	case err == nil && e.IsComment:
 	case err == nil:
 		m.tracker, m.withoutID = m.withEvent(m.a.w.r.clock()), e.ID == ""
 	case !isStreamEnd(err):
--- a/entry/upstream.go
+++ b/entry/upstream.go
@@ -37,6 +37,9 @@
 type Event struct {
 	ID   string
 	Data []byte
+	// IsComment is set if there is neither data nor an id, as in a blank line or a comment that keeps a
+	// connection open. It is no progress of the stream.
+	IsComment bool
 }
 
 // Reply is a backend server's answer while it arrives. It must be closed.
