--- a/adapter/exchange/exchange.go
+++ b/adapter/exchange/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fieldvale/adapter/readlimit"
 	"fieldvale/outcome"
 )
 
@@ -211,6 +212,15 @@
 	_ = s.conn.netConn.Close()
 }
 
+// ReadAll reads the body to its end. It returns readlimit.ErrExceeded if the body is longer than most bytes.
+func (s *Response) ReadAll(most int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(s, most+1))
+	if err == nil && int64(len(b)) > most {
+		return nil, errors.Wrapf(readlimit.ErrExceeded, "want at most %d bytes", most)
+	}
+	return b, err
+}
+
 // CloseReceived ends the exchange without waiting for the rest of the body. The connection goes back to the pool
 // only if all of the body was received already.
 func (s *Response) CloseReceived() {
--- a/adapter/tunnel/dialer.go
+++ b/adapter/tunnel/dialer.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"fieldvale/adapter/exchange"
+	"fieldvale/adapter/httphead"
+	"fieldvale/adapter/readlimit"
 	"fieldvale/peer"
 	"fieldvale/reach"
 )
@@ -278,8 +280,11 @@
 	if t, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(t)
 	}
-	r := bufio.NewReaderSize(c, readBuffer)
+	l := readlimit.New(c)
+	r := bufio.NewReaderSize(l, readBuffer)
+	l.Limit(maxAnswerBytes)
 	status, err := connect(c, r, addr)
+	l.Unlimit()
 	if err == nil && status == http.StatusOK {
 		setNoDeadline(c)
 		d.Helpers.Opened(m.ID)
@@ -296,6 +301,9 @@
 	return nil, err
 }
 
+// maxAnswerBytes bounds the answer to a request for a tunnel.
+const maxAnswerBytes = 8 << 10
+
 // connect sends the request for the tunnel and returns the status of the answer.
 func connect(c net.Conn, r *bufio.Reader, addr string) (int, error) {
 	if _, err := c.Write([]byte("CONNECT " + addr + " HTTP/1.1\r\nHost: " + addr + "\r\n\r\n")); err != nil {
@@ -305,5 +313,5 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "read the answer")
 	}
-	return p.StatusCode, nil
+	return p.StatusCode, errors.Wrap(httphead.Check(p.Status, p.Header), "read the answer")
 }
--- a/adapter/tunnel/tunnel_test.go
+++ b/adapter/tunnel/tunnel_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -324,3 +325,46 @@
 		}
 	}
 }
+
+// Guards against an instance whose answer to the request for a tunnel never ends, or is not one answer.
+func TestHelperWithoutAnswerIsPassedOver(t *testing.T) {
+	b := startBackend(t, func(c net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return err == nil
+	})
+	for _, sent := range []string{"HTTP/1.1 200 OK\r\nX-Note: ", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 ", "HTTP/1.1 503 BusyHTTP/1.1 200 OK\r\n\r\n"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					_, err := io.WriteString(c, sent)
+					for x := []byte(strings.Repeat("X-Note: busy\r\n", 300)); err == nil; {
+						_, err = c.Write(x)
+					}
+				}()
+			}
+		}()
+		faulty := &helper{member: peer.Member{ID: "n1", Addr: l.Addr().String()}}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, _, err = get(t.Context(), newPool(faulty), b.addr(), "")
+		runtime.ReadMemStats(&after)
+		if outcome.KindOf(err) != outcome.NotRun || err == nil {
+			t.Errorf("after %q: got error %v, want one of kind not run", sent, err)
+		}
+		if n := after.TotalAlloc - before.TotalAlloc; n > 1<<20 {
+			t.Errorf("after %q: allocated %d bytes, want at most 1 MB", sent, n)
+		}
+		if a, via, err := get(t.Context(), newPool(faulty, startHelper(t, "n2", "")), b.addr(), ""); a != "ok" || via != "n2" || err != nil {
+			t.Errorf("after %q: got %q via %q and error %v, want ok via n2", sent, a, via, err)
+		}
+	}
+}
