httpconn, backend: an entry's answers whose head is that of two, and its streams, have a bound

Heads were bounded by the reader (4 kB), whole bodies by 8 MB. A stream has 8 MB now, and 64 kB after its end marker.

--- a/adapter/backend/engine.go
+++ b/adapter/backend/engine.go
@@ -164,15 +164,21 @@
 	return n, withContext(ctx, err)
 }
 
-// maxChunk bounds one event of a stream, in bytes.
-const maxChunk = 1 << 20
+const (
+	// maxChunk bounds one event of a stream, in bytes.
+	maxChunk = 1 << 20
+	// maxStream bounds a stream in all, and maxRest what follows its end marker, in bytes.
+	maxStream = 8 << 20
+	maxRest   = 64 << 10
+)
 
 const doneEvent = "[DONE]"
 
 // readStream passes each chunk to sink until the stream's end marker. It fails if the
 // stream ends before the marker or if no chunk had a finish_reason.
 func readStream(r *pool.Replica, a entry.Attempt, l *httpconn.Call, sink func([]byte) error) (entry.Answer, error) {
-	s := bufio.NewScanner(l.Body())
+	body := &io.LimitedReader{R: l.Body(), N: maxStream}
+	s := bufio.NewScanner(body)
 	s.Buffer(make([]byte, 0, 4096), maxChunk)
 	var n entry.Answer
 	var t strings.Builder
@@ -188,7 +194,11 @@
 			if !finished {
 				return n, invalidResponse(r, errors.New("stream ended without a finish_reason"))
 			}
+			body.N = min(body.N, maxRest)
 			discardRest(s)
+			if body.N <= 0 {
+				return n, invalidResponse(r, errors.Newf("more than %d bytes after the stream's end marker", maxRest))
+			}
 			return n, s.Err()
 		}
 		var w chatCompletion
--- a/adapter/httpconn/httpconn.go
+++ b/adapter/httpconn/httpconn.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"fieldvale/adapter/httphead"
 	"fieldvale/outcome"
 )
 
@@ -138,6 +139,22 @@
 	if err := l.resp.ReadLimitBody(l.conn.reader, maxBody); err != nil {
 		return outcome.New(outcome.Unknown, "read", l.addr, err)
 	}
+	if err := checkHead(&l.resp.Header); err != nil {
+		return outcome.New(outcome.Unknown, "read", l.addr, err)
+	}
+	return nil
+}
+
+// checkHead returns an error if the response's head contradicts itself.
+func checkHead(h *fasthttp.ResponseHeader) error {
+	if err := httphead.CheckStatus(string(h.StatusMessage())); err != nil {
+		return err
+	}
+	for n, v := range h.All() {
+		if err := httphead.CheckField(string(n), string(v)); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
