--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -8,6 +8,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fieldvale/adapter/exchange"
+	"fieldvale/adapter/httphead"
+	"fieldvale/adapter/readlimit"
+	"fieldvale/answerbuffer"
 	"fieldvale/entry"
 	"fieldvale/outcome"
 	"fieldvale/rollout"
@@ -18,6 +22,7 @@
 	judged := n.metrics.Counter("release_answers_total", "Attempts by release and what they count as when releases are judged.", "service", "release", "verdict")
 	bad := n.metrics.Counter("releases_found_bad_total", "Releases that this instance found bad, by service and the state that the release was in.", "service", "state")
 	broken := n.metrics.Counter("attempts_failed_total", "Attempts at backend servers that came to nothing, by service and whether an answer had begun.", "service", "began")
+	unusable := n.metrics.Counter("answers_unusable_total", "Attempts whose replica sent bytes that are no answer to the request, by service and reason.", "service", "reason")
 	moved := n.metrics.Counter("streams_moved_total", "Streams that were continued on another replica because they were silent or too slow, by service and reason.", "service", "reason")
 	return &entry.Hooks{
 		StreamMoved: func(m entry.StreamMove) {
@@ -30,6 +35,9 @@
 		AttemptJudged:  func(service, release, verdict string) { judged.WithLabelValues(service, release, verdict).Inc() },
 		AttemptFailed: func(f entry.FailedAttempt) {
 			broken.WithLabelValues(f.Service, strconv.FormatBool(f.AnswerStarted)).Inc()
+			if r := unusableReason(f.Err); r != "" {
+				unusable.WithLabelValues(f.Service, r).Inc()
+			}
 			n.logEvent("attempt_failed", "request", f.Request, "content", f.Fingerprint, "parts", partList(f.SharedParts), "replica", f.Replica, "replica_crashed", f.ReplicaCrashed,
 				"began", f.AnswerStarted, "began_ago", headAge(f, n.clock()), "events", f.Events, "retry_in", retryDelay(f.Err, n.clock()), "error", f.Err)
 		},
@@ -120,6 +128,31 @@
 	return elapsed(o.RetryAt, now)
 }
 
+// unusableReasons are the errors of answers that are none, and their values of the label "reason".
+var unusableReasons = []struct {
+	err    error
+	reason string
+}{
+	{exchange.ErrUnattributed, "no_id"},
+	{exchange.ErrUnmatched, "other_id"},
+	{exchange.ErrInformational, "informational"},
+	{httphead.ErrContradictory, "contradictory"},
+	{readlimit.ErrExceeded, "too_long"},
+	{answerbuffer.ErrTooLong, "too_long"},
+	{answerbuffer.ErrNoRoom, "no_room"},
+	{entry.ErrOnlyComments, "only_comments"},
+}
+
+// unusableReason returns why an attempt's answer was none; empty for other errors.
+func unusableReason(err error) string {
+	for _, u := range unusableReasons {
+		if errors.Is(err, u.err) {
+			return u.reason
+		}
+	}
+	return ""
+}
+
 // maxLoggedParts bounds the parts of a prompt in one log line.
 const maxLoggedParts = 16
 
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -203,8 +203,8 @@
 	maxComments     = 1000
 )
 
-// errOnlyComments reports a stream that goes on without events.
-var errOnlyComments = errors.New("the stream has no event in as many comments and blank lines as it may have")
+// ErrOnlyComments reports a stream that goes on without events.
+var ErrOnlyComments = errors.New("the stream has no event in as many comments and blank lines as it may have")
 
 // relayComment writes a comment to the client. Before the first event of the run it is kept, since another replica
 // may still give the answer.
@@ -212,7 +212,7 @@
 	a.commentBytes += len(e.Data)
 	a.commentCount++
 	if a.commentBytes > maxCommentBytes || a.commentCount > maxComments {
-		return outcome.New(outcome.Unknown, "read", a.replica.ID, errOnlyComments)
+		return outcome.New(outcome.Unknown, "read", a.replica.ID, ErrOnlyComments)
 	}
 	if a.events == 0 {
 		a.comments = append(a.comments, e.Data...)
