--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,7 @@
 	go test -run '^$$' -fuzz FuzzChat -fuzztime 10s ./adapter/caller
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./adapter/codec
 	go test -run '^$$' -fuzz FuzzEvents -fuzztime 10s ./adapter/exchange
+	go test -run '^$$' -fuzz FuzzJoinedAnswers -fuzztime 10s ./adapter/exchange
 	go test -run '^$$' -fuzz FuzzReceive -fuzztime 10s ./relay
 	go test -run '^$$' -fuzz FuzzReceive -fuzztime 10s ./quarantine
 	go test -run '^$$' -fuzz FuzzReceive -fuzztime 10s ./quota
