relay, mirror: an answer of another instance confirms no moment after itself

Cause, found by reading for it: an instance that asks several others at once gets answers that did not wait for a change, and took them for ones that had waited 0.3 s if they arrived that late. On a slow or paused machine the configuration then counted as confirmed up to 0.3 s after the moment that the answer spoke for. Class: a time inferred from the receiver's clock instead of the sender's.

Each answer now has when its query was sent and whether its sender waited.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -213,13 +213,12 @@
 
 // asOf returns the moment for which an answer confirms the state. An answer that waited to
 // the end without a change confirms the end of the wait; any other only the moment at
-// which the call was sent, since the answer may have been long in transit.
+// which the call or the peer's query was sent, since the answer may have been long in transit.
 func (m *Mirror) asOf(sent time.Time, wait time.Duration, c store.Changes) time.Time {
-	w := wait
-	if c.PeerWait > 0 {
-		w = min(w, c.PeerWait)
+	if !c.AskedAt.IsZero() {
+		sent, wait = c.AskedAt, min(wait, c.PeerWait)
 	}
-	if e := sent.Add(w); len(c.Items) == 0 && !m.clock().Before(e) {
+	if e := sent.Add(wait); len(c.Items) == 0 && !m.clock().Before(e) {
 		return e.Add(-c.Age)
 	}
 	return sent.Add(-c.Age)
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -89,9 +89,9 @@
 	n.markResponsive(m)
 	switch {
 	case a.Status == statusOK && n.isUsable(a):
-		return n.acceptChanges(m, a), true
+		return n.acceptChanges(h), true
 	case a.Status == statusTooLarge || a.Status == statusFetchSnapshot:
-		if c, ok := n.fetchChanges(ctx, m, a, after); ok {
+		if c, ok := n.fetchChanges(ctx, h, after); ok {
 			return c, true
 		}
 	case a.Status == statusBusy:
@@ -110,33 +110,32 @@
 }
 
 // fetchChanges fetches changes that are too large for datagrams, or a snapshot where the
-// changes are no longer kept. It fetches from the address named in the answer a of the
-// instance m, and if that fails from m itself.
-func (n *Node) fetchChanges(ctx context.Context, m peer.Member, a answer, after int64) (store.Changes, bool) {
+// changes are no longer kept. It fetches from the address named in the answer of the result h,
+// and if that fails from the source itself.
+func (n *Node) fetchChanges(ctx context.Context, h queryResult, after int64) (store.Changes, bool) {
+	m, a := h.source, h.answer
 	for _, addr := range []string{a.FetchFrom, m.Addr} {
 		if addr == "" {
 			continue
 		}
+		fetchedAt := n.clock()
 		f, err := n.fetch(ctx, addr, after)
 		if err == nil && f.age() <= n.timing.MaxAge {
 			f.Hops, f.Followers, f.Estimate, f.FleetSize = a.Hops, a.Followers, a.Estimate, a.FleetSize
-			c := n.acceptChanges(m, f)
-			c.PeerWait = 0
-			return c, true
+			return n.acceptChanges(queryResult{source: m, answer: f, askedAt: fetchedAt}), true
 		}
 		n.event("changes_unfetched", "source", m.ID, "addr", addr, "after", after, "age", f.age(), "error", err)
 	}
 	return store.Changes{}, false
 }
 
-// acceptChanges returns the changes of an answer of the instance m, and records m as the
-// source.
-func (n *Node) acceptChanges(m peer.Member, a answer) store.Changes {
-	n.setSource(m.ID)
-	n.changeLog.SetHops(a.Hops + 1)
-	n.recordSourceSizes(a)
-	c := a.changes()
-	c.PeerWait = n.timing.PeerWait
+// acceptChanges returns the changes of the result, and records where they are from.
+func (n *Node) acceptChanges(h queryResult) store.Changes {
+	n.setSource(h.source.ID)
+	n.changeLog.SetHops(h.answer.Hops + 1)
+	n.recordSourceSizes(h.answer)
+	c := h.answer.changes()
+	c.AskedAt, c.PeerWait = h.askedAt, h.wait
 	return c
 }
 
--- a/relay/query.go
+++ b/relay/query.go
@@ -25,18 +25,22 @@
 
 // ask sends a query to an instance and waits up to the timeout for its answer.
 func (n *Node) ask(ctx context.Context, q query, m peer.Member, timeout time.Duration) queryResult {
+	askedAt := n.clock()
 	a, ok := n.pending.Call(ctx, timeout, func(id uint64) error {
 		q.ID, q.Unregistered, q.Followers = id, n.isUnregistered(), n.reportedFollowers()
 		return n.send(m.Addr, id, message{Query: &q}, nil)
 	})
-	return queryResult{m, a, ok}
+	return queryResult{source: m, answer: a, askedAt: askedAt, wait: time.Duration(q.WaitMs) * time.Millisecond, ok: ok}
 }
 
-// queryResult is the result of a query; ok is false if no answer arrived.
+// queryResult is the result of a query that was sent at askedAt; ok is false if no answer arrived. wait is how long
+// the source waits for a change.
 type queryResult struct {
-	source peer.Member
-	answer answer
-	ok     bool
+	source  peer.Member
+	answer  answer
+	askedAt time.Time
+	wait    time.Duration
+	ok      bool
 }
 
 // askAll queries the instances at once for the revisions that they have. The results are
--- a/store/feed.go
+++ b/store/feed.go
@@ -46,8 +46,9 @@
 	// Age is the age of the response when it was sent; 0 if it is from the store
 	// itself.
 	Age time.Duration
-	// PeerWait is how long the responding peer waits for a change, if that is less
-	// than requested.
+	// AskedAt is when the query was sent that a peer has answered; zero if the response is from the
+	// store. PeerWait is how long that peer waited for a change before it answered without one.
+	AskedAt  time.Time
 	PeerWait time.Duration
 }
 
