--- a/adapter/exchange/events.go
+++ b/adapter/exchange/events.go
@@ -66,11 +66,15 @@
 		if len(bytes.TrimRight(l, "\r\n")) == 0 {
 			return v, nil
 		}
-		if bytes.HasPrefix(l, []byte("data")) || bytes.HasPrefix(l, []byte("id")) {
-			v.IsComment = false
-		}
+		v.IsComment = v.IsComment && !hasContent(l)
 		if id, ok := bytes.CutPrefix(l, []byte("id:")); ok {
 			v.ID = string(bytes.TrimSpace(id))
 		}
 	}
 }
+
+// hasContent reports whether the line is a field that is part of an event: its data or its id.
+func hasContent(line []byte) bool {
+	name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+	return string(name) == "data" || string(name) == "id"
+}
--- a/adapter/exchange/exchange_test.go
+++ b/adapter/exchange/exchange_test.go
@@ -249,6 +249,19 @@
 	}
 }
 
+// Guards against comments that count as progress of a stream, and events that don't.
+func TestCommentsAreNoEvents(t *testing.T) {
+	for block, want := range map[string]bool{
+		"\n": true, ": busy\n\n": true, "retry: 9\n\n": true, "identity: 1\n\n": true, ":\r\n\r\n": true,
+		"data: x\n\n": false, "data\n\n": false, "id: 1\n\n": false, ": busy\nid:1\r\n\r\n": false, "event: x\ndata:\n\n": false,
+	} {
+		e, err := NewEventReader(strings.NewReader(block), unbounded{}).Next()
+		if e.IsComment != want || err != nil {
+			t.Errorf("%q: got comment %t and error %v, want %t", block, e.IsComment, err, want)
+		}
+	}
+}
+
 // For any body, the returned events together must be a prefix of it, and all of it if the
 // body ends at an event's end.
 func FuzzEvents(f *testing.F) {
