--- a/adapter/backend/endless_test.go
+++ b/adapter/backend/endless_test.go
@@ -1,12 +1,8 @@
 package backend_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +10,7 @@
 	"fieldvale/adapter/backend"
 	"fieldvale/adapter/httpconn"
 	"fieldvale/pool"
+	"fieldvale/standin/endless"
 )
 
 // Guards against an engine whose stream goes on without end and holds its caller until the deadline.
@@ -27,28 +24,15 @@
 		{"after the end marker", chunk + "data: [DONE]\n\n", "\n"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: id-1\r\nConnection: close\r\n\r\n%s", backend.HeaderAttempt, c.begin)
+			l, err := endless.Listen(endless.Answer{Head: head, Piece: strings.Repeat(c.piece, 1+4000/len(c.piece))})
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Cleanup(func() { _ = l.Close() })
-			go func() {
-				k, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer k.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(k)); err != nil {
-					return
-				}
-				_, err = fmt.Fprintf(k, "HTTP/1.1 200 OK\r\n%s: id-1\r\nConnection: close\r\n\r\n%s", backend.HeaderAttempt, c.begin)
-				for b := strings.Repeat(c.piece, 1+4000/len(c.piece)); err == nil; {
-					_, err = io.WriteString(k, b)
-				}
-			}()
+			t.Cleanup(l.Close)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			_, err = backend.NewEngines(httpconn.New()).Stream(ctx, &pool.Replica{ID: "e", Addr: l.Addr().String()}, attempt(0), func([]byte) error { return nil })
+			_, err = backend.NewEngines(httpconn.New()).Stream(ctx, &pool.Replica{ID: "e", Addr: l.Addr()}, attempt(0), func([]byte) error { return nil })
 			if err == nil || ctx.Err() != nil {
 				t.Errorf("got error %v, deadline passed %t, want an error before the deadline", err, ctx.Err() != nil)
 			}
--- a/adapter/exchange/endless_test.go
+++ b/adapter/exchange/endless_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -11,6 +9,7 @@
 	"time"
 
 	"fieldvale/outcome"
+	"fieldvale/standin/endless"
 )
 
 const (
@@ -20,36 +19,14 @@
 	endlessBytes = 1 << 20
 )
 
-// startEndless starts a server that answers each request with head and then with piece until the connection is
-// closed, with a pause after each. It reports each connection that was closed on closed.
-func startEndless(t *testing.T, head, piece string, pause time.Duration) (addr string, closed chan struct{}) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// startEndless starts a server of answers without end.
+func startEndless(t *testing.T, a endless.Answer) *endless.Server {
+	s, err := endless.Listen(a)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	closed = make(chan struct{}, 100)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := c.Read(make([]byte, 4<<10)); err != nil {
-					return
-				}
-				_, err := io.WriteString(c, head)
-				for b := []byte(piece); err == nil; {
-					_, err = c.Write(b)
-					time.Sleep(pause)
-				}
-				closed <- struct{}{}
-			}()
-		}
-	}()
-	return l.Addr().String(), closed
+	t.Cleanup(s.Close)
+	return s
 }
 
 // ownByID takes answers with the id a for the request's.
@@ -83,14 +60,14 @@
 func TestAnswersWithoutEndAreGivenUp(t *testing.T) {
 	for _, c := range endlessHeads {
 		t.Run(c.name, func(t *testing.T) {
-			addr, closed := startEndless(t, c.head, c.piece, 0)
+			e := startEndless(t, endless.Answer{Head: c.head, Piece: c.piece})
 			p := New(time.Now)
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			defer cancel()
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			began := time.Now()
-			r, err := p.Do(ctx, addr, &Request{Method: "GET", Target: "/", Host: "h", Attribute: ownByID})
+			r, err := p.Do(ctx, e.Addr(), &Request{Method: "GET", Target: "/", Host: "h", Attribute: ownByID})
 			took := time.Since(began)
 			runtime.ReadMemStats(&after)
 			if err == nil {
@@ -106,7 +83,7 @@
 				t.Errorf("allocated %d bytes, want at most %d", n, endlessBytes)
 			}
 			select {
-			case <-closed:
+			case <-e.Closed():
 			case <-time.After(endlessLimit):
 				t.Error("the connection was not closed")
 			}
@@ -119,11 +96,11 @@
 	for _, c := range endlessHeads {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			addr, _ := startEndless(t, c.head, c.piece[:1], 50*time.Millisecond)
+			e := startEndless(t, endless.Answer{Head: c.head, Piece: c.piece[:1], Pause: 50 * time.Millisecond})
 			ctx, cancel := context.WithTimeout(t.Context(), 3*stepTimeout)
 			defer cancel()
 			began := time.Now()
-			_, err := New(time.Now).Do(ctx, addr, &Request{Method: "GET", Target: "/", Host: "h", Attribute: ownByID})
+			_, err := New(time.Now).Do(ctx, e.Addr(), &Request{Method: "GET", Target: "/", Host: "h", Attribute: ownByID})
 			if took := time.Since(began); err == nil || ctx.Err() != nil || took > 2*stepTimeout {
 				t.Errorf("got error %v after %s, want one within %s", err, took, 2*stepTimeout)
 			}
@@ -133,13 +110,13 @@
 
 // Guards against a request whose cancellation is lost as it comes while a part of the answer is read.
 func TestCancellationWhileAHeadIsRead(t *testing.T) {
-	addr, closed := startEndless(t, "HTTP/1.1 200 OK\r\nX-Note: ", "x", 10*time.Millisecond)
+	e := startEndless(t, endless.Answer{Head: "HTTP/1.1 200 OK\r\nX-Note: ", Piece: "x", Pause: 10 * time.Millisecond})
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	began := time.Now()
-	_, err := New(time.Now).Do(ctx, addr, &Request{Method: "GET", Target: "/", Host: "h"})
+	_, err := New(time.Now).Do(ctx, e.Addr(), &Request{Method: "GET", Target: "/", Host: "h"})
 	if took := time.Since(began); err == nil || took > stepTimeout/2 {
 		t.Errorf("got error %v after %s, want one soon after 100ms", err, took)
 	}
-	<-closed
+	<-e.Closed()
 }
--- a/adapter/httpconn/endless_test.go
+++ b/adapter/httpconn/endless_test.go
@@ -1,9 +1,6 @@
 package httpconn_test
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"runtime"
 	"strings"
 	"testing"
@@ -11,6 +8,7 @@
 
 	"fieldvale/adapter/httpconn"
 	"fieldvale/outcome"
+	"fieldvale/standin/endless"
 )
 
 // Guards against a backend server whose answer never ends, or whose head is that of two answers, and that takes the
@@ -29,17 +27,15 @@
 		{"cut status and answer", "HTTP/1.1 503 BuHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			a := startServer(t, func(_ int, k net.Conn) {
-				readRequest(bufio.NewReader(k))
-				_, err := io.WriteString(k, c.head)
-				for b := []byte(strings.Repeat(c.piece, 500)); err == nil && len(b) > 0; {
-					_, err = k.Write(b)
-				}
-			})
+			e, err := endless.Listen(endless.Answer{Head: c.head, Piece: strings.Repeat(c.piece, 500)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(e.Close)
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			began := time.Now()
-			_, err := do(httpconn.New(), a, "x")
+			_, err = do(httpconn.New(), e.Addr(), "x")
 			took := time.Since(began)
 			runtime.ReadMemStats(&after)
 			if err == nil || outcome.KindOf(err) != outcome.Unknown {
--- a/adapter/tunnel/tunnel_test.go
+++ b/adapter/tunnel/tunnel_test.go
@@ -19,6 +19,7 @@
 	"fieldvale/outcome"
 	"fieldvale/peer"
 	"fieldvale/reach"
+	"fieldvale/standin/endless"
 )
 
 // backend is a server that answers each request with what handle writes, and then closes the
@@ -333,26 +334,12 @@
 		return err == nil
 	})
 	for _, sent := range []string{"HTTP/1.1 200 OK\r\nX-Note: ", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 ", "HTTP/1.1 503 BusyHTTP/1.1 200 OK\r\n\r\n"} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		e, err := endless.Listen(endless.Answer{Head: sent, Piece: strings.Repeat("X-Note: busy\r\n", 300)})
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					_, err := io.WriteString(c, sent)
-					for x := []byte(strings.Repeat("X-Note: busy\r\n", 300)); err == nil; {
-						_, err = c.Write(x)
-					}
-				}()
-			}
-		}()
-		faulty := &helper{member: peer.Member{ID: "n1", Addr: l.Addr().String()}}
+		t.Cleanup(e.Close)
+		faulty := &helper{member: peer.Member{ID: "n1", Addr: e.Addr()}}
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
 		_, _, err = get(t.Context(), newPool(faulty), b.addr(), "")
