--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -36,9 +36,8 @@
 	// events is the number of events relayed, bytes their total size.
 	events int
 	bytes  int
-	// comments are those before the first event; commentBytes and commentCount are of those since the last event.
-	comments                   []byte
-	commentBytes, commentCount int
+	// comments are the comments and blank lines of the stream since its last event.
+	comments comments
 	// clientWait is the time for which events waited until the client, or its buffer, had taken
 	// them. The replica is not slow for that.
 	clientWait time.Duration
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -169,14 +169,9 @@
 	if err := a.sendHead(reply); err != nil {
 		return err
 	}
-	data := e.Data
-	if len(a.comments) > 0 {
-		data = append(a.comments, data...)
-	}
-	if err := a.writeEvent(data); err != nil {
+	if err := a.writeEvent(a.comments.take(e.Data)); err != nil {
 		return err
 	}
-	a.comments, a.commentBytes, a.commentCount = nil, 0, 0
 	a.w.result.Events++
 	a.events++
 	a.recordSurvival()
@@ -197,25 +192,14 @@
 	return nil
 }
 
-const (
-	// maxCommentBytes and maxComments bound the comments and blank lines between two events of a stream.
-	maxCommentBytes = 64 << 10
-	maxComments     = 1000
-)
-
-// ErrOnlyComments reports a stream that goes on without events.
-var ErrOnlyComments = errors.New("the stream has no event in as many comments and blank lines as it may have")
-
 // relayComment writes a comment to the client. Before the first event of the run it is kept, since another replica
 // may still give the answer.
 func (a *attempt) relayComment(e Event) error {
-	a.commentBytes += len(e.Data)
-	a.commentCount++
-	if a.commentBytes > maxCommentBytes || a.commentCount > maxComments {
-		return outcome.New(outcome.Unknown, "read", a.replica.ID, ErrOnlyComments)
+	if err := a.comments.add(e.Data); err != nil {
+		return outcome.New(outcome.Unknown, "read", a.replica.ID, err)
 	}
 	if a.events == 0 {
-		a.comments = append(a.comments, e.Data...)
+		a.comments.hold(e.Data)
 		return nil
 	}
 	return a.writeEvent(e.Data)
@@ -223,10 +207,13 @@
 
 // endEvents ends a complete stream.
 func (a *attempt) endEvents(reply Reply) error {
-	if err := a.sendHead(reply); err != nil || len(a.comments) == 0 {
+	if err := a.sendHead(reply); err != nil {
 		return err
 	}
-	return a.writeEvent(a.comments)
+	if rest := a.comments.take(nil); len(rest) > 0 {
+		return a.writeEvent(rest)
+	}
+	return nil
 }
 
 // isStreamEnd reports whether a stream ended properly.
