--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -31,7 +31,7 @@
 //
 //	route KIND attempts=N [resumable] [models=a,b,c] [target=DURATION]
 //	budget N                  size of the retry budget
-//	reply STATUS [confidence=N] [e1 e2 ...] [cut|hang]
+//	reply STATUS [confidence=N] [e1 e2 ...] [cut|hang]    events that begin with a colon are comments
 //	refuse                    the replica answers that the request did not run
 //	unreached                 the replica can't be connected to
 //	reset                     the connection is reset after the request was sent
@@ -226,7 +226,11 @@
 	}
 	if r.n < len(r.p.events) {
 		r.n++
-		return Event{ID: r.p.events[r.n-1], Data: []byte(r.p.events[r.n-1])}, nil
+		e := r.p.events[r.n-1]
+		if strings.HasPrefix(e, ":") {
+			return Event{Data: []byte(e), IsComment: true}, nil
+		}
+		return Event{ID: e, Data: []byte(e)}, nil
 	}
 	switch r.p.end {
 	case "cut":
