review: a killed replica's stream ends as complete (ORDER)

Cause: adapter/exchange/probe.go, RefusesConnections, takes a replica for running if it accepts a connection. The system ends the connections of a killed process before its listening socket, so that a probe right after the end of a stream still gets through, and isCutOff in entry/relay.go takes the stream for whole.

The stand-ins now take blocks of ports: before, scripts side by side took each other's.

--- a/review/standins-2/leave.go
+++ b/review/standins-2/leave.go
@@ -4,23 +4,23 @@
 	"bufio"
 	"fmt"
 	"io"
-	"math/rand"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"time"
 )
 
-// The case's streams: as long as the sheet's term-lookup, of 70 events.
+// The streams: two of three are as long as the sheet's term-lookup, of 70 events, the others as its batch-suggest. A
+// third of the sheet's 18 replicas gets a third of its 106 requests a second.
 const (
 	streamEvents   = 70
 	streamInterval = 80
 	streamFirst    = 300
 	streamDeadline = 25 * time.Second
+	longPath       = "/stream/long"
 	routeHost      = "ficu95.example"
 	apiKey         = "n2ctnfzs989anu6wsjnb"
-	streamsASecond = 12
+	streamsASecond = 36
 )
 
 // streamConfig is a configuration with one route for streams that may be resumed and one for plain requests.
@@ -42,18 +42,24 @@
 // streamResult is what a client got of one stream.
 type streamResult struct {
 	id, machine string
-	status      int
-	events      []int
+	// want is the number of pieces of the whole stream.
+	want   int
+	status int
+	events []int
 	// complete is set if the answer ended as a whole one.
 	complete bool
 	err      error
 }
 
 // openStream sends one request for a stream and reads its answer to the end.
-func openStream(n *node, id string) streamResult {
-	s := streamResult{id: id, machine: n.id}
+func openStream(n *node, id string, short bool) streamResult {
+	s := streamResult{id: id, machine: n.id, want: streamEvents}
+	path := longPath
+	if short {
+		s.want, path = shortEvents, shortPath
+	}
 	h := http.Client{Timeout: streamDeadline, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	q, err := http.NewRequest(http.MethodPost, "http://"+n.front+"/stream/2f", strings.NewReader("prompt of "+id))
+	q, err := http.NewRequest(http.MethodPost, "http://"+n.front+path+"/2f", strings.NewReader("prompt of "+id))
 	if err != nil {
 		s.err = err
 		return s
@@ -85,97 +91,70 @@
 	}
 }
 
-// playLeave: a replica whose answers end with their connection leaves as planned, and ends while streams that it had
-// begun before are under way. ORDER: a stream that ends as complete must have its last piece. With CRASH=1 it is
-// killed at the same moment without having said that it leaves.
+// A release replaces three of the six replicas, one each second. A replica that leaves serves on for drain_ms and a
+// little longer.
+const (
+	replaced     = 3
+	replaceEvery = time.Second
+	servesOn     = 3500 * time.Millisecond
+)
+
+// playLeave: replicas whose answers end with their connection are replaced one after the other, and end while streams
+// that they had begun before are under way. ORDER: a stream that ends as complete must have its last piece.
 func playLeave(e *env) (bool, error) {
-	var err error
-	if e.store, err = newStore(); err != nil {
-		return false, err
-	}
-	e.store.put("op/config", streamConfig())
-	zones := []string{"leith-hall", "gyle-hall", "livingston-hall"}
-	for i, z := range zones {
-		b := behaviour{ID: fmt.Sprintf("i-7f3a91c%d", i), Events: streamEvents, Interval: streamInterval, First: streamFirst, Work: 30, Unframed: true}
-		if _, err := e.startReplica("fieldvale-pool", z, b); err != nil {
-			return false, err
-		}
-		if _, err := e.addNode("edge-"+z+"-1", z); err != nil {
-			return false, err
-		}
-	}
-	if err := e.startAll(); err != nil {
+	if err := e.startStreams(); err != nil {
 		return false, err
 	}
-	e.say("three machines are ready")
-	var mu sync.Mutex
-	var results []streamResult
-	var g sync.WaitGroup
-	stop := time.Now().Add(14 * time.Second)
-	leaveAt := time.Now().Add(6 * time.Second)
-	left := make(chan struct{})
-	go func() {
-		defer close(left)
-		time.Sleep(time.Until(leaveAt))
+	return e.playStreams("", 14*time.Second, 6*time.Second, func() error {
 		if !e.trouble {
-			return
+			return nil
 		}
-		r := e.replicas[0]
-		if os.Getenv("CRASH") == "1" {
-			r.kill()
-			e.say("replica %s was killed", r.ID)
-			return
-		}
-		r.leave(e.store)
-		e.say("replica %s says draining and Server-Leaving", r.ID)
-		// drain_ms, and a little longer.
-		time.Sleep(3500 * time.Millisecond)
-		r.end(e.store)
-		e.say("replica %s has ended", r.ID)
-	}()
-	for i := 0; time.Now().Before(stop); i++ {
-		id := fmt.Sprintf("%016x", rand.Uint64())
-		n := e.nodes[i%len(e.nodes)]
-		g.Go(func() {
-			e.note("client: sends %s to %s", id, n.id)
-			s := openStream(n, id)
-			last := 0
-			if len(s.events) > 0 {
-				last = s.events[len(s.events)-1]
+		var g sync.WaitGroup
+		defer g.Wait()
+		for i, r := range e.replicas[:replaced] {
+			b := r.behaviour
+			b.ID, b.Addr = fmt.Sprintf("i-90aa31e%d", i), ""
+			if _, err := e.startReplica(r.service, r.zone, b); err != nil {
+				return err
 			}
-			e.note("client: %s from %s: status %d, %d events, last id %d, complete %t, error %v", id, n.id, s.status, len(s.events), last, s.complete, s.err)
-			mu.Lock()
-			results = append(results, s)
-			mu.Unlock()
-		})
-		time.Sleep(time.Second / streamsASecond)
-	}
-	g.Wait()
-	<-left
-	return e.checkStreams(results), nil
+			g.Go(func() {
+				r.leave(e.store)
+				e.say("replica %s says draining and Server-Leaving", r.ID)
+				time.Sleep(servesOn)
+				r.end(e.store)
+				e.say("replica %s has ended", r.ID)
+			})
+			time.Sleep(replaceEvery)
+		}
+		return nil
+	})
 }
 
-// checkStreams reports whether a stream broke the rule ORDER.
-func (e *env) checkStreams(l []streamResult) (broken bool) {
+// checkStreams reports whether a stream broke the rule ORDER, at the given machine or, if that is empty, at any.
+func (e *env) checkStreams(l []streamResult, machine string) (broken bool) {
 	whole, cut, short, wrong := 0, 0, 0, 0
 	for _, s := range l {
 		inOrder := true
 		for i, n := range s.events {
 			inOrder = inOrder && n == i+1
 		}
+		isBroken := false
 		switch {
 		case !inOrder:
 			wrong++
+			isBroken = true
 			e.say("ORDER: %s at %s: pieces %v", s.id, s.machine, s.events)
-		case s.complete && s.status == http.StatusOK && len(s.events) < streamEvents:
+		case s.complete && s.status == http.StatusOK && len(s.events) < s.want:
 			short++
-			e.say("ORDER: %s at %s ended as complete after %d of %d pieces", s.id, s.machine, len(s.events), streamEvents)
+			isBroken = true
+			e.say("ORDER: %s at %s ended as complete after %d of %d pieces", s.id, s.machine, len(s.events), s.want)
 		case s.complete && s.status == http.StatusOK:
 			whole++
 		default:
 			cut++
 		}
+		broken = broken || isBroken && (machine == "" || s.machine == machine)
 	}
 	e.say("%d streams: %d whole, %d broken off or refused, %d ended as complete before their last piece, %d with pieces missing or twice", len(l), whole, cut, short, wrong)
-	return short+wrong > 0
+	return broken
 }
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -48,27 +48,37 @@
 	replicas     []*replica
 
 	runsMu sync.Mutex
-	runs   map[string]int
+	// runs has the replica that began to run each request last, sentTo the machine that it was sent to.
+	runs, sentTo map[string]string
 }
 
-// markRun records that a replica has begun to run the request.
-func (e *env) markRun(id string) {
+// markRun records that the replica has begun to run the request.
+func (e *env) markRun(id, replica string) {
 	e.runsMu.Lock()
 	defer e.runsMu.Unlock()
-	e.runs[id]++
+	e.runs[id] = replica
+}
+
+// markSent records that the request is sent to the machine.
+func (e *env) markSent(id string, n *node) {
+	e.runsMu.Lock()
+	defer e.runsMu.Unlock()
+	e.sentTo[id] = n.id
 }
 
 // ran reports whether a replica has run the request.
 func (e *env) ran(id string) bool {
 	e.runsMu.Lock()
 	defer e.runsMu.Unlock()
-	return e.runs[id] > 0
+	return e.runs[id] != ""
 }
 
 // scripts return whether the rule was broken.
 var scripts = map[string]func(*env) (bool, error){
+	"crash":  playCrash,
 	"leave":  playLeave,
 	"bodies": playBodies,
+	"thaw":   playThaw,
 }
 
 func main() { os.Exit(run()) }
@@ -97,7 +107,7 @@
 	}
 	w := bufio.NewWriter(f)
 	defer w.Flush()
-	e := &env{record: &record{w: w, start: time.Now()}, program: os.Args[2], dir: dir, trouble: os.Getenv("TROUBLE") != "0", runs: map[string]int{}}
+	e := &env{record: &record{w: w, start: time.Now()}, program: os.Args[2], dir: dir, trouble: os.Getenv("TROUBLE") != "0", runs: map[string]string{}, sentTo: map[string]string{}}
 	defer e.stopAll()
 	broken, err := scripts[os.Args[1]](e)
 	switch {
--- a/review/standins-2/node.go
+++ b/review/standins-2/node.go
@@ -25,22 +25,42 @@
 }
 
 // Ports below the range that the system gives to outgoing connections, so that an address stays free while its
-// process is down.
+// process is down. Each run takes a block of them.
 const (
-	firstPort = 12000
-	lastPort  = 30000
+	firstPort  = 12000
+	blockPorts = 128
+	blocks     = 140
 )
 
-var takenPorts = map[int]bool{}
+// ports is the block of this run: the next port to hand out, and the listener at the block's first port that keeps
+// other runs from taking it.
+var ports struct {
+	next, end int
+	lock      net.Listener
+}
+
+// takeBlock takes a block that no other run has.
+func takeBlock() error {
+	for range 10 * blocks {
+		p := firstPort + blockPorts*rand.Intn(blocks)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		if err == nil {
+			ports.lock, ports.next, ports.end = l, p+1, p+blockPorts
+			return nil
+		}
+	}
+	return fmt.Errorf("no free block of ports")
+}
 
 // freeAddr returns a loopback address that is free for TCP and UDP.
 func freeAddr() (string, error) {
-	for range 1000 {
-		p := firstPort + rand.Intn(lastPort-firstPort)
-		if takenPorts[p] {
-			continue
+	if ports.lock == nil {
+		if err := takeBlock(); err != nil {
+			return "", err
 		}
-		a := fmt.Sprintf("127.0.0.1:%d", p)
+	}
+	for ; ports.next < ports.end; ports.next++ {
+		a := fmt.Sprintf("127.0.0.1:%d", ports.next)
 		l, err := net.Listen("tcp", a)
 		if err != nil {
 			continue
@@ -51,7 +71,7 @@
 			continue
 		}
 		u.Close()
-		takenPorts[p] = true
+		ports.next++
 		return a, nil
 	}
 	return "", fmt.Errorf("no free port")
--- a/review/standins-2/replica.go
+++ b/review/standins-2/replica.go
@@ -28,6 +28,15 @@
 // heartbeat is the interval at which a replica writes its entry.
 const heartbeat = 1200 * time.Millisecond
 
+// stopTime is the time between the moment from which a replica that ends in order takes no connections, and its end.
+const stopTime = 50 * time.Millisecond
+
+// shortEvents is the number of events of the sheet's batch-suggest, whose requests have a path below shortPath.
+const (
+	shortEvents = 6
+	shortPath   = "/stream/short"
+)
+
 // behaviour tells a replica process how to answer.
 type behaviour struct {
 	ID string
@@ -38,6 +47,8 @@
 	Unframed bool
 	// Work is the time of a plain request in milliseconds.
 	Work int
+	// Addr is the address to listen on; empty for any.
+	Addr string
 }
 
 // runReplica is the process of a replica. It writes its address and then what it runs to standard output. The line
@@ -48,7 +59,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if b.Addr == "" {
+		b.Addr = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", b.Addr)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -63,12 +77,15 @@
 				p.log("leaving")
 			}
 		}
+		// In order: first no new connections, then the end.
+		l.Close()
+		time.Sleep(stopTime)
 		os.Exit(0)
 	}()
 	for {
 		c, err := l.Accept()
 		if err != nil {
-			return exitFailed
+			select {}
 		}
 		go p.serve(c)
 	}
@@ -144,7 +161,11 @@
 	if _, err := io.WriteString(c, p.head(id, "200 OK", "Content-Type: text/event-stream", framing)); err != nil {
 		return false
 	}
-	for ; next <= p.Events; next++ {
+	events := p.Events
+	if strings.HasPrefix(q.RequestURI, shortPath) {
+		events = shortEvents
+	}
+	for ; next <= events; next++ {
 		v := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", next, next, id)
 		if !p.Unframed {
 			v = fmt.Sprintf("%x\r\n%s\r\n", len(v), v)
@@ -153,7 +174,7 @@
 			p.log("stopped %s before %d", id, next)
 			return false
 		}
-		if next < p.Events {
+		if next < events {
 			time.Sleep(time.Duration(p.Interval) * time.Millisecond)
 		}
 	}
@@ -172,6 +193,9 @@
 	in                  io.WriteCloser
 	ended               chan struct{}
 
+	// born is the Unix millisecond of the process's start.
+	born int64
+
 	mu    sync.Mutex
 	state string
 	seq   int
@@ -187,7 +211,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{behaviour: b, service: service, zone: zone, state: "ready", ended: make(chan struct{})}
+	r := &replica{behaviour: b, service: service, zone: zone, state: "ready", born: time.Now().UnixMilli(), ended: make(chan struct{})}
 	r.cmd = exec.Command(self, "replica", string(j))
 	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if r.in, err = r.cmd.StdinPipe(); err != nil {
@@ -210,7 +234,7 @@
 		for s.Scan() {
 			e.note("replica %s: %s", b.ID, s.Text())
 			if id, ok := strings.CutPrefix(s.Text(), "runs "); ok {
-				e.markRun(strings.Fields(id)[0])
+				e.markRun(strings.Fields(id)[0], b.ID)
 			}
 		}
 		r.cmd.Wait()
@@ -238,7 +262,7 @@
 	defer r.mu.Unlock()
 	r.seq++
 	s.put("servers/"+r.ID, map[string]any{
-		"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": 64, "state": r.state, "cold_left_ms": 0, "seq": r.seq,
+		"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": 64, "state": r.state, "cold_left_ms": 0, "seq": r.seq, "born": r.born,
 	})
 }
 
