body, answerbuffer: reading into reserved memory is a package of its own

The loop that reads an answer and reserves memory as it grows moves from answerbuffer to the package body, so that requests can be read by the same one. An answer without a stated length may now have exactly 2 MB, the most, where one byte less was taken before.

--- a/answerbuffer/bodies.go
+++ b/answerbuffer/bodies.go
@@ -6,15 +6,15 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/semaphore"
+
+	"fieldvale/body"
 )
 
 const (
 	// freeBytes is the memory that an answer which is being read takes without a reservation. Nearly all
 	// answers are shorter.
 	freeBytes = 64 << 10
-	// firstPart is the capacity with which reading a body begins, in bytes.
-	firstPart = 4 << 10
-	// maxAnswerBytes bounds one answer, maxUnstatedBytes one whose head states no length.
+	// maxAnswerBytes bounds one answer, in bytes, maxUnstatedBytes one whose head states no length.
 	maxAnswerBytes   = 8 << 20
 	maxUnstatedBytes = 2 << 20
 )
@@ -82,35 +82,13 @@
 	if length > maxAnswerBytes {
 		return nil, errors.Wrapf(ErrTooLong, "length %d, want at most %d", length, maxAnswerBytes)
 	}
-	var data []byte
-	for {
-		if length < 0 && len(data) >= maxUnstatedBytes {
-			return nil, errors.Wrapf(ErrTooLong, "%d bytes without a stated length, want at most %d", len(data), maxUnstatedBytes)
-		}
-		if len(data) == cap(data) {
-			n := nextCapacity(cap(data), length)
-			if err := b.Grow(int64(n - cap(data))); err != nil {
-				return nil, errors.Wrapf(err, "after %d bytes", len(data))
-			}
-			data = append(make([]byte, 0, n), data...)
-		}
-		n, err := r.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		if err == io.EOF {
-			return data, nil
-		}
-		if err != nil {
-			return nil, err
-		}
+	most := length
+	if length < 0 {
+		most = maxUnstatedBytes
 	}
-}
-
-// nextCapacity returns the capacity with which reading goes on. It leaves one byte more than the stated length, so
-// that the end is seen without growing.
-func nextCapacity(current int, length int64) int {
-	n := max(firstPart, 2*current)
-	if length >= int64(current) && length < int64(n) {
-		return int(length) + 1
+	data, err := body.Read(r, most, b.Grow)
+	if errors.Is(err, body.ErrTooLong) {
+		return nil, errors.Wrapf(ErrTooLong, "more than %d bytes, length %d", most, length)
 	}
-	return n
+	return data, err
 }
