connlimit, platform: what clients hold of an instance is bounded, and stalled ones give way to callers

Cause, one class: nothing counted what the requests that arrive hold. A stated length was allocated whole before a byte had come, other bodies grew without a common bound, a body had no deadline, and the only limit, capacity's, refused new connections while those who filled the memory were inside.

Change: the package connlimit counts each client's connection, its head and its body as the bytes arrive (a quarter of memory_mb; connections as the descriptors allow). Where there is no room, the connections that bring the least are interrupted, idle ones first, then those at which bytes arrive slowest; a quarter of the memory is for requests of up to 128 kB. A request that has arrived whole is never interrupted. An interrupted body is answered 503 with Retry-After, as it has not run. A body must arrive by the request's deadline or the route's timeout, pause for at most 15 s and bring 1 kB a second on average after 30 s, or it is answered 408; a head has twice header_timeout_ms (30 s before). Where memory or descriptors are short all the same, an eighth of the connections gives way every 100 ms. The rest of the body of a rejected request is read for half a second at most.

--- a/adapter/socket/gated.go
+++ b/adapter/socket/gated.go
@@ -202,14 +202,22 @@
 	isClosed bool
 }
 
-// MarkIdle records that the connection waits for its next request, if c is of a GatedListener.
-func MarkIdle(c net.Conn) { markIdleSince(c, time.Now()) }
+// MarkIdle records that the connection waits for its next request, if c is of a GatedListener or a LimitedListener.
+func MarkIdle(c net.Conn) {
+	if l := LimitOf(c); l != nil {
+		l.Reset()
+	}
+	markIdleSince(c, time.Now())
+}
 
 // MarkBusy records that a request is in progress on the connection, if c is of a GatedListener. Its first bytes may
 // have been read before the connection was marked as idle.
 func MarkBusy(c net.Conn) { markIdleSince(c, time.Time{}) }
 
 func markIdleSince(c net.Conn, t time.Time) {
+	if l, ok := c.(*limitedConn); ok {
+		c = l.Conn
+	}
 	a, ok := c.(*acceptedConn)
 	if !ok {
 		return
--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -16,7 +16,7 @@
 	// resumeLinkDelay is how far it may be behind for connections to be accepted again.
 	maxLinkDelay    = 80 * time.Millisecond
 	resumeLinkDelay = 50 * time.Millisecond
-	// reservedDescriptors are for files, for other instances, the store and health checks.
+	// reservedDescriptors is the number of file descriptors for files, other instances, the store and health checks.
 	reservedDescriptors = 256
 	// descriptorFraction is the fraction of the other descriptors up to which connections are accepted:
 	// requests in progress may need another connection each.
@@ -288,7 +288,7 @@
 	if a.probing && a.pacer.isFull() {
 		return Processor, a.probeDue.Sub(now)
 	}
-	if a.limits.Descriptors > 0 && a.open >= a.maxOpen() {
+	if a.limits.Descriptors > 0 && a.open >= MaxOpen(a.limits.Descriptors) {
 		return Descriptors, checkInterval
 	}
 	if a.limits.Memory > 0 && float64(a.memory) >= memoryFraction*float64(a.limits.Memory) {
@@ -297,10 +297,10 @@
 	return None, 0
 }
 
-// maxOpen returns the number of open connections up to which connections are accepted.
-func (a *Account) maxOpen() int {
-	d := a.limits.Descriptors
-	return int(descriptorFraction * float64(max(d-reservedDescriptors, d/2)))
+// MaxOpen returns the number of open connections up to which a process that may open so many file descriptors accepts
+// connections.
+func MaxOpen(descriptors int) int {
+	return int(descriptorFraction * float64(max(descriptors-reservedDescriptors, descriptors/2)))
 }
 
 // Status is the use of an instance's resources.
--- a/cmd/fieldvale-node/capacity.go
+++ b/cmd/fieldvale-node/capacity.go
@@ -104,6 +104,10 @@
 // minIdle is how long a connection must have been idle to be closed while the instance has too much to do.
 const minIdle = 250 * time.Millisecond
 
+// relievedDivisor is the part of the clients' connections that are interrupted at a time, of those at which requests
+// arrive slowest, while descriptors or memory are short: one divided by it.
+const relievedDivisor = 8
+
 // relievePressure closes idle connections if refusing new ones is not enough: the requests that clients
 // send on open connections are read in any case, and idle connections to replicas hold descriptors.
 func (n *node) relievePressure() {
@@ -111,12 +115,15 @@
 		return
 	}
 	lacking := n.capacity.Status().Binding
-	clients, replicas := n.clients.CloseIdle(minIdle), 0
+	clients, replicas, interrupted := n.clients.CloseIdle(minIdle), 0, 0
 	if lacking == capacity.Descriptors {
 		replicas = n.pool.CloseIdle()
 	}
-	if clients+replicas > 0 {
-		n.logEvent("idle_closed", "clients", clients, "replicas", replicas, "lacking", lacking)
+	if lacking == capacity.Descriptors || lacking == capacity.Memory {
+		interrupted = n.connections.Relieve(1 + n.connections.Usage().Connections/relievedDivisor)
+	}
+	if clients+replicas+interrupted > 0 {
+		n.logEvent("idle_closed", "clients", clients, "replicas", replicas, "interrupted", interrupted, "lacking", lacking)
 	}
 }
 
--- /dev/null
+++ b/cmd/fieldvale-node/connections.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"fieldvale/capacity"
+	"fieldvale/connlimit"
+)
+
+const (
+	// clientMemoryDivisor is the part of the instance's memory that clients' connections and the requests on them may take:
+	// one divided by it.
+	clientMemoryDivisor = 4
+	// clientPart is the part of the connections up to which others are accepted that clients may take.
+	clientPart = 0.85
+	// headTimeoutFactor is how many times the configured time a request's head may take to arrive: packets of a client
+	// that keeps to that time may be lost on the way.
+	headTimeoutFactor = 2
+	// maxInterruptedLines bounds the log lines of interrupted connections in a second.
+	maxInterruptedLines = 5
+)
+
+// clientLimits returns the limits of clients' connections.
+func (n *node) clientLimits() connlimit.Limits {
+	return connlimit.Limits{Connections: connectionPart(clientPart), Bytes: n.settings.MemoryMB << 20 / clientMemoryDivisor}
+}
+
+// connectionPart returns a part of the connections up to which the process accepts others; 0 if that is not known.
+func connectionPart(part float64) int {
+	d := maxDescriptors()
+	if d == 0 {
+		return 0
+	}
+	return max(1, int(part*float64(capacity.MaxOpen(d))))
+}
+
+// newConnectionLimiter returns the limiter of clients' connections, and registers its metrics.
+func (n *node) newConnectionLimiter() *connlimit.Limiter {
+	l := n.newLimiter("clients", n.clientLimits())
+	n.metrics.GaugeFunc("client_connections", "Open connections of clients.", func() float64 { return float64(l.Usage().Connections) })
+	n.metrics.GaugeFunc("client_memory_bytes", "Memory reserved for clients' connections and the requests on them.", func() float64 { return float64(l.Usage().Bytes) })
+	return l
+}
+
+// newLimiter returns the limiter of a listener's connections. It counts and logs those that are interrupted.
+func (n *node) newLimiter(listener string, m connlimit.Limits) *connlimit.Limiter {
+	l := &lineLimit{most: maxInterruptedLines}
+	report := func(i connlimit.Interruption) {
+		n.interrupted.WithLabelValues(listener, i.Phase.String(), interruptionReason(i.Reason)).Inc()
+		if ok, omitted := l.allow(n.clock()); ok {
+			n.logEvent("connection_interrupted", "listener", listener, "phase", i.Phase, "reason", i.Reason, "held", i.Held, "received", i.Received, "age", i.Age, "lines_omitted", omitted)
+		}
+	}
+	return connlimit.New(n.clock, m, report, n.headTimeout)
+}
+
+// registerInterrupted registers the metric of interrupted connections.
+func (n *node) registerInterrupted() *prometheus.CounterVec {
+	return n.metrics.Counter("connections_interrupted_total", "Connections refused for lack of room, or interrupted while they were idle or a request arrived, by listener, phase and reason.", "listener", "phase", "reason")
+}
+
+// interruptionReason returns the value of the label "reason".
+func interruptionReason(err error) string {
+	if err == connlimit.ErrTooSlow {
+		return "too_slow"
+	}
+	return "no_room"
+}
+
+// headTimeout returns the time in which a request's head must arrive.
+func (n *node) headTimeout() time.Duration {
+	if t := n.view.Get().Table; t != nil && t.Limits.HeaderTimeout > 0 {
+		return headTimeoutFactor * t.Limits.HeaderTimeout
+	}
+	return connlimit.DefaultHeadTimeout
+}
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -24,6 +24,7 @@
 	"fieldvale/budget"
 	"fieldvale/capacity"
 	"fieldvale/clock"
+	"fieldvale/connlimit"
 	"fieldvale/entry"
 	"fieldvale/lease"
 	"fieldvale/load"
@@ -100,6 +101,10 @@
 	loggedCapacity capacityUse
 	// clients is the listener for clients.
 	clients *socket.GatedListener
+	// connections bounds the clients' connections and the memory of their requests.
+	connections *connlimit.Limiter
+	// interrupted counts the connections that were interrupted.
+	interrupted *prometheus.CounterVec
 	// links tracks which replicas can be connected to; dials counts the attempts.
 	links *reach.Tracker
 	dials *prometheus.CounterVec
@@ -151,6 +156,8 @@
 	}
 	n.lease = lease.New(time.Duration(confirmationFraction*float64(s.RevokedKeyTTL)), s.MaxApplyDelay, keyExpiryRule(s), n.clock())
 	n.capacity = n.newCapacity()
+	n.interrupted = n.registerInterrupted()
+	n.connections = n.newConnectionLimiter()
 	n.links = n.newLinkTracker()
 	n.dials = n.registerDialMetrics()
 	n.helpers = reach.NewHelpers(n.self(), n.clock, rand.Float64)
@@ -181,7 +188,7 @@
 	n.dutyWorker = newDutyWorker(n)
 	n.router = entry.NewRouter(n.routerPorts())
 	n.registerRetryMetrics()
-	n.ingress = platform.NewIngress(platform.IngressConfig{Router: n.router, View: n.view, Lease: n.lease, Clock: n.clock, AwaitConfig: n.state.AwaitFirstConfig, RetryDelay: n.state.StartRetryAfter, OnStarted: n.capacity.RequestStarted, IsOverloaded: n.capacity.IsRefusing, OnRouted: n.onRouted(), OnRefused: n.onRefused()})
+	n.ingress = platform.NewIngress(platform.IngressConfig{Router: n.router, View: n.view, Lease: n.lease, Clock: n.clock, AwaitConfig: n.state.AwaitFirstConfig, RetryDelay: n.state.StartRetryAfter, OnStarted: n.capacity.RequestStarted, IsOverloaded: n.capacity.IsRefusing, Limiter: n.connections, OnRouted: n.onRouted(), OnRefused: n.onRefused()})
 	return n
 }
 
@@ -287,7 +294,9 @@
 	n.clients = clients
 	g.Go(func() error { return ignoreClosed(runCtx, n.ingress.Serve(clients)) })
 	g.Go(func() error { return ignoreClosed(runCtx, n.serveReady(d.ready)) })
-	g.Go(func() error { return ignoreClosed(runCtx, n.metrics.Serve(d.metrics, n.ready)) })
+	g.Go(func() error {
+		return ignoreClosed(runCtx, n.metrics.Serve(d.metrics, n.ready))
+	})
 	g.Go(func() error {
 		return ignoreClosed(runCtx, handover.Serve(d.peers, countingSource{n.relay, n.traffic}, n.tunnels))
 	})
--- a/cmd/fieldvale-node/periodic.go
+++ b/cmd/fieldvale-node/periodic.go
@@ -79,6 +79,7 @@
 	n.retries.Tick()
 	n.notices.Sweep(pool.IDs(n.view.Get().Replicas))
 	n.capacity.ObserveMemory(usedMemory())
+	n.connections.Sweep()
 	n.relievePressure()
 	n.sendTallies(n.router.CollectUrgentTallies())
 	n.enqueueDueRecords()
--- a/entry/active.go
+++ b/entry/active.go
@@ -36,6 +36,6 @@
 	r.activeForwards.mu.Lock()
 	defer r.activeForwards.mu.Unlock()
 	for w, cancel := range r.activeForwards.cancels {
-		time.AfterFunc(max(0, w.q.effectiveDeadline().Sub(now)), cancel)
+		time.AfterFunc(max(0, w.q.EffectiveDeadline().Sub(now)), cancel)
 	}
 }
--- a/entry/assign.go
+++ b/entry/assign.go
@@ -105,7 +105,7 @@
 	}
 	q.ByCompletion, q.Pace, q.OutputTokens = true, e.msPerToken, w.expectedOutputTokens()
 	q.MemoryTokens, q.ReplicaMemoryTokens = w.memoryTokens(), float64(w.q.Table.Service(w.result.Service).MemoryTokens)
-	q.Customer, q.DeadlineMs = w.q.Customer.Name, max(1, w.q.effectiveDeadline().Sub(w.r.clock()).Seconds()*1000)
+	q.Customer, q.DeadlineMs = w.q.Customer.Name, max(1, w.q.EffectiveDeadline().Sub(w.r.clock()).Seconds()*1000)
 	return q
 }
 
--- a/entry/clientwriter.go
+++ b/entry/clientwriter.go
@@ -200,7 +200,7 @@
 	if c == nil {
 		return err
 	}
-	e := c.finish(w.q.effectiveDeadline())
+	e := c.finish(w.q.EffectiveDeadline())
 	isCut := errors.Is(e, errClientStalled)
 	if s := c.queue.Shortage(); isCut || s != answerbuffer.None {
 		w.r.hooks.clientSlow(SlowClient{Request: w.q.ID, Service: w.result.Service, IsCut: isCut, Shortage: s, UnwrittenBytes: c.queue.Unwritten()})
--- a/entry/deadline.go
+++ b/entry/deadline.go
@@ -37,7 +37,7 @@
 		return false
 	}
 	now := w.r.clock()
-	excess := w.r.firstEventDelays.Expect(w.result.Service, p.firstEventMs) - w.q.effectiveDeadline().Sub(now)
+	excess := w.r.firstEventDelays.Expect(w.result.Service, p.firstEventMs) - w.q.EffectiveDeadline().Sub(now)
 	if excess <= 0 {
 		return false
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -66,7 +66,7 @@
 // Forward routes a request to a replica of its service and relays the answer to out. The error is
 // a *Failure; if out had received its head by then, the caller must abort the answer.
 func (r *Router) Forward(ctx context.Context, q *OpaqueRequest, out ForwardSink) (*ForwardResult, error) {
-	x, cancel := context.WithTimeout(ctx, q.effectiveDeadline().Sub(r.clock()))
+	x, cancel := context.WithTimeout(ctx, q.EffectiveDeadline().Sub(r.clock()))
 	defer cancel()
 	w := &forwarding{r: r, q: q, out: out, lastEventID: q.LastEventID, modelIndex: -1, escalatedFrom: -1}
 	w.result = &ForwardResult{Request: q, Service: q.Route.SelectService(q.ID), Confidence: -1}
@@ -123,7 +123,7 @@
 		w.cause = err
 		return w.stopIf(true, "over its share")
 	}
-	isLate := !w.r.clock().Before(w.q.effectiveDeadline())
+	isLate := !w.r.clock().Before(w.q.EffectiveDeadline())
 	if errors.Is(err, errCallerGone) || errors.Is(ctx.Err(), context.Canceled) && !isLate {
 		return w.stopIf(true, "the client left")
 	}
@@ -197,7 +197,7 @@
 		return err
 	}
 	b := p.replica
-	d := Dispatch{Request: w.q, LastEventID: w.lastEventID, Deadline: w.q.effectiveDeadline(), Priority: w.dispatchPriority(p)}
+	d := Dispatch{Request: w.q, LastEventID: w.lastEventID, Deadline: w.q.EffectiveDeadline(), Priority: w.dispatchPriority(p)}
 	if w.modelIndex >= 0 {
 		d.Model = w.q.Route.Models[w.modelIndex]
 	}
@@ -260,7 +260,7 @@
 	case w.result.Runs > 0:
 		f.Code, f.Outcome, f.Message = BackendFailed, outcome.Ran, "the backend servers failed"
 	}
-	if !w.r.clock().Before(w.q.effectiveDeadline()) && ctx.Err() == nil {
+	if !w.r.clock().Before(w.q.EffectiveDeadline()) && ctx.Err() == nil {
 		f.Code, f.Message = DeadlineExceeded, "the deadline passed"
 	}
 	if f.RetryAt.IsZero() {
--- a/entry/opaque.go
+++ b/entry/opaque.go
@@ -54,8 +54,8 @@
 	return quarantine.Subjects{Content: q.Fingerprint, Parts: quarantine.NewParts(service, q.Prompt.SharedPartIDs())}
 }
 
-// effectiveDeadline is the time by which the request has to be answered.
-func (q *OpaqueRequest) effectiveDeadline() time.Time {
+// EffectiveDeadline is the time by which the request has to be answered.
+func (q *OpaqueRequest) EffectiveDeadline() time.Time {
 	if q.TimeoutAt.Before(q.Deadline) {
 		return q.TimeoutAt
 	}
--- a/entry/share.go
+++ b/entry/share.go
@@ -114,7 +114,7 @@
 func (a *attempt) recordFinish() {
 	now, p, d := a.w.r.clock(), a.assignment, a.w.r.finishDelays
 	took := now.Sub(a.sentAt) - a.clientWait
-	isCutOff := !now.Before(a.w.q.effectiveDeadline()) && took > d.Expect(a.slotTimeKey, p.finishMs)
+	isCutOff := !now.Before(a.w.q.EffectiveDeadline()) && took > d.Expect(a.slotTimeKey, p.finishMs)
 	if p.byCompletion && (a.succeeded && !a.escalated || isCutOff) {
 		d.Observe(a.slotTimeKey, p.finishMs, took)
 	}
@@ -138,7 +138,7 @@
 		return false
 	}
 	now := w.r.clock()
-	excess := p.share.finish - w.q.effectiveDeadline().Sub(now)
+	excess := p.share.finish - w.q.EffectiveDeadline().Sub(now)
 	if excess <= 0 {
 		return false
 	}
@@ -153,7 +153,7 @@
 	now := w.r.clock()
 	d := ShareDecision{
 		Request: w.q.ID, Customer: w.q.Customer.Name, Service: w.result.Service, Used: p.share.used, Fair: p.share.fair, ByOwner: p.share.byOwner,
-		Finish: p.share.finish, Left: w.q.effectiveDeadline().Sub(now), Outcome: o,
+		Finish: p.share.finish, Left: w.q.EffectiveDeadline().Sub(now), Outcome: o,
 	}
 	if o == ShareRefused {
 		d.RetryIn = w.retryAt.Sub(now)
--- a/entry/streammonitor.go
+++ b/entry/streammonitor.go
@@ -64,7 +64,7 @@
 	x, cancel := context.WithCancelCause(ctx)
 	m := &streamMonitor{
 		a: a, parent: parent, ctx: x, cancel: cancel, resumed: w.answerStarted,
-		policy:  pace.Policy{AllowedPause: w.q.Route.PauseTarget, ArrivedAt: w.q.ArrivedAt, Deadline: w.q.effectiveDeadline()},
+		policy:  pace.Policy{AllowedPause: w.q.Route.PauseTarget, ArrivedAt: w.q.ArrivedAt, Deadline: w.q.EffectiveDeadline()},
 		tracker: pace.New(a.sentAt).WithExpectedWait(a.expectedFirstEvent()),
 	}
 	a.monitor = m
@@ -191,7 +191,7 @@
 	m.move = &StreamMove{
 		Request: w.q.ID, Service: w.result.Service, From: m.a.replica.ID, To: p.replica.ID, Reason: v,
 		Events: m.tracker.Events(), EventsLeft: left, Interval: m.tracker.Interval(), SilentSince: m.tracker.SilentSince(),
-		DecidedAt: now, Deadline: w.q.effectiveDeadline(),
+		DecidedAt: now, Deadline: w.q.EffectiveDeadline(),
 	}
 	return true
 }
@@ -274,7 +274,7 @@
 	if m.tracker.Events() > 0 {
 		m.tracker = m.tracker.WithWait(m.a.w.r.clock())
 		// The replica is judged by the time that it would have if the client had read at once.
-		m.policy.Deadline = m.a.w.q.effectiveDeadline().Add(m.a.clientWait)
+		m.policy.Deadline = m.a.w.q.EffectiveDeadline().Add(m.a.clientWait)
 		if m.decide() {
 			return Event{}, m.result(m.cause())
 		}
--- a/entry/streammove.go
+++ b/entry/streammove.go
@@ -68,7 +68,7 @@
 	if !p.byCompletion || p.finishMs <= 0 {
 		return false, false
 	}
-	left := w.q.effectiveDeadline().Sub(w.r.clock()).Seconds() * 1000
+	left := w.q.EffectiveDeadline().Sub(w.r.clock()).Seconds() * 1000
 	return completionMargin*(p.finishMs+w.sentEventsPrefillMs()) <= left, true
 }
 
