socket: bytes that clients send and nobody reads are bounded

Such bytes are memory of the machine.

Change: connections of clients have receive buffers of 64 kB, set at the listener, so that accepted ones inherit it.

--- a/adapter/socket/gated.go
+++ b/adapter/socket/gated.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,10 @@
 // reopenInterval is the interval at which a listener that can't be opened again is tried again.
 const reopenInterval = 10 * time.Millisecond
 
+// receiveBuffer is the size of the system's buffer for what a client has sent and the process has not read, in bytes.
+// Such bytes are memory of the machine too.
+const receiveBuffer = 64 << 10
+
 // drainTime bounds for how long connections are accepted that were opened before the gate refused them.
 const drainTime = time.Millisecond
 
@@ -50,7 +55,31 @@
 // Gated returns a listener that accepts connections from l, and from listeners at the same address, as the
 // gate allows. Connections are counted by the gate.
 func Gated(l net.Listener, g Gate, log func(event string, fields ...any)) *GatedListener {
-	return &GatedListener{gate: g, addr: l.Addr(), log: log, listener: l, accepted: map[*acceptedConn]bool{}, closed: make(chan struct{})}
+	x := &GatedListener{gate: g, addr: l.Addr(), log: log, listener: l, accepted: map[*acceptedConn]bool{}, closed: make(chan struct{})}
+	x.limitBuffers(l)
+	return x
+}
+
+// limitBuffers bounds the receive buffers of the connections that the listener accepts.
+func (g *GatedListener) limitBuffers(l net.Listener) {
+	if err := setReceiveBuffer(l, receiveBuffer); err != nil {
+		g.log("receive_buffer_not_set", "addr", g.addr, "error", err)
+	}
+}
+
+// setReceiveBuffer sets the size of the receive buffers of connections accepted from now on, in bytes.
+func setReceiveBuffer(l net.Listener, size int) error {
+	t, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil
+	}
+	r, err := t.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "socket: receive buffer")
+	}
+	var failed error
+	err = r.Control(func(fd uintptr) { failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size) })
+	return errors.Wrap(errors.CombineErrors(err, failed), "socket: receive buffer")
 }
 
 // Accept implements net.Listener.
@@ -160,6 +189,7 @@
 		g.log("listen_failed", "addr", g.addr, "error", err)
 		return nil, nil
 	}
+	g.limitBuffers(l)
 	g.listener, g.isDraining = l, false
 	return l, nil
 }
