node, handover, socket: silent connections at the other listeners end no process

What callers saw: 600 connections that say nothing, at the port for readiness checks, for metrics or for other instances, use up the descriptors: no request is answered for a minute, or the process ends (metrics: fasthttp takes the failed accept for its end).

Change: each of these listeners has a connection limiter of its own: 16 connections and 1 MB for readiness and for metrics, a quarter of the connections and a sixteenth of memory_mb for other instances. The connection that has been idle longest gives way to a new one. Readiness checks have time-outs. An accept that fails for lack of descriptors, or because the client has left, is tried again.

--- a/adapter/handover/handover.go
+++ b/adapter/handover/handover.go
@@ -13,6 +13,8 @@
 	"github.com/cockroachdb/errors"
 
 	"fieldvale/adapter/exchange"
+	"fieldvale/adapter/socket"
+	"fieldvale/connlimit"
 )
 
 const (
@@ -36,9 +38,9 @@
 	Serve(ctx context.Context, after int64, write func([]byte) error) error
 }
 
-// Serve serves the state of s to other instances until the listener is closed. Their CONNECT requests
-// are passed to tunnels; if it is nil, they are refused.
-func Serve(l net.Listener, s Source, tunnels http.Handler) error {
+// Serve serves the state of s to other instances until the listener is closed, on connections within the limits. Their
+// CONNECT requests are passed to tunnels; if it is nil, they are refused.
+func Serve(l net.Listener, limits *connlimit.Limiter, s Source, tunnels http.Handler) error {
 	h := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.Method == http.MethodConnect && tunnels != nil {
@@ -49,7 +51,7 @@
 		}),
 		ReadTimeout: stallTimeout, WriteTimeout: writeTimeout, IdleTimeout: stallTimeout,
 	}
-	return errors.Wrap(h.Serve(l), "handover: serve")
+	return errors.Wrap(socket.ServeLimited(l, limits, h), "handover: serve")
 }
 
 // serveState handles one request for the state of s.
--- a/adapter/handover/handover_test.go
+++ b/adapter/handover/handover_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"fieldvale/adapter/handover"
+	"fieldvale/connlimit"
 )
 
 // state is a Source that writes its text, and fails for the changes after revision 7.
@@ -33,7 +34,7 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	want := strings.Repeat("state ", 100_000)
-	go func() { _ = handover.Serve(l, state(want), nil) }()
+	go func() { _ = handover.Serve(l, connlimit.New(time.Now, connlimit.Limits{}, nil, nil), state(want), nil) }()
 	c := handover.NewClient(time.Now)
 	for _, after := range []int64{-1, 0, 12} {
 		if b, err := c.Fetch(t.Context(), l.Addr().String(), after); err != nil || string(b) != want {
--- a/adapter/socket/limited.go
+++ b/adapter/socket/limited.go
@@ -3,11 +3,18 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"fieldvale/connlimit"
 )
 
+// acceptRetryDelay is the pause before connections are accepted again after an error that passes.
+const acceptRetryDelay = 10 * time.Millisecond
+
 // LimitedListener accepts connections as far as a limiter has room for them, and closes the others.
 type LimitedListener struct {
 	net.Listener
@@ -21,6 +28,10 @@
 func (l *LimitedListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
+		if isTemporary(err) {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -33,6 +44,12 @@
 	}
 }
 
+// isTemporary reports whether connections may be accepted again after the error: the client left, or the process or the
+// system has no descriptor left.
+func isTemporary(err error) bool {
+	return errors.IsAny(err, syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE)
+}
+
 // interrupt ends the reads of a connection. One on which a body is arriving can still be written to.
 func interrupt(c net.Conn, p connlimit.Phase) {
 	if p == connlimit.Body {
@@ -90,3 +107,21 @@
 	}
 	return connlimit.Unlimited()
 }
+
+// ServeLimited serves requests without bodies on n within the limits of l until n is closed.
+func ServeLimited(n net.Listener, l *connlimit.Limiter, s *http.Server) error {
+	h := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := LimitFrom(r.Context()).EndBody(); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
+	s.ConnContext = WithLimit
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			MarkIdle(c)
+		}
+	}
+	return s.Serve(Limited(n, l))
+}
--- a/cmd/fieldvale-node/connections.go
+++ b/cmd/fieldvale-node/connections.go
@@ -10,11 +10,18 @@
 )
 
 const (
-	// clientMemoryDivisor is the part of the instance's memory that clients' connections and the requests on them may take:
-	// one divided by it.
+	// clientMemoryDivisor and peerMemoryDivisor are the parts of the instance's memory that the connections of clients and
+	// of other instances may take, with the requests on them: one divided by it.
 	clientMemoryDivisor = 4
-	// clientPart is the part of the connections up to which others are accepted that clients may take.
+	peerMemoryDivisor   = 16
+	// clientPart and peerPart are the parts of the connections up to which others are accepted that clients and other
+	// instances may take.
 	clientPart = 0.85
+	peerPart   = 0.25
+	// checkConnections and checkMemory bound the connections of a listener for readiness checks or metrics, and their
+	// memory in bytes.
+	checkConnections = 16
+	checkMemory      = 1 << 20
 	// headTimeoutFactor is how many times the configured time a request's head may take to arrive: packets of a client
 	// that keeps to that time may be lost on the way.
 	headTimeoutFactor = 2
@@ -27,6 +34,16 @@
 	return connlimit.Limits{Connections: connectionPart(clientPart), Bytes: n.settings.MemoryMB << 20 / clientMemoryDivisor}
 }
 
+// peerLimits returns the limits of connections with other instances.
+func (n *node) peerLimits() connlimit.Limits {
+	return connlimit.Limits{Connections: connectionPart(peerPart), Bytes: n.settings.MemoryMB << 20 / peerMemoryDivisor}
+}
+
+// checkLimits returns the limits of a listener for readiness checks or metrics.
+func (n *node) checkLimits() connlimit.Limits {
+	return connlimit.Limits{Connections: checkConnections, Bytes: checkMemory}
+}
+
 // connectionPart returns a part of the connections up to which the process accepts others; 0 if that is not known.
 func connectionPart(part float64) int {
 	d := maxDescriptors()
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -295,10 +295,10 @@
 	g.Go(func() error { return ignoreClosed(runCtx, n.ingress.Serve(clients)) })
 	g.Go(func() error { return ignoreClosed(runCtx, n.serveReady(d.ready)) })
 	g.Go(func() error {
-		return ignoreClosed(runCtx, n.metrics.Serve(d.metrics, n.ready))
+		return ignoreClosed(runCtx, n.metrics.Serve(socket.Limited(d.metrics, n.newLimiter("metrics", n.checkLimits())), n.ready))
 	})
 	g.Go(func() error {
-		return ignoreClosed(runCtx, handover.Serve(d.peers, countingSource{n.relay, n.traffic}, n.tunnels))
+		return ignoreClosed(runCtx, handover.Serve(d.peers, n.newLimiter("peers", n.peerLimits()), countingSource{n.relay, n.traffic}, n.tunnels))
 	})
 	g.Go(func() error { return n.followStore(runCtx) })
 	g.Go(func() error { return n.socket.Serve(runCtx, n.receive) })
--- a/cmd/fieldvale-node/stop.go
+++ b/cmd/fieldvale-node/stop.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"fieldvale/adapter/socket"
 )
 
 const (
@@ -32,14 +34,20 @@
 	}
 }
 
+// readyTimeout bounds the time to receive a readiness check and to send the answer, readyIdleTimeout the time between two.
+const (
+	readyTimeout     = 5 * time.Second
+	readyIdleTimeout = time.Minute
+)
+
 // serveReady serves the platform's readiness checks.
 func (n *node) serveReady(l net.Listener) error {
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !n.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-	})}
-	return errors.Wrap(s.Serve(l), "node.serveReady")
+	}), ReadTimeout: readyTimeout, WriteTimeout: readyTimeout, IdleTimeout: readyIdleTimeout}
+	return errors.Wrap(socket.ServeLimited(l, n.newLimiter("ready", n.checkLimits()), s), "node.serveReady")
 }
 
 // stop shuts down gracefully: it stops being ready, accepts connections for drainDelay, and
