--- a/cmd/fieldvale-node/answerbuffer_test.go
+++ b/cmd/fieldvale-node/answerbuffer_test.go
@@ -130,3 +130,54 @@
 		t.Errorf("got %v, want %s", got, want)
 	}
 }
+
+// A client that reads nothing of a stream without a buffer must be cut after its deadline: its replica was held up, and its
+// request stayed in memory, for as long as the client kept its connection open.
+func TestStalledClientOfUnbufferedStreamIsCut(t *testing.T) {
+	s := newTestEnv(t)
+	ended := make(chan error, 9)
+	r := s.startReplica("a", "v1")
+	r.Handler = func(c net.Conn, q sitetest.Request) {
+		_, err := io.WriteString(c, r.ResponseHead(q, "200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"))
+		for i := 0; err == nil; i++ {
+			e := fmt.Sprintf("id: %d\ndata: %s\n\n", i, strings.Repeat("x", longStreamEventBytes))
+			_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e)
+		}
+		ended <- err
+	}
+	s.start()
+	s.slowClient("q1", "1500")
+	select {
+	case <-ended:
+	case <-time.After(eventuallyTimeout):
+		t.Error("the replica still writes the stream of a client that reads nothing")
+	}
+}
+
+// A client that reads no answers and goes on sending requests must be cut: each of its connections kept a goroutine and its
+// buffers until the client left.
+func TestClientThatReadsNoRefusalsIsCut(t *testing.T) {
+	s := newTestEnv(t)
+	s.startReplica("a", "v1")
+	s.start()
+	c, err := net.Dial("tcp", s.node.settings.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	q := "GET /none/x HTTP/1.1\r\nHost: h.example\r\n" + apiKeyHeader + "\r\n" + sitetest.HeaderRequestID + ": q\r\n\r\n"
+	written := make(chan error, 1)
+	go func() {
+		for {
+			if _, err := io.WriteString(c, q); err != nil {
+				written <- err
+				return
+			}
+		}
+	}()
+	select {
+	case <-written:
+	case <-time.After(2 * eventuallyTimeout):
+		t.Error("the connection of a client that reads nothing is open")
+	}
+}
