entry, metrics: the product's own interface and all metrics listeners bound what callers hold

What callers saw: 400 clients whose bodies of 1 MB stop one byte short take a process of fieldvale-entry to 484 MB, over the 256 MB that it has. Silent connections at any process's metrics listener end the process, as in fieldvale-node.

Cause: fasthttp allocates a stated length before the body comes, for as many connections as the system allows.

Change: bodies are read as they arrive, within a limiter of callers' connections (a quarter of the new setting memory_mb, 256 by default, and half of the connections that the descriptors allow). The soft memory limit follows memory_mb. The metrics listener of each process has its own limit, and each interruption is counted by listener, phase and reason.

--- a/adapter/caller/caller_test.go
+++ b/adapter/caller/caller_test.go
@@ -26,6 +26,7 @@
 	"fieldvale/adapter/policyfile"
 	"fieldvale/biller"
 	"fieldvale/config"
+	"fieldvale/connlimit"
 	"fieldvale/entry"
 	"fieldvale/pool"
 	"fieldvale/session"
@@ -62,7 +63,7 @@
 	v.Put(entry.NewView(a, []pool.Replica{{ID: "e", Addr: l.Addr, Kind: pool.Engine, Slots: 4, Versions: []version.ID{version.New("lingua-small", "1"), version.New("lingua-large", "1")}}}, nil, nil))
 	h := httpconn.New()
 	o := entry.NewRouter(entry.Ports{View: v, Engines: backend.NewEngines(h), Services: backend.NewServices(h), Rater: platform.New(h, "", r.Addr), Biller: biller.New(nil, v.Members, "i", "i/1"), Clock: time.Now, Self: "i", Rand: rand.NewPCG(1, 1)})
-	c := caller.New(o, v, time.Now, func(string, string, int, time.Duration, string, string) {})
+	c := caller.New(o, v, time.Now, func(string, string, int, time.Duration, string, string) {}, connlimit.New(time.Now, connlimit.Limits{}, nil, nil))
 	c.SetReady(true)
 	n, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/adapter/caller/chat.go
+++ b/adapter/caller/chat.go
@@ -41,7 +41,7 @@
 
 // chat handles POST /v1/chat/completions.
 func (s *Server) chat(c *fasthttp.RequestCtx, k *call) *apiError {
-	w, e := parseChat(c.PostBody())
+	w, e := parseChat(k.body)
 	if e != nil {
 		return e
 	}
@@ -53,8 +53,8 @@
 		return e
 	}
 	q := entry.Request{
-		ID: k.id, Caller: k.caller, Task: t, Size: policy.SizeOf(len(c.PostBody()) / bytesPerToken), Model: w.Model,
-		Body: append([]byte(nil), c.PostBody()...), Deadline: k.deadline, Session: s.session(c, k),
+		ID: k.id, Caller: k.caller, Task: t, Size: policy.SizeOf(len(k.body) / bytesPerToken), Model: w.Model,
+		Body: k.body, Deadline: k.deadline, Session: s.session(c, k),
 	}
 	if w.Stream {
 		return s.stream(c, k, q)
--- a/adapter/caller/errors.go
+++ b/adapter/caller/errors.go
@@ -122,11 +122,11 @@
 	e := invalid("", "the request can't be read: "+err.Error())
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		e.status, e.code, e.message = fasthttp.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.Itoa(maxBody)+" bytes"
+		e.status, e.code, e.message = fasthttp.StatusRequestEntityTooLarge, codeBodyTooLarge, bodyTooLargeMessage
 	case errors.As(err, &b):
 		e.status, e.code, e.message = fasthttp.StatusRequestHeaderFieldsTooLarge, "headers_too_large", "the headers are larger than "+strconv.Itoa(maxHeaders)+" bytes"
 	case errors.As(err, &t) && t.Timeout():
-		e.status, e.code, e.message = fasthttp.StatusRequestTimeout, "request_timeout", "the request did not come in time"
+		e.status, e.code, e.message = fasthttp.StatusRequestTimeout, codeRequestTimeout, requestTimeoutMessage
 	}
 	s.writeError(c, *e)
 	s.observe("unread", e.code, e.status, 0, "", "")
--- a/adapter/caller/server.go
+++ b/adapter/caller/server.go
@@ -15,8 +15,10 @@
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"fieldvale/adapter/socket"
 	"fieldvale/biller"
 	"fieldvale/config"
+	"fieldvale/connlimit"
 	"fieldvale/entry"
 	"fieldvale/session"
 )
@@ -61,17 +63,20 @@
 	view    *entry.CurrentView
 	clock   entry.Clock
 	observe Observer
+	limiter *connlimit.Limiter
 	ready   atomic.Bool
 	http    *fasthttp.Server
 }
 
-// New returns a server that is not ready until SetReady(true).
-func New(r *entry.Router, v *entry.CurrentView, c entry.Clock, o Observer) *Server {
-	s := &Server{router: r, view: v, clock: c, observe: o}
+// New returns a server that is not ready until SetReady(true). It keeps connections within the limits of l.
+func New(r *entry.Router, v *entry.CurrentView, c entry.Clock, o Observer, l *connlimit.Limiter) *Server {
+	s := &Server{router: r, view: v, clock: c, observe: o, limiter: l}
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.handleReadError,
 		MaxRequestBodySize:           maxBody,
+		StreamRequestBody:            true,
+		ConnState:                    markIdle,
 		ReadBufferSize:               maxHeaders,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
@@ -94,6 +99,7 @@
 
 // Serve serves callers on the listener until Shutdown. It uses TLS if t is not nil.
 func (s *Server) Serve(l net.Listener, t *tls.Config) error {
+	l = socket.Limited(l, s.limiter)
 	if t != nil {
 		l = tls.NewListener(l, t)
 	}
@@ -154,6 +160,7 @@
 	active   *config.Compiled
 	started  time.Time
 	deadline time.Time
+	body     []byte
 }
 
 // serveCall authenticates a request, runs its handler f, and reports the result and duration
@@ -162,6 +169,9 @@
 	k := &call{started: s.clock(), id: requestID(c)}
 	c.Response.Header.Set(HeaderRequestID, k.id)
 	e := s.authenticate(c, k)
+	if e == nil {
+		e = s.readBody(c, k)
+	}
 	if e == nil {
 		e = f(c, k)
 	}
--- a/adapter/caller/service.go
+++ b/adapter/caller/service.go
@@ -29,7 +29,7 @@
 		return invalid(HeaderIdempotencyKey, HeaderIdempotencyKey+" may hold up to 128 printable characters without '/'")
 	}
 	r, err := s.router.Call(context.Background(), entry.ServiceRequest{
-		ID: k.id, Caller: k.caller, Service: n, Call: f, Body: append([]byte(nil), c.PostBody()...),
+		ID: k.id, Caller: k.caller, Service: n, Call: f, Body: k.body,
 		ContentType: string(c.Request.Header.ContentType()), IdempotencyKey: key,
 		Once: string(c.Request.Header.Peek(HeaderOnce)) == "true", Deadline: k.deadline,
 	})
--- a/adapter/metrics/metrics.go
+++ b/adapter/metrics/metrics.go
@@ -11,18 +11,33 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"fieldvale/adapter/socket"
+	"fieldvale/connlimit"
 )
 
 // Registry holds the metrics of one process.
 type Registry struct {
 	registry *prometheus.Registry
+	// interrupted counts the connections that limiters refused or interrupted.
+	interrupted *prometheus.CounterVec
 }
 
 // New returns a registry with the standard metrics of the Go runtime and of the process.
 func New() *Registry {
-	r := prometheus.NewRegistry()
-	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	return &Registry{registry: r}
+	r := &Registry{registry: prometheus.NewRegistry()}
+	r.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r.interrupted = r.Counter("connections_interrupted_total", "Connections refused for lack of room, or interrupted while they were idle or a request arrived, by listener, phase and reason.", "listener", "phase", "reason")
+	return r
+}
+
+// CountInterruption counts a connection of the listener that was refused or interrupted.
+func (r *Registry) CountInterruption(listener string, i connlimit.Interruption) {
+	reason := "no_room"
+	if errors.Is(i.Reason, connlimit.ErrTooSlow) {
+		reason = "too_slow"
+	}
+	r.interrupted.WithLabelValues(listener, i.Phase.String(), reason).Inc()
 }
 
 // Counter registers a counter with labels.
@@ -71,11 +86,16 @@
 	}
 }
 
-// readTimeout bounds the time to read one request.
-const readTimeout = 5 * time.Second
+const (
+	// readTimeout bounds the time to read one request.
+	readTimeout = 5 * time.Second
+	// maxConnections and maxBytes bound the connections and their memory, in bytes.
+	maxConnections = 16
+	maxBytes       = 1 << 20
+)
 
-// Serve serves /metrics, /healthz and /readyz until the listener is closed. /healthz always
-// reports success; /readyz reports the result of ready.
+// Serve serves /metrics, /healthz and /readyz until the listener is closed, on a few connections at a time. /healthz
+// always reports success; /readyz reports the result of ready.
 func (r *Registry) Serve(l net.Listener, ready func() bool) error {
 	m := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}))
 	s := &fasthttp.Server{ReadTimeout: readTimeout, NoDefaultServerHeader: true, Handler: func(c *fasthttp.RequestCtx) {
@@ -92,5 +112,6 @@
 			c.SetStatusCode(fasthttp.StatusNotFound)
 		}
 	}}
-	return errors.Wrap(s.Serve(l), "metrics: serve")
+	limiter := connlimit.New(time.Now, connlimit.Limits{Connections: maxConnections, Bytes: maxBytes}, func(i connlimit.Interruption) { r.CountInterruption("metrics", i) }, nil)
+	return errors.Wrap(s.Serve(socket.Limited(l, limiter)), "metrics: serve")
 }
--- a/adapter/settings/entry.go
+++ b/adapter/settings/entry.go
@@ -29,6 +29,8 @@
 	DrainDelay time.Duration
 	// StopTimeout bounds how long a planned stop waits until running requests are done.
 	StopTimeout time.Duration
+	// MemoryMB is the memory of the process in MB.
+	MemoryMB int64
 }
 
 // Durations that are used if the file has none.
@@ -41,17 +43,22 @@
 // LoadEntry reads and checks the settings file of a fieldvale-entry process. It returns all
 // errors in the file.
 func LoadEntry(path string) (Entry, []error) {
-	e := Entry{Level: defaultLevel}
+	e := Entry{Level: defaultLevel, MemoryMB: defaultMemoryMB}
 	f, err := loadFile(path)
 	if err != nil {
 		return e, []error{err}
 	}
 	found := false
-	f.Each([]string{"entry", "tls", "platform", "log"}, func(s *inifile.Section) {
+	f.Each([]string{"entry", "limits", "tls", "platform", "log"}, func(s *inifile.Section) {
 		switch s.Kind {
 		case "entry":
 			found = true
 			e.readEntry(s)
+		case "limits":
+			e.MemoryMB = s.Int64("memory_mb")
+			if e.MemoryMB <= 0 {
+				s.AddError("memory_mb", "must be above 0")
+			}
 		case "tls":
 			e.TLS = readTLS(s)
 		case "platform":
--- a/adapter/socket/limited.go
+++ b/adapter/socket/limited.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"syscall"
@@ -65,8 +66,12 @@
 	limit *connlimit.Conn
 }
 
-// LimitOf returns the limits of a connection; nil if it is not of a LimitedListener.
+// LimitOf returns the limits of a connection, or of the one that its TLS session uses; nil if it is not of a
+// LimitedListener.
 func LimitOf(c net.Conn) *connlimit.Conn {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
 	if l, ok := c.(*limitedConn); ok {
 		return l.limit
 	}
--- a/adapter/socket/socket.go
+++ b/adapter/socket/socket.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -73,3 +74,15 @@
 		_ = l.(net.Listener).Close()
 	}
 }
+
+// maxCounted bounds the number of descriptors that MaxDescriptors returns, where the system sets no limit.
+const maxCounted = 1 << 20
+
+// MaxDescriptors returns how many file descriptors the process may open; 0 if that can't be read.
+func MaxDescriptors() int {
+	var l syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
+		return 0
+	}
+	return int(min(l.Cur, maxCounted))
+}
--- a/cmd/fieldvale-node/capacity.go
+++ b/cmd/fieldvale-node/capacity.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"runtime/metrics"
-	"syscall"
 	"time"
 
 	"fieldvale/adapter/socket"
@@ -21,7 +20,7 @@
 
 // newCapacity returns the account of this instance's resources and registers its metrics.
 func (n *node) newCapacity() *capacity.Account {
-	a := capacity.New(n.clock, capacity.Limits{LinkBytes: n.settings.LinkMbps * 1e6 / 8, Descriptors: maxDescriptors(), Memory: n.settings.MemoryMB << 20})
+	a := capacity.New(n.clock, capacity.Limits{LinkBytes: n.settings.LinkMbps * 1e6 / 8, Descriptors: socket.MaxDescriptors(), Memory: n.settings.MemoryMB << 20})
 	n.metrics.CounterFunc("link_sent_bytes_total", "Bytes sent to clients and backend servers.", func() float64 { return float64(a.Status().Sent) })
 	n.metrics.CounterFunc("link_received_bytes_total", "Bytes received from clients and backend servers.", func() float64 { return float64(a.Status().Received) })
 	n.metrics.GaugeFunc("link_out_delay_seconds", "How far the link is behind with what was sent, by its configured rate.", func() float64 { return a.Status().LinkOutDelay.Seconds() })
@@ -47,15 +46,6 @@
 	return a
 }
 
-// maxDescriptors returns how many file descriptors the process may open; 0 if that can't be read.
-func maxDescriptors() int {
-	var l syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
-		return 0
-	}
-	return int(min(l.Cur, 1<<20))
-}
-
 // dialMetered connects to a replica over this instance's own links and counts the connection.
 func (n *node) dialMetered(ctx context.Context, addr string) (net.Conn, error) {
 	end := n.capacity.Connecting(capacity.ForRequests)
--- a/cmd/fieldvale-node/connections.go
+++ b/cmd/fieldvale-node/connections.go
@@ -3,8 +3,7 @@
 import (
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
+	"fieldvale/adapter/socket"
 	"fieldvale/capacity"
 	"fieldvale/connlimit"
 )
@@ -18,8 +17,7 @@
 	// instances may take.
 	clientPart = 0.85
 	peerPart   = 0.25
-	// checkConnections and checkMemory bound the connections of a listener for readiness checks or metrics, and their
-	// memory in bytes.
+	// checkConnections and checkMemory bound the connections of readiness checks, and their memory in bytes.
 	checkConnections = 16
 	checkMemory      = 1 << 20
 	// headTimeoutFactor is how many times the configured time a request's head may take to arrive: packets of a client
@@ -39,18 +37,14 @@
 	return connlimit.Limits{Connections: connectionPart(peerPart), Bytes: n.settings.MemoryMB << 20 / peerMemoryDivisor}
 }
 
-// checkLimits returns the limits of a listener for readiness checks or metrics.
+// checkLimits returns the limits of connections with the platform's readiness checks.
 func (n *node) checkLimits() connlimit.Limits {
 	return connlimit.Limits{Connections: checkConnections, Bytes: checkMemory}
 }
 
 // connectionPart returns a part of the connections up to which the process accepts others; 0 if that is not known.
 func connectionPart(part float64) int {
-	d := maxDescriptors()
-	if d == 0 {
-		return 0
-	}
-	return max(1, int(part*float64(capacity.MaxOpen(d))))
+	return int(part * float64(capacity.MaxOpen(socket.MaxDescriptors())))
 }
 
 // newConnectionLimiter returns the limiter of clients' connections, and registers its metrics.
@@ -65,7 +59,7 @@
 func (n *node) newLimiter(listener string, m connlimit.Limits) *connlimit.Limiter {
 	l := &lineLimit{most: maxInterruptedLines}
 	report := func(i connlimit.Interruption) {
-		n.interrupted.WithLabelValues(listener, i.Phase.String(), interruptionReason(i.Reason)).Inc()
+		n.metrics.CountInterruption(listener, i)
 		if ok, omitted := l.allow(n.clock()); ok {
 			n.logEvent("connection_interrupted", "listener", listener, "phase", i.Phase, "reason", i.Reason, "held", i.Held, "received", i.Received, "age", i.Age, "lines_omitted", omitted)
 		}
@@ -73,19 +67,6 @@
 	return connlimit.New(n.clock, m, report, n.headTimeout)
 }
 
-// registerInterrupted registers the metric of interrupted connections.
-func (n *node) registerInterrupted() *prometheus.CounterVec {
-	return n.metrics.Counter("connections_interrupted_total", "Connections refused for lack of room, or interrupted while they were idle or a request arrived, by listener, phase and reason.", "listener", "phase", "reason")
-}
-
-// interruptionReason returns the value of the label "reason".
-func interruptionReason(err error) string {
-	if err == connlimit.ErrTooSlow {
-		return "too_slow"
-	}
-	return "no_room"
-}
-
 // headTimeout returns the time in which a request's head must arrive.
 func (n *node) headTimeout() time.Duration {
 	if t := n.view.Get().Table; t != nil && t.Limits.HeaderTimeout > 0 {
--- a/cmd/fieldvale-node/node.go
+++ b/cmd/fieldvale-node/node.go
@@ -103,8 +103,6 @@
 	clients *socket.GatedListener
 	// connections bounds the clients' connections and the memory of their requests.
 	connections *connlimit.Limiter
-	// interrupted counts the connections that were interrupted.
-	interrupted *prometheus.CounterVec
 	// links tracks which replicas can be connected to; dials counts the attempts.
 	links *reach.Tracker
 	dials *prometheus.CounterVec
@@ -156,7 +154,6 @@
 	}
 	n.lease = lease.New(time.Duration(confirmationFraction*float64(s.RevokedKeyTTL)), s.MaxApplyDelay, keyExpiryRule(s), n.clock())
 	n.capacity = n.newCapacity()
-	n.interrupted = n.registerInterrupted()
 	n.connections = n.newConnectionLimiter()
 	n.links = n.newLinkTracker()
 	n.dials = n.registerDialMetrics()
@@ -295,7 +292,7 @@
 	g.Go(func() error { return ignoreClosed(runCtx, n.ingress.Serve(clients)) })
 	g.Go(func() error { return ignoreClosed(runCtx, n.serveReady(d.ready)) })
 	g.Go(func() error {
-		return ignoreClosed(runCtx, n.metrics.Serve(socket.Limited(d.metrics, n.newLimiter("metrics", n.checkLimits())), n.ready))
+		return ignoreClosed(runCtx, n.metrics.Serve(d.metrics, n.ready))
 	})
 	g.Go(func() error {
 		return ignoreClosed(runCtx, handover.Serve(d.peers, n.newLimiter("peers", n.peerLimits()), countingSource{n.relay, n.traffic}, n.tunnels))
--- a/measure/router.go
+++ b/measure/router.go
@@ -26,6 +26,7 @@
 	"fieldvale/biller"
 	"fieldvale/catalog"
 	"fieldvale/config"
+	"fieldvale/connlimit"
 	"fieldvale/entry"
 	"fieldvale/peer"
 	"fieldvale/policy"
@@ -192,7 +193,7 @@
 		View: view, Engines: backend.NewEngines(client), Services: backend.NewServices(client), Rater: platform.New(client, "", ratingAddr),
 		Biller: biller.New(instantHolder{}, view.Members, "i", "i/1"), Clock: time.Now, Self: "i", Rand: rand.NewPCG(seed, seed),
 	})
-	server := caller.New(router, view, time.Now, func(string, string, int, time.Duration, string, string) {})
+	server := caller.New(router, view, time.Now, func(string, string, int, time.Duration, string, string) {}, connlimit.New(time.Now, connlimit.Limits{}, nil, nil))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/process/entry.go
+++ b/process/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime/debug"
 	"time"
 
 	"github.com/apex/log"
@@ -22,7 +23,9 @@
 	"fieldvale/adapter/settings"
 	"fieldvale/adapter/socket"
 	"fieldvale/biller"
+	"fieldvale/capacity"
 	"fieldvale/claim"
+	"fieldvale/connlimit"
 	"fieldvale/entry"
 	"fieldvale/load"
 	"fieldvale/notice"
@@ -40,8 +43,10 @@
 	router      *entry.Router
 	biller      *biller.Biller
 	caller      *caller.Server
-	syncer      *Syncer
-	metrics     *metrics.Registry
+	// limiter bounds callers' connections and the memory of their requests.
+	limiter *connlimit.Limiter
+	syncer  *Syncer
+	metrics *metrics.Registry
 	// quarantine tracks the requests that crash backend servers. It only uses what this
 	// entry observed, since entries do not exchange messages.
 	quarantine *quarantine.Node
@@ -88,11 +93,32 @@
 	e.syncer = NewSyncer(k, e.view, e.router, e.biller, e.incarnation, func(event string, f ...any) {
 		l.WithFields(logging.Fields(f...)).Info(event)
 	})
-	e.caller = caller.New(e.router, e.view, time.Now, e.requestObserver())
+	e.limiter = connlimit.New(time.Now, e.callerLimits(), e.countInterruption, nil)
+	e.caller = caller.New(e.router, e.view, time.Now, e.requestObserver(), e.limiter)
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryMB<<20)))
 	e.registerGauges()
 	return e
 }
 
+const (
+	// callerMemoryDivisor is the part of the memory that callers' connections and the requests on them may take: one
+	// divided by it.
+	callerMemoryDivisor = 4
+	// memoryLimitFraction is the fraction of the memory near which the garbage collector runs more often.
+	memoryLimitFraction = 0.6
+)
+
+// callerLimits returns the limits of callers' connections. Each of them may need another one with a backend server.
+func (e *Entry) callerLimits() connlimit.Limits {
+	return connlimit.Limits{Connections: capacity.MaxOpen(socket.MaxDescriptors()) / 2, Bytes: e.settings.MemoryMB << 20 / callerMemoryDivisor}
+}
+
+// countInterruption counts a connection that was refused or interrupted. They are not logged one by one, as there may be
+// thousands a second.
+func (e *Entry) countInterruption(i connlimit.Interruption) {
+	e.metrics.CountInterruption("callers", i)
+}
+
 // routerHooks returns hooks that log the router's failures.
 func (e *Entry) routerHooks() *entry.Hooks {
 	return &entry.Hooks{
@@ -188,6 +214,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+			e.limiter.Sweep()
 			e.quarantine.Tick()
 			e.quota.Tick()
 			e.notices.Sweep(pool.IDs(e.view.Get().Replicas))
