entry: models that only clients name have one key in what is kept

Change: a model that the service's configuration does not list has the key "unlisted". Listed models, and those that the router chooses, keep theirs.

--- a/entry/distance_test.go
+++ b/entry/distance_test.go
@@ -44,7 +44,7 @@
 // Each shared part of the estimate is identified by the model and the part's last id.
 func TestEstimatePartKeys(t *testing.T) {
 	r := NewRouter(Ports{View: NewCurrentView(), Clock: time.Now, Rand: rand.NewPCG(1, 1)})
-	q := &OpaqueRequest{Route: &route.Route{}, Prompt: prompt.Prompt{Model: "m", InputTokens: 350, Parts: []prompt.Part{{ID: "a", Tokens: 100}, {ID: "b", Tokens: 200}, {ID: "own", Tokens: 50}}}}
+	q := &OpaqueRequest{Table: route.New(1, nil, nil, nil, route.Limits{}), Route: &route.Route{}, Prompt: prompt.Prompt{Model: "m", InputTokens: 350, Parts: []prompt.Part{{ID: "a", Tokens: 100}, {ID: "b", Tokens: 200}, {ID: "own", Tokens: 50}}}}
 	e := (&forwarding{r: r, q: q, result: &ForwardResult{Service: "s"}, modelIndex: -1}).estimatePrompt()
 	if e.affinityKey != "m/b" || len(e.shared) != 2 || e.shared[0].Key != "m/a" || e.shared[1].Key != "m/b" {
 		t.Errorf("key %q, parts %+v, want m/b of m/a and m/b", e.affinityKey, e.shared)
--- a/entry/estimate.go
+++ b/entry/estimate.go
@@ -28,7 +28,19 @@
 }
 
 // prefillKey is the key under which the prompt reading speed is averaged.
-func (w *forwarding) prefillKey() string { return w.result.Service + "/" + w.modelName() }
+func (w *forwarding) prefillKey() string { return w.result.Service + "/" + w.modelKey() }
 
 // slotTimeKey is the key under which the time for which a run holds its slot is averaged.
-func (w *forwarding) slotTimeKey() string { return w.q.Route.Name + "/" + w.modelName() }
+func (w *forwarding) slotTimeKey() string { return w.q.Route.Name + "/" + w.modelKey() }
+
+// unlistedModel stands for all models that the configuration doesn't list. Clients may name any number of them.
+const unlistedModel = "unlisted"
+
+// modelKey is the model as a part of keys that are kept.
+func (w *forwarding) modelKey() string {
+	m := w.modelName()
+	if m == "" || w.modelIndex >= 0 || w.q.Table.Services[w.result.Service].Lists(m) {
+		return m
+	}
+	return unlistedModel
+}
--- a/route/table.go
+++ b/route/table.go
@@ -65,6 +65,11 @@
 	return 0
 }
 
+// Lists reports whether the service lists a model with the given name.
+func (s Service) Lists(model string) bool {
+	return slices.ContainsFunc(s.Models, func(m Model) bool { return m.Name == model })
+}
+
 // Model is a model that a service's replicas run, with its price in credits per
 // 1,000 generated tokens.
 type Model struct {
