--- a/cmd/fieldvale-node/node_test.go
+++ b/cmd/fieldvale-node/node_test.go
@@ -41,6 +41,7 @@
 // Guards against invalid or unauthorized requests that reach a replica.
 func TestNodeRejectsInvalidRequests(t *testing.T) {
 	s := newTestEnv(t)
+	s.store.PutConfigWithLimits(2, map[string]any{"max_body_bytes": 2000, "max_header_bytes": 16 << 10}, "k1", "k2")
 	a := s.startReplica("a", "v1")
 	s.start()
 	for _, c := range []struct {
@@ -54,14 +55,16 @@
 		{"no id", "/once/", "", []string{apiKeyHeader, sitetest.HeaderRequestID + ": "}, 400},
 		{"an invalid deadline", "/once/", "", []string{apiKeyHeader, sitetest.HeaderDeadline + ": soon"}, 400},
 		{"a body that is too large", "/once/", strings.Repeat("x", 3000), []string{apiKeyHeader}, 413},
+		{"a header that is too large", "/once/", "", []string{apiKeyHeader, "X-Long: " + strings.Repeat("x", 17_000)}, 431},
+		{"a header within the limit", "/open/", "", []string{"X-Long: " + strings.Repeat("x", 15_000)}, 200},
 		{"a public route without a key", "/open/", "", nil, 200},
 	} {
 		if r := s.send("POST", c.path, c.body, c.head...); r.status != c.want {
 			t.Errorf("%s: got status %d %q, want %d", c.name, r.status, r.body, c.want)
 		}
 	}
-	if n := len(a.Requests()); n != 1 {
-		t.Errorf("%d requests reached the replica, want 1", n)
+	if n := len(a.Requests()); n != 2 {
+		t.Errorf("%d requests reached the replica, want 2", n)
 	}
 }
 
