connlimit: a new connection may take the room of a stalled request

What callers saw: with the memory of the account held by small bodies that stop short, new connections were refused until some of them timed out: an idle connection counts as worse than one on which a body arrives, and so did the new one.

Change: a new connection makes room by interrupting any connection that may be interrupted. What is reserved later, for a request, still takes only the room of connections that bring less. A connection that was closed reserves nothing, and Release, which nothing used, is gone.

Evidence: the script "a stalled body gives way to a new connection for lack of memory" fails before.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -51,9 +51,8 @@
 	// bytes last arrived, or when the phase began.
 	windowSince, lastArrival time.Time
 	arrived, arrivedBefore   int64
-	// stopped is why the connection was interrupted; nil if it was not.
-	stopped  error
-	isClosed bool
+	// stopped is why the connection was interrupted or that it was closed; nil before.
+	stopped error
 }
 
 // Received counts bytes that arrived on the connection. The error is the reason if the connection is interrupted.
@@ -109,16 +108,6 @@
 	return err
 }
 
-// Release frees n bytes that were reserved.
-func (c *Conn) Release(n int64) {
-	l := c.limiter
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n = min(n, c.held)
-	c.held -= n
-	l.bytes -= n
-}
-
 // EndBody ends the body. From then on the request is not interrupted, unless it returns an error.
 func (c *Conn) EndBody() error {
 	l := c.limiter
@@ -130,7 +119,7 @@
 	return c.stopped
 }
 
-// Err returns why the connection was interrupted; nil if it was not.
+// Err returns why the connection was interrupted, or an error if it was closed; nil if neither was.
 func (c *Conn) Err() error {
 	l := c.limiter
 	l.mu.Lock()
@@ -143,7 +132,7 @@
 	l := c.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.stopped != nil || c.isClosed {
+	if c.stopped != nil {
 		return
 	}
 	l.bytes -= c.held - ConnectionBytes
@@ -157,7 +146,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.remove()
-	c.isClosed = true
+	if c.stopped == nil {
+		c.stopped = errClosed
+	}
 }
 
 // remove takes the connection out of the limiter, unless it was.
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -36,6 +36,8 @@
 	ErrNoRoom = errors.New("no room for the connection or its request")
 	// ErrTooSlow reports a request that did not arrive in time.
 	ErrTooSlow = errors.New("the request did not arrive in time")
+
+	errClosed = errors.New("the connection is closed")
 )
 
 // Limits are the limits of a Limiter; 0 for one that does not apply.
@@ -108,10 +110,12 @@
 			return nil, ErrNoRoom
 		}
 	}
-	if err := l.reserve(c, ConnectionBytes, now); err != nil {
-		l.report(Interruption{Reason: err})
-		return nil, err
+	if !l.makeRoom(ConnectionBytes, l.limits.Bytes, now, anyConn) {
+		l.report(Interruption{Reason: ErrNoRoom})
+		return nil, ErrNoRoom
 	}
+	l.bytes += ConnectionBytes
+	c.held = ConnectionBytes
 	l.conns[c] = true
 	return c, nil
 }
@@ -154,24 +158,30 @@
 	}
 }
 
-// reserve reserves n more bytes for c. For lack of room it interrupts other connections.
+// reserve reserves n more bytes for c. For lack of room it interrupts connections that bring less than c.
 func (l *Limiter) reserve(c *Conn, n int64, now time.Time) error {
-	if l.limits.Bytes > 0 {
-		most, from := l.limits.Bytes, anyConn
-		if c.held+n > smallBytes {
-			most, from = int64((1-smallFraction)*float64(l.limits.Bytes)), largeConn
-		}
-		for l.bytes+n > most {
-			if !l.interruptWorst(now, func(o *Conn) bool { return o != c && from(o) && !c.isWorse(o, now) }) {
-				return ErrNoRoom
-			}
-		}
+	most, from := l.limits.Bytes, anyConn
+	if c.held+n > smallBytes {
+		most, from = int64((1-smallFraction)*float64(l.limits.Bytes)), largeConn
+	}
+	if !l.makeRoom(n, most, now, func(o *Conn) bool { return o != c && from(o) && !c.isWorse(o, now) }) {
+		return ErrNoRoom
 	}
 	l.bytes += n
 	c.held += n
 	return nil
 }
 
+// makeRoom interrupts connections that are wanted until n more bytes are within most. It reports whether they are.
+func (l *Limiter) makeRoom(n, most int64, now time.Time, isWanted func(*Conn) bool) bool {
+	for l.limits.Bytes > 0 && l.bytes+n > most {
+		if !l.interruptWorst(now, isWanted) {
+			return false
+		}
+	}
+	return true
+}
+
 // anyConn and largeConn are the connections that may be interrupted for a small and a large one.
 func anyConn(*Conn) bool     { return true }
 func largeConn(c *Conn) bool { return c.held > smallBytes }
