connlimit: a request in progress counts as what it takes

Change: from its end to that of its answer a request counts 48 kB more. It takes them from the connections that bring least, as it has arrived whole; where there are none it is refused with 503, as it has not run. Requests up to 128 kB are small as before, whatever these add.

Scripts of connlimit for a request that takes a stalled one's room, and for one too many.

--- a/cmd/fieldvale-node/node_test.go
+++ b/cmd/fieldvale-node/node_test.go
@@ -41,7 +41,7 @@
 // Guards against invalid or unauthorized requests that reach a replica.
 func TestNodeRejectsInvalidRequests(t *testing.T) {
 	s := newTestEnv(t)
-	s.store.PutConfigWithLimits(2, map[string]any{"max_body_bytes": 2000, "max_header_bytes": 16 << 10}, "k1", "k2")
+	s.store.PutConfigWithLimits(2, map[string]any{"max_body_bytes": 2000, "max_header_bytes": 16 << 10}, 10, "k1", "k2")
 	a := s.startReplica("a", "v1")
 	s.start()
 	for _, c := range []struct {
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -99,24 +99,37 @@
 	return c.reserve(n, l.clock())
 }
 
-// reserve reserves n more bytes. Where there is no room the connection is interrupted.
+// reserve reserves n more bytes of a request that is arriving, from connections that bring less. Where there is no room
+// the connection is interrupted.
 func (c *Conn) reserve(n int64, now time.Time) error {
-	err := c.limiter.reserve(c, n, now)
+	return c.reserveFrom(n, now, func(o *Conn) bool { return !c.isWorse(o, now) })
+}
+
+// reserveFrom reserves n more bytes, from the connections that are wanted. Where there is no room the connection is
+// interrupted.
+func (c *Conn) reserveFrom(n int64, now time.Time, isWanted func(*Conn) bool) error {
+	err := c.limiter.reserve(c, n, now, isWanted)
 	if err != nil {
 		c.stop(err, now)
 	}
 	return err
 }
 
-// EndBody ends the body. From then on the request is not interrupted, unless it returns an error.
+// EndBody ends the body, and reserves ServedBytes. From then on the request is not interrupted, unless EndBody returns an
+// error.
 func (c *Conn) EndBody() error {
 	l := c.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.stopped == nil {
-		c.begin(Served, l.clock())
+	if c.stopped != nil {
+		return c.stopped
 	}
-	return c.stopped
+	now := l.clock()
+	if err := c.reserveFrom(ServedBytes, now, anyConn); err != nil {
+		return err
+	}
+	c.begin(Served, now)
+	return nil
 }
 
 // Err returns why the connection was interrupted, or an error if it was closed; nil if neither was.
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -16,11 +16,14 @@
 const (
 	// ConnectionBytes is the memory of a connection without a request, in bytes: its goroutine and buffers.
 	ConnectionBytes = 16 << 10
+	// ServedBytes is the memory that a request takes besides its head and body from its end to that of its answer, in
+	// bytes: goroutines, the connection with a backend server, and the part of the answer that the client has not read.
+	ServedBytes = 48 << 10
 	// DefaultHeadTimeout is the time in which a request's head must arrive where no other one is set.
 	DefaultHeadTimeout = 30 * time.Second
-	// smallBytes is the memory up to which a connection counts as small, in bytes, and smallFraction the fraction of
-	// all memory that only small ones may use.
-	smallBytes    = 128 << 10
+	// smallBytes is the memory up to which a connection with its request counts as small, in bytes, and smallFraction the
+	// fraction of all memory that only small ones may use.
+	smallBytes    = ConnectionBytes + ServedBytes + 128<<10
 	smallFraction = 0.25
 	// headLineBytes is the memory that a header line takes besides its text, once parsed and copied, in bytes.
 	headLineBytes = 320
@@ -158,13 +161,13 @@
 	}
 }
 
-// reserve reserves n more bytes for c. For lack of room it interrupts connections that bring less than c.
-func (l *Limiter) reserve(c *Conn, n int64, now time.Time) error {
+// reserve reserves n more bytes for c. For lack of room it interrupts other connections that are wanted.
+func (l *Limiter) reserve(c *Conn, n int64, now time.Time, isWanted func(*Conn) bool) error {
 	most, from := l.limits.Bytes, anyConn
 	if c.held+n > smallBytes {
 		most, from = int64((1-smallFraction)*float64(l.limits.Bytes)), largeConn
 	}
-	if !l.makeRoom(n, most, now, func(o *Conn) bool { return o != c && from(o) && !c.isWorse(o, now) }) {
+	if !l.makeRoom(n, most, now, func(o *Conn) bool { return o != c && from(o) && isWanted(o) }) {
 		return ErrNoRoom
 	}
 	l.bytes += n
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -144,7 +144,7 @@
 	case "reserve":
 		return check(c.Reserve(int64(number(w[1]))), w[2:])
 	case "end":
-		return check(c.EndBody(), nil)
+		return check(c.EndBody(), w[1:])
 	case "reset":
 		c.Reset()
 	case "close":
