platform, caller: a request that finds no room is told so, whether it has a body or not

The reason of the 503 spoke of the body; requests without one can be refused for lack of room too. A connection that is not of a limited listener counts as unlimited, as the comment says.

--- a/adapter/caller/body.go
+++ b/adapter/caller/body.go
@@ -13,7 +13,7 @@
 	"fieldvale/connlimit"
 )
 
-// roomRetryAfter is the Retry-After of requests whose bodies found no room.
+// roomRetryAfter is the Retry-After of requests that found no room.
 const roomRetryAfter = time.Second
 
 // markIdle marks connections that wait for their next request.
@@ -59,7 +59,7 @@
 	case errors.Is(err, body.ErrTooLong):
 		e.status, e.code, e.message = fasthttp.StatusRequestEntityTooLarge, codeBodyTooLarge, bodyTooLargeMessage
 	case errors.Is(err, connlimit.ErrNoRoom):
-		e.status, e.code, e.kind, e.message, e.retryAt = fasthttp.StatusServiceUnavailable, "no_room", serverError, "no room for the body", s.clock().Add(roomRetryAfter)
+		e.status, e.code, e.kind, e.message, e.retryAt = fasthttp.StatusServiceUnavailable, "no_room", serverError, "no room for the request", s.clock().Add(roomRetryAfter)
 	case errors.Is(err, connlimit.ErrTooSlow), errors.As(err, &t) && t.Timeout():
 		e.status, e.code, e.message = fasthttp.StatusRequestTimeout, codeRequestTimeout, requestTimeoutMessage
 	}
--- a/adapter/socket/limited.go
+++ b/adapter/socket/limited.go
@@ -107,7 +107,7 @@
 
 // LimitFrom returns the limits of the connection of a context. If there are none, nothing limits it.
 func LimitFrom(ctx context.Context) *connlimit.Conn {
-	if c, ok := ctx.Value(connKey{}).(*connlimit.Conn); ok {
+	if c, _ := ctx.Value(connKey{}).(*connlimit.Conn); c != nil {
 		return c
 	}
 	return connlimit.Unlimited()
