--- a/adapter/socket/gated_test.go
+++ b/adapter/socket/gated_test.go
@@ -152,12 +152,28 @@
 	})
 }
 
+// allIdle reports whether all connections were marked as idle after their last byte.
+func (g *GatedListener) allIdle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for a := range g.accepted {
+		a.mu.Lock()
+		isIdle := !a.idleSince.IsZero()
+		a.mu.Unlock()
+		if !isIdle {
+			return false
+		}
+	}
+	return true
+}
+
 // Guards against connections that are closed while a request is in progress, and against counts that
 // do not return to zero.
 func TestGatedListenerClosesIdleConnectionsOnly(t *testing.T) {
 	g, gate := echoServer(t)
 	idle, busy := dial(t, g), dial(t, g)
 	eventually(t, "both connections are known", func() bool { return gate.accepted.Load() == 2 })
+	eventually(t, "both connections wait for a request", g.allIdle)
 	g.mu.Lock()
 	for a := range g.accepted {
 		if a.RemoteAddr().String() == busy.LocalAddr().String() {
