--- a/entry/clientwriter.go
+++ b/entry/clientwriter.go
@@ -13,13 +13,13 @@
 )
 
 const (
-	// clientStallTimeout is how long after its last write, or after the answer went on, a client
+	// ClientStallTimeout is how long after its last write, or after the answer went on, a client
 	// may still be written to once its deadline has passed. Complete answers are delivered late to
 	// a client that reads.
-	clientStallTimeout = 2 * time.Second
-	// bodyPartBytes is the size of the parts in which a complete body is written, in bytes. A
+	ClientStallTimeout = 2 * time.Second
+	// BodyPartBytes is the size of the parts in which a complete body is written, in bytes. A
 	// client that reads slowly is seen to read by the parts that were written.
-	bodyPartBytes = 8 << 10
+	BodyPartBytes = 8 << 10
 )
 
 // errClientStalled marks answers that were broken off because the client did not read them.
@@ -113,7 +113,7 @@
 		return c.writePart(b, c.out.Event)
 	}
 	for {
-		n := min(len(b), bodyPartBytes)
+		n := min(len(b), BodyPartBytes)
 		if err := c.writePart(b[:n], c.out.Body); err != nil {
 			return err
 		}
@@ -187,7 +187,7 @@
 func (c *clientWriter) cutAt(deadline time.Time) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t := c.progressAt.Add(clientStallTimeout); t.After(deadline) {
+	if t := c.progressAt.Add(ClientStallTimeout); t.After(deadline) {
 		return t
 	}
 	return deadline
