--- a/entry/clientwriter.go
+++ b/entry/clientwriter.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"iter"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,13 +15,13 @@
 )
 
 const (
-	// ClientStallTimeout is how long after its last write, or after the answer went on, a client
+	// clientStallTimeout is how long after its last write, or after the answer went on, a client
 	// may still be written to once its deadline has passed. Complete answers are delivered late to
 	// a client that reads.
-	ClientStallTimeout = 2 * time.Second
-	// BodyPartBytes is the size of the parts in which a complete body is written, in bytes. A
+	clientStallTimeout = 2 * time.Second
+	// bodyPartBytes is the size of the parts in which a complete body is written, in bytes. A
 	// client that reads slowly is seen to read by the parts that were written.
-	BodyPartBytes = 8 << 10
+	bodyPartBytes = 8 << 10
 )
 
 // errClientStalled marks answers that were broken off because the client did not read them.
@@ -112,17 +114,20 @@
 	if !c.isBody {
 		return c.writePart(b, c.out.Event)
 	}
-	for {
-		n := min(len(b), BodyPartBytes)
-		if err := c.writePart(b[:n], c.out.Body); err != nil {
+	if len(b) == 0 {
+		return c.writePart(b, c.out.Body)
+	}
+	for p := range BodyParts(b) {
+		if err := c.writePart(p, c.out.Body); err != nil {
 			return err
 		}
-		if b = b[n:]; len(b) == 0 {
-			return nil
-		}
 	}
+	return nil
 }
 
+// BodyParts returns the parts in which a complete body is written.
+func BodyParts(b []byte) iter.Seq[[]byte] { return slices.Chunk(b, bodyPartBytes) }
+
 func (c *clientWriter) writePart(b []byte, write func([]byte) error) error {
 	if err := c.client.Err(); err != nil {
 		return err
@@ -187,7 +192,7 @@
 func (c *clientWriter) cutAt(deadline time.Time) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t := c.progressAt.Add(ClientStallTimeout); t.After(deadline) {
+	if t := c.progressAt.Add(clientStallTimeout); t.After(deadline) {
 		return t
 	}
 	return deadline
--- a/entry/clientwriter_test.go
+++ b/entry/clientwriter_test.go
@@ -340,7 +340,7 @@
 		name    string
 		bytes   int
 		running int
-	}{{"empty", 0, 0}, {"fits", 3*BodyPartBytes + 1, 0}, {"too large", 100 << 10, 1}} {
+	}{{"empty", 0, 0}, {"fits", 3*bodyPartBytes + 1, 0}, {"too large", 100 << 10, 1}} {
 		synctest.Test(t, func(t *testing.T) {
 			body := strings.Repeat("0123456789", c.bytes/10+1)[:c.bytes]
 			b := newBufferTest(t, largeBudget(), route.Route{Kind: route.Repeatable, MaxAttempts: 1}, scriptedReply{status: 200, events: []string{body}})
@@ -363,7 +363,7 @@
 func TestLargePlainAnswerIsDeliveredLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const parts = 13
-		body := strings.Repeat("0123456789abcdef", parts*BodyPartBytes/16)
+		body := strings.Repeat("0123456789abcdef", parts*bodyPartBytes/16)
 		c := newBufferTest(t, largeBudget(), route.Route{Kind: route.Repeatable, MaxAttempts: 1}, scriptedReply{status: 200, events: []string{body}})
 		s := newSlowSink()
 		done := c.forward(t.Context(), s)
@@ -460,7 +460,7 @@
 		reply scriptedReply
 	}{
 		{"stream", streamRoute, scriptedReply{status: 200, events: numbered(9)}},
-		{"body", route.Route{Kind: route.Repeatable, MaxAttempts: 1}, scriptedReply{status: 200, events: []string{strings.Repeat("x", 3*BodyPartBytes)}}},
+		{"body", route.Route{Kind: route.Repeatable, MaxAttempts: 1}, scriptedReply{status: 200, events: []string{strings.Repeat("x", 3*bodyPartBytes)}}},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			b := newBufferTest(t, largeBudget(), c.route, c.reply)
