--- a/adapter/caller/body.go
+++ b/adapter/caller/body.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -13,9 +12,6 @@
 	"fieldvale/connlimit"
 )
 
-// roomRetryAfter is the Retry-After of requests that found no room.
-const roomRetryAfter = time.Second
-
 // markIdle marks connections that wait for their next request.
 func markIdle(c net.Conn, s fasthttp.ConnState) {
 	if s == fasthttp.StateIdle {
@@ -59,7 +55,7 @@
 	case errors.Is(err, body.ErrTooLong):
 		e.status, e.code, e.message = fasthttp.StatusRequestEntityTooLarge, codeBodyTooLarge, bodyTooLargeMessage
 	case errors.Is(err, connlimit.ErrNoRoom):
-		e.status, e.code, e.kind, e.message, e.retryAt = fasthttp.StatusServiceUnavailable, "no_room", serverError, "no room for the request", s.clock().Add(roomRetryAfter)
+		e.status, e.code, e.kind, e.message, e.retryAt = fasthttp.StatusServiceUnavailable, "no_room", serverError, "no room for the request", s.clock().Add(connlimit.RetryAfter)
 	case errors.Is(err, connlimit.ErrTooSlow), errors.As(err, &t) && t.Timeout():
 		e.status, e.code, e.message = fasthttp.StatusRequestTimeout, codeRequestTimeout, requestTimeoutMessage
 	}
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -21,6 +21,8 @@
 	ServedBytes = 48 << 10
 	// DefaultHeadTimeout is the time in which a request's head must arrive where no other one is set.
 	DefaultHeadTimeout = 30 * time.Second
+	// RetryAfter is the time after which a request that found no room may be sent again.
+	RetryAfter = time.Second
 	// smallBytes is the memory up to which a connection with its request counts as small, in bytes, and smallFraction the
 	// fraction of all memory that only small ones may use.
 	smallBytes    = ConnectionBytes + ServedBytes + 128<<10
