process, rpc, connlimit: clients without a key no longer lock operators and instances out of fieldvale-control

What callers saw: with 200 clients without a key at each of two listeners of fieldvale-control, no operator's change was accepted within 30 s; with heads that stop short, the process could open no connection to the store either ("too many open files").

Cause: the listeners had no limit of connections. A request was refused with 401 before its body was read, but net/http then waits for the rest of the body without a deadline, and kept the connection afterwards, for ever.

Change: each listener has a connlimit account (connections, heads). A 401 closes its connection without reading on, and the connection gives way until it is closed. Once a key was valid the connection gives way no more (connlimit.Conn.Trust).

make test runs this test and TestEntryKeepsItsMemoryBesideStoppedBodies apart from the others, as those of misuse.

--- a/Makefile
+++ b/Makefile
@@ -17,13 +17,16 @@
 up: build
 	./$(BIN)/fieldvale-demo up
 
-# The tests of MISUSE run one at a time, after the others: they start processes that are short of memory.
+# The tests of MISUSE and APART run one at a time, after the others: they start processes that are short of memory or
+# descriptors.
 MISUSE := fieldvale/platform/misuse
+APART := TestEntryKeepsItsMemoryBesideStoppedBodies|TestControlAnswersBesideStrangers
 SKIP_KNOWN_RED := $(if $(KNOWN_RED),-skip "^($(KNOWN_RED))$$")
 
 test: build lint
-	go test -count=1 $(SKIP_KNOWN_RED) $$(go list ./... | grep -v '^$(MISUSE)$$')
+	go test -count=1 -skip "^($(APART)$(if $(KNOWN_RED),|$(KNOWN_RED)))$$" $$(go list ./... | grep -v '^$(MISUSE)$$')
 	go test -count=1 -timeout 40m $(SKIP_KNOWN_RED) $(MISUSE)
+	go test -count=1 -run "^($(APART))$$" $(SKIP_KNOWN_RED) ./process
 ifneq ($(KNOWN_RED),)
 	@cat KNOWN-RED.txt
 	@go test -count=1 -timeout 40m -run "^($(KNOWN_RED))$$" ./... || echo "known red: failed, see KNOWN-RED.txt"
--- a/adapter/rpc/admin.go
+++ b/adapter/rpc/admin.go
@@ -73,10 +73,10 @@
 		k, ok := strings.CutPrefix(q.Header.Get("Authorization"), "Bearer ")
 		a, known := byKeyHash[catalog.HashKey(k)]
 		if !ok || !known {
-			http.Error(w, "administration key is missing or wrong", http.StatusUnauthorized)
+			reject(w, q, "administration key is missing or wrong")
 			return
 		}
-		h.ServeHTTP(w, q.WithContext(context.WithValue(q.Context(), adminContextKey{}, a)))
+		serveTrusted(h, w, q.WithContext(context.WithValue(q.Context(), adminContextKey{}, a)))
 	})
 }
 
--- a/adapter/rpc/local.go
+++ b/adapter/rpc/local.go
@@ -166,17 +166,6 @@
 	return p
 }
 
-// NewServer returns a server for requests of fieldvale's own processes. It also accepts
-// HTTP/1, so that operators can use curl.
-func NewServer(h http.Handler) *http.Server {
-	p := protocols()
-	p.SetHTTP1(true)
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, Protocols: p}
-}
-
-// headerTimeout bounds the time to read a request's header.
-const headerTimeout = 5 * time.Second
-
 // fleetKeyTransport adds the fleet's key to each request.
 type fleetKeyTransport struct {
 	key  string
--- a/adapter/rpc/peer.go
+++ b/adapter/rpc/peer.go
@@ -150,9 +150,9 @@
 func requireFleetKey(key string, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if subtle.ConstantTimeCompare([]byte(q.Header.Get(headerFleetKey)), []byte(key)) != 1 {
-			http.Error(w, "fleet key is missing or wrong", http.StatusUnauthorized)
+			reject(w, q, "fleet key is missing or wrong")
 			return
 		}
-		h.ServeHTTP(w, q)
+		serveTrusted(h, w, q)
 	})
 }
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -51,10 +51,28 @@
 	// bytes last arrived, or when the phase began.
 	windowSince, lastArrival time.Time
 	arrived, arrivedBefore   int64
+	// isTrusted exempts the connection from interruptions.
+	isTrusted bool
 	// stopped is why the connection was interrupted or that it was closed; nil before.
 	stopped error
 }
 
+// Trust exempts the connection from interruptions from now on, as its client has proved who it is. It counts only as one
+// connection. The error is the reason if it was interrupted before.
+func (c *Conn) Trust() error {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.stopped != nil || c.isTrusted {
+		return c.stopped
+	}
+	c.isTrusted = true
+	l.bytes -= c.held - ConnectionBytes
+	c.held = ConnectionBytes
+	c.begin(Served, l.clock())
+	return nil
+}
+
 // Received counts bytes that arrived on the connection. The error is the reason if the connection is interrupted.
 func (c *Conn) Received(b []byte) error {
 	l := c.limiter
@@ -145,7 +163,7 @@
 	l := c.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.stopped != nil {
+	if c.stopped != nil || c.isTrusted {
 		return
 	}
 	l.bytes -= c.held - ConnectionBytes
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -145,6 +145,8 @@
 		return check(c.Reserve(int64(number(w[1]))), w[2:])
 	case "end":
 		return check(c.EndBody(), w[1:])
+	case "trust":
+		return check(c.Trust(), nil)
 	case "reset":
 		c.Reset()
 	case "close":
--- a/process/control.go
+++ b/process/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/http"
 	"time"
 
@@ -19,6 +20,8 @@
 	"fieldvale/adapter/rpc"
 	"fieldvale/adapter/settings"
 	"fieldvale/adapter/socket"
+	"fieldvale/capacity"
+	"fieldvale/connlimit"
 	"fieldvale/control"
 	"fieldvale/peer"
 )
@@ -75,9 +78,27 @@
 
 // listener is an address with the handler of its requests, and its TLS configuration or nil.
 type listener struct {
+	name    string
 	addr    string
 	handler http.Handler
 	tls     *tls.Config
+	// part is the part of the connections up to which the process accepts others that this listener may take.
+	part float64
+}
+
+const (
+	// peerPart, localPart and adminPart are the parts of connections for other instances, for the process's own entry and
+	// for operators.
+	peerPart  = 0.5
+	localPart = 0.125
+	adminPart = 0.125
+	// listenerMemory is the memory that a listener's connections may take, with the heads on them, in bytes.
+	listenerMemory = 32 << 20
+)
+
+// limits returns the limits of the listener's connections.
+func (l listener) limits() connlimit.Limits {
+	return connlimit.Limits{Connections: int(l.part * float64(capacity.MaxOpen(socket.MaxDescriptors()))), Bytes: listenerMemory}
 }
 
 // Run serves until ctx ends and then shuts down gracefully.
@@ -90,11 +111,11 @@
 	defer cancel()
 	g, runCtx := errgroup.WithContext(runCtx)
 	for _, l := range []listener{
-		{c.settings.LocalListen, rpc.LocalHandler(c.node, c.settings.FleetKey), nil},
-		{c.settings.PeerListen, rpc.PeerHandler(c.node, c.settings.FleetKey), nil},
-		{c.settings.AdminListen, rpc.AdminHandler(c.node, c.settings.Admins), t},
+		{"local", c.settings.LocalListen, rpc.LocalHandler(c.node, c.settings.FleetKey), nil, localPart},
+		{"peers", c.settings.PeerListen, rpc.PeerHandler(c.node, c.settings.FleetKey), nil, peerPart},
+		{"admin", c.settings.AdminListen, rpc.AdminHandler(c.node, c.settings.Admins), t, adminPart},
 	} {
-		if err := serveHTTP(runCtx, g, l); err != nil {
+		if err := c.serveHTTP(runCtx, g, l); err != nil {
 			return err
 		}
 	}
@@ -122,23 +143,39 @@
 }
 
 // serveHTTP serves one listener in g until ctx ends.
-func serveHTTP(ctx context.Context, g *errgroup.Group, l listener) error {
-	n, err := socket.Open(l.addr)
+func (c *Control) serveHTTP(ctx context.Context, g *errgroup.Group, l listener) error {
+	o, err := socket.Open(l.addr)
 	if err != nil {
 		return errors.Wrap(err, "process.Control")
 	}
+	m := connlimit.New(time.Now, l.limits(), func(i connlimit.Interruption) { c.metrics.CountInterruption(l.name, i) }, nil)
+	var n net.Listener = socket.Limited(o, m)
 	if l.tls != nil {
 		n = tls.NewListener(n, l.tls)
 	}
 	s := rpc.NewServer(l.handler)
 	g.Go(func() error { return ignoreClosed(ctx, s.Serve(n)) })
 	g.Go(func() error {
-		<-ctx.Done()
+		sweep(ctx, m)
 		return s.Close()
 	})
 	return nil
 }
 
+// sweep interrupts connections whose requests don't arrive in time, until ctx ends.
+func sweep(ctx context.Context, m *connlimit.Limiter) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			m.Sweep()
+		}
+	}
+}
+
 const (
 	// entryStopDelay is how long a stopping control process waits for its entry to report
 	// that it is stopping too, and after how long without a report an entry is taken to
--- a/process/memory_test.go
+++ b/process/memory_test.go
@@ -26,21 +26,21 @@
 	crowdTime = 5 * time.Second
 )
 
-// startEntryProcess starts fieldvale-entry as a process of its own.
-func (r *testInstance) startEntryProcess() *exec.Cmd {
+// startProcess builds the command and starts it, with the settings, as a process of its own. descriptors is how many files
+// it may open; 0 for as many as the test.
+func (r *testInstance) startProcess(command, settings string, descriptors int) *exec.Cmd {
 	d := r.t.TempDir()
-	b, p := filepath.Join(d, "fieldvale-entry"), filepath.Join(d, "entry.ini")
-	if o, err := exec.Command("go", "build", "-o", b, "fieldvale/cmd/fieldvale-entry").CombinedOutput(); err != nil {
-		r.t.Fatalf("build fieldvale-entry: %v\n%s", err, o)
+	b, p := filepath.Join(d, command), filepath.Join(d, "settings.ini")
+	if o, err := exec.Command("go", "build", "-o", b, "fieldvale/cmd/"+command).CombinedOutput(); err != nil {
+		r.t.Fatalf("build %s: %v\n%s", command, err, o)
 	}
-	socket.Release(r.entry.Listen)
-	socket.Release(r.entry.MetricsListen)
-	s := fmt.Sprintf("[entry]\nid = %s\ndata_centre = %s\nlisten = %s\nmetrics_listen = %s\ncontrol = %s\nfleet_key = %s\nsync = 50ms\n[platform]\nrating = %s\n[tls]\ncert = %s\nkey = %s\n",
-		r.entry.ID, r.entry.DataCentre, r.entry.Listen, r.entry.MetricsListen, r.entry.ControlAddr, r.entry.FleetKey, r.entry.RatingAddr, r.entry.TLS.Cert, r.entry.TLS.Key)
-	if err := os.WriteFile(p, []byte(s), 0o600); err != nil {
+	if err := os.WriteFile(p, []byte(settings), 0o600); err != nil {
 		r.t.Fatal(err)
 	}
 	c := exec.Command(b, "-c", p)
+	if descriptors > 0 {
+		c = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s -c %s", descriptors, b, p))
+	}
 	if err := c.Start(); err != nil {
 		r.t.Fatal(err)
 	}
@@ -51,6 +51,14 @@
 	return c
 }
 
+// startEntryProcess starts fieldvale-entry as a process of its own.
+func (r *testInstance) startEntryProcess() *exec.Cmd {
+	socket.Release(r.entry.Listen)
+	socket.Release(r.entry.MetricsListen)
+	return r.startProcess("fieldvale-entry", fmt.Sprintf("[entry]\nid = %s\ndata_centre = %s\nlisten = %s\nmetrics_listen = %s\ncontrol = %s\nfleet_key = %s\nsync = 50ms\n[platform]\nrating = %s\n[tls]\ncert = %s\nkey = %s\n",
+		r.entry.ID, r.entry.DataCentre, r.entry.Listen, r.entry.MetricsListen, r.entry.ControlAddr, r.entry.FleetKey, r.entry.RatingAddr, r.entry.TLS.Cert, r.entry.TLS.Key), 0)
+}
+
 // residentBytes returns the resident memory of a process; 0 if it has ended.
 func residentBytes(pid int) int64 {
 	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
