--- a/entry/router.go
+++ b/entry/router.go
@@ -12,11 +12,9 @@
 
 	"fieldvale/admission"
 	"fieldvale/answerbuffer"
-	"fieldvale/bill"
 	"fieldvale/biller"
 	"fieldvale/budget"
 	"fieldvale/cascade"
-	"fieldvale/config"
 	"fieldvale/load"
 	"fieldvale/notice"
 	"fieldvale/outcome"
@@ -267,51 +265,6 @@
 	return x, s.WithPin(x), had && o != x, nil
 }
 
-// limiter returns the limiter of a version or service; r.mu is held.
-func (r *Router) limiter(name string) *admission.Limiter {
-	l, ok := r.limiters[name]
-	if !ok {
-		l = admission.NewLimiter()
-		r.limiters[name] = l
-	}
-	return l
-}
-
-func (r *Router) enterLimiter(name string, c config.Caller, p []*pool.Replica, deadline time.Time) *admission.Refusal {
-	n := r.clock()
-	w := r.backends.queuedPerSlot(p)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.retryBudget.RecordRequest()
-	return r.limiter(name).Admit(c.Customer.Name, c.Customer.Share, w, n, deadline)
-}
-
-func (r *Router) leaveLimiter(name string, c config.Caller, start, deadline time.Time, err error) {
-	n := r.clock()
-	t := 0.0
-	if err == nil {
-		t = n.Sub(start).Seconds()
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.limiter(name).Release(c.Customer.Name, t, n.After(deadline) || isOverload(err), n)
-}
-
-// isOverload reports whether the error shows an overloaded backend server: status 429 or an
-// exceeded deadline.
-func isOverload(err error) bool {
-	o, ok := asOutcome(err)
-	return ok && (o.Status == statusTooMany || errors.Is(o.Cause, context.DeadlineExceeded))
-}
-
-const statusTooMany = 429
-
-func asOutcome(err error) (*outcome.Error, bool) {
-	var o *outcome.Error
-	ok := errors.As(err, &o)
-	return o, ok
-}
-
 // takeRetry takes a retry from the budget if the request may be sent again after err.
 func (r *Router) takeRetry(err error, once bool) bool {
 	if !outcome.MayRetry(err, once) {
@@ -407,45 +360,6 @@
 // errCallerGone marks failures on the caller's side of a stream.
 var errCallerGone = errors.New("the caller disconnected")
 
-// isRollingOut reports whether a roll-out to the version is running, so that its answers have to
-// be rated.
-func isRollingOut(v *View, c config.Caller, x version.ID) bool {
-	o, ok := v.Active.Document().Part(c.Team).Rollout(x.Model)
-	return ok && o.To == x && o.State == rollout.Running
-}
-
-// recordUnratedAnswer counts an answer for which the policy asks no rating.
-func (r *Router) recordUnratedAnswer(v *View, q Request, c *cascadeRun, answer []byte) {
-	switch {
-	case c.slow:
-		r.evidence.bad(c.version)
-	case isRollingOut(v, q.Caller, c.version):
-		r.evidence.queueRating(c.version, q.Body, answer)
-	default:
-		r.evidence.good(c.version)
-	}
-}
-
-// recordRating counts an answer by its rating. A slow one counts as bad whatever its rating is.
-func (r *Router) recordRating(c *cascadeRun, rating float64) {
-	if c.slow {
-		r.evidence.bad(c.version)
-		return
-	}
-	r.evidence.rated(c.version, rating)
-}
-
-func (r *Router) bill(v *View, q Request, x version.ID, a bill.Amount) {
-	a.Requests = 1
-	r.biller.Bill(q.ID, bill.Line{Team: q.Caller.Team, Customer: q.Caller.Customer.Name, Version: x}, a)
-}
-
-// price is the amount billed for one step's answer.
-func price(v *View, x version.ID, a Answer) bill.Amount {
-	c := v.Active.Declaration(x).Cost(int64(a.TokensIn), int64(a.TokensOut))
-	return bill.Amount{TokensIn: a.TokensIn, TokensOut: a.TokensOut, Cost: uint64(c)}
-}
-
 func newAttempt(q Request, x version.ID) Attempt {
 	return Attempt{ID: uuid.NewString(), Version: x, Body: q.Body, Deadline: q.Deadline, Priority: q.Priority}
 }
