exchange: an answer that broke off during the upload is no longer taken for whole

What callers saw: a replica answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer.

Cause: the operating system reports the reset of a connection once, to whichever call comes first. One goroutine writes the request's body while another reads the answer. If the writer got the error, the reader saw a plain end of file, and for a body that ends with its connection that was its end. The writer's result was only looked at when the connection was to be kept.

Change: the end of such a body counts as the answer's only after the upload has ended without an error. Answers with a length or with chunks don't depend on it. An answer without a body, as one to HEAD, no longer counts as one that ends with its connection.

TestReplicaThatDoesNotReadRequest counts the goroutines that write a body by the name of their function; the name is startUpload now, the check is the same.

--- a/adapter/exchange/exchange.go
+++ b/adapter/exchange/exchange.go
@@ -58,9 +58,8 @@
 	// stopCancel ends the cancellation by the request's context, and returns false
 	// if the context was done before.
 	stopCancel func() bool
-	// bodyWrite receives the result of writing a long request body; nil if the body
-	// was written together with the header.
-	bodyWrite chan error
+	// upload is the writing of a long request body; nil if the body was written together with the header.
+	upload *upload
 	// idleTimeout is how long the connection may stay idle after this response.
 	idleTimeout time.Duration
 	// bodyRead is set once the response's body was read to its end.
@@ -131,11 +130,7 @@
 	if _, err := s.conn.netConn.Write(b); err != nil {
 		return err
 	}
-	s.bodyWrite = make(chan error, 1)
-	go func() {
-		_, err := s.conn.netConn.Write(q.Body)
-		s.bodyWrite <- err
-	}()
+	s.upload = startUpload(s.conn.netConn, q.Body)
 	return nil
 }
 
@@ -182,7 +177,8 @@
 }
 
 // EndsWithConnection reports whether the body has neither a length nor chunks, so that its end is that of
-// the connection. The body then may be incomplete although it was read without an error.
+// the connection. The body then may be incomplete although it was read without an error: a server that crashes ends
+// its connections like one that closes them.
 func (s *Response) EndsWithConnection() bool { return s.endsWithConnection }
 
 // Via names the instance through which the connection runs; empty for a direct connection.
@@ -193,9 +189,12 @@
 	return ""
 }
 
-// Read implements io.Reader on the response's body.
+// Read implements io.Reader on the response's body. It returns io.EOF at the end of a whole body only.
 func (s *Response) Read(b []byte) (int, error) {
 	n, err := s.body.Read(b)
+	if errors.Is(err, io.EOF) && s.endsWithConnection {
+		err = s.checkEnd()
+	}
 	s.bodyRead = s.bodyRead || errors.Is(err, io.EOF)
 	return n, err
 }
@@ -205,7 +204,7 @@
 // which cancels the request.
 func (s *Response) Close() {
 	notCanceled := s.stopCancel()
-	if s.bodyRead && notCanceled && s.bodyWritten() {
+	if s.bodyRead && notCanceled && s.upload.wait(uploadGrace) == nil {
 		s.pool.putIdle(s.addr, s.conn, s.idleTimeout)
 		return
 	}
@@ -232,22 +231,3 @@
 
 // Length returns the length that the head states for the body, in bytes; negative if it states none.
 func (s *Response) Length() int64 { return s.length }
-
-// bodyWriteGrace is how long the end of a response waits for the result of writing the request's body: on
-// a busy machine the response may be read before the writer has returned.
-const bodyWriteGrace = 10 * time.Millisecond
-
-// bodyWritten reports whether the request's body has been written without an error.
-func (s *Response) bodyWritten() bool {
-	if s.bodyWrite == nil {
-		return true
-	}
-	t := time.NewTimer(bodyWriteGrace)
-	defer t.Stop()
-	select {
-	case err := <-s.bodyWrite:
-		return err == nil
-	case <-t.C:
-		return false
-	}
-}
--- a/adapter/exchange/head.go
+++ b/adapter/exchange/head.go
@@ -57,7 +57,7 @@
 		s.Status, s.Header, s.body = r.StatusCode, r.Header, r.Body
 		s.idleTimeout = idleTimeoutOf(r)
 		s.length = r.ContentLength
-		s.endsWithConnection = r.ContentLength < 0 && len(r.TransferEncoding) == 0
+		s.endsWithConnection = r.Body != http.NoBody && r.ContentLength < 0 && len(r.TransferEncoding) == 0
 		return nil
 	}
 	return skipped
--- a/adapter/exchange/slowreplica_test.go
+++ b/adapter/exchange/slowreplica_test.go
@@ -35,7 +35,7 @@
 // bodyWriters returns the number of goroutines that write a request's body.
 func bodyWriters() int {
 	b := make([]byte, 1<<20)
-	return strings.Count(string(b[:runtime.Stack(b, true)]), "exchange.(*Response).writeRequest.func")
+	return strings.Count(string(b[:runtime.Stack(b, true)]), "exchange.startUpload.func")
 }
 
 // A replica that does not read a request must not hold its body, nor the goroutine that writes it,
