tunnel: the end of an answer through another instance says what the server got of the request

Cause: the instance in between writes the request to the replica in one goroutine and reads the answer in another. If the writer got the connection's error, the reader saw its end and passed on that the server had closed in order. And bytes of the request that were still on the way to that instance were dropped, while the sender's writer had ended.

Change: the frame for the server's end is not sent if a write has failed, and is followed by the number of bytes written to the server. The sender compares it with what it wrote if the request had a body of its own write.

Evidence: TestResetDuringUploadIsNoEndOfAnswerThroughHelper, 20 requests a case. Answers without a length to a request that was read stay whole in all.

--- a/adapter/exchange/dial.go
+++ b/adapter/exchange/dial.go
@@ -41,6 +41,9 @@
 	Via() string
 	// HasUnread reports whether bytes were received that were not read.
 	HasUnread() bool
+	// CheckWritten returns an error unless the instance has passed on to the server all bytes that were written. It
+	// may be called once, after the server's end of the connection was read.
+	CheckWritten() error
 }
 
 // DialDirect opens a TCP connection from this process to the server.
--- a/adapter/exchange/upload.go
+++ b/adapter/exchange/upload.go
@@ -55,7 +55,14 @@
 // checkEnd returns io.EOF if the end of the connection is that of a whole response. The operating system reports an
 // error of a connection once, to its writer or to its reader: the other one sees an end like any other.
 func (s *Response) checkEnd() error {
-	if err := s.upload.wait(uploadTimeout); err != nil {
+	if s.upload == nil {
+		return io.EOF
+	}
+	err := s.upload.wait(uploadTimeout)
+	if x, ok := s.conn.netConn.(IndirectConn); ok && err == nil {
+		err = x.CheckWritten()
+	}
+	if err != nil {
 		return errors.Mark(errors.Wrap(err, "the answer ended before its request was written"), io.ErrUnexpectedEOF)
 	}
 	return io.EOF
--- a/adapter/tunnel/session.go
+++ b/adapter/tunnel/session.go
@@ -3,16 +3,49 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"time"
 )
 
-// serve passes bytes in both directions until one side ends, and then ends the other.
+// serve passes bytes in both directions until the client ends the tunnel or the server its connection.
 func (x *session) serve(client io.Reader) {
+	w := &countingWriter{conn: x.server}
 	go func() {
-		_ = copyPlain(recorder{x.server, &x.asked, x}, client)
+		_ = copyPlain(recorder{w, &x.asked, x}, client)
 		_ = x.server.Close()
 	}()
-	_ = copyFrames(recorder{x.client, &x.answered, x}, x.server)
+	_ = copyFrames(recorder{x.client, &x.answered, x}, x.server, w)
+}
+
+// writeEndTimeout bounds a write to the server that is under way when the server's side of the connection has ended.
+const writeEndTimeout = 2 * time.Second
+
+// countingWriter writes to the server and counts the bytes.
+type countingWriter struct {
+	conn net.Conn
+
+	mu      sync.Mutex
+	written int64
+	err     error
+}
+
+// Write implements io.Writer.
+func (w *countingWriter) Write(b []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := w.conn.Write(b)
+	w.written += int64(n)
+	w.err = err
+	return n, err
+}
+
+// end returns how many bytes were written, or the error of writing, once the server's side of the connection has
+// ended.
+func (w *countingWriter) end() (int64, error) {
+	_ = w.conn.SetWriteDeadline(time.Now().Add(writeEndTimeout))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.written, w.err
 }
 
 // isBusy reports whether an answer may be under way.
@@ -24,7 +57,7 @@
 
 // recorder records when bytes were last written to a connection.
 type recorder struct {
-	net.Conn
+	io.Writer
 	at *time.Time
 	x  *session
 }
@@ -34,5 +67,5 @@
 	r.x.mu.Lock()
 	*r.at = time.Now()
 	r.x.mu.Unlock()
-	return r.Conn.Write(b)
+	return r.Writer.Write(b)
 }
--- a/adapter/tunnel/tunnel.go
+++ b/adapter/tunnel/tunnel.go
@@ -2,9 +2,10 @@
 // at the other instance's peer listener, after which bytes pass in both directions.
 //
 // Bytes to the server pass unchanged. Bytes from it are in frames, a length of two bytes before each,
-// and a length of 0 when the server has closed its connection. So the end of the server's connection
+// and a length of 0 when the server has closed its connection in order, followed by how many bytes were
+// written to the server without an error, in eight bytes. So the end of the server's connection
 // differs from the end of an instance, and an answer that ends with its connection is never taken as
-// complete when an instance in between was lost.
+// complete when an instance in between was lost, or when the server did not get all of the request.
 package tunnel
 
 import (
@@ -13,6 +14,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,15 +22,20 @@
 )
 
 const (
-	// frameHeader is the size of a frame's length, maxFrame the largest frame's content, in bytes.
+	// frameHeader is the size of a frame's length, endCount that of the count behind the last one, maxFrame the
+	// largest frame's content, in bytes.
 	frameHeader = 2
+	endCount    = 8
 	maxFrame    = 8 << 10
 	// readBuffer is the size of a connection's read buffer, in bytes.
 	readBuffer = 4 << 10
 )
 
-// errCut reports that an instance in between was lost.
-var errCut = errors.New("tunnel: the connection through another instance broke")
+// errCut reports that an instance in between was lost, errNotPassedOn that it has not written all bytes to the server.
+var (
+	errCut         = errors.New("tunnel: the connection through another instance broke")
+	errNotPassedOn = errors.New("tunnel: the other instance has not passed on all bytes to the server")
+)
 
 // Conn is a connection to a server through another instance. It implements exchange.IndirectConn.
 type Conn struct {
@@ -40,7 +47,9 @@
 	// left is the number of bytes that are unread of the current frame.
 	left int
 	// ended is set once the server's end of the connection was read.
-	ended   bool
+	ended bool
+	// written is the number of bytes written to the connection.
+	written atomic.Int64
 	onClose func()
 	once    sync.Once
 }
@@ -90,6 +99,25 @@
 	return nil
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// CheckWritten implements exchange.IndirectConn.
+func (c *Conn) CheckWritten() error {
+	var b [endCount]byte
+	if _, err := io.ReadFull(c.reader, b[:]); err != nil {
+		return errors.Wrap(errors.CombineErrors(errCut, err), "read the count")
+	}
+	if n, want := int64(binary.BigEndian.Uint64(b[:])), c.written.Load(); n < want {
+		return errors.Wrapf(errNotPassedOn, "%d bytes, want %d", n, want)
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.once.Do(c.onClose)
@@ -108,20 +136,20 @@
 // HasUnread implements exchange.IndirectConn: whether bytes were received that were not read.
 func (c *Conn) HasUnread() bool { return c.ended || c.left > 0 || c.reader.Buffered() > 0 }
 
-// copyFrames passes bytes from the server to w in frames until its connection ends.
-func copyFrames(w io.Writer, server net.Conn) error {
+// copyFrames passes bytes from the server to client in frames until its connection ends. The last frame says what
+// was written to the server; there is none if that failed.
+func copyFrames(client io.Writer, server io.Reader, toServer *countingWriter) error {
 	b := make([]byte, frameHeader+maxFrame)
 	for {
 		n, err := server.Read(b[frameHeader:])
 		if n > 0 {
 			binary.BigEndian.PutUint16(b, uint16(n))
-			if _, err := w.Write(b[:frameHeader+n]); err != nil {
+			if _, err := client.Write(b[:frameHeader+n]); err != nil {
 				return err
 			}
 		}
 		if err == io.EOF {
-			_, err = w.Write(make([]byte, frameHeader))
-			return err
+			return writeEnd(client, toServer)
 		}
 		if err != nil {
 			return err
@@ -129,8 +157,19 @@
 	}
 }
 
+// writeEnd writes the last frame.
+func writeEnd(client io.Writer, toServer *countingWriter) error {
+	n, err := toServer.end()
+	if err != nil {
+		return err
+	}
+	b := binary.BigEndian.AppendUint64(make([]byte, frameHeader), uint64(n))
+	_, err = client.Write(b)
+	return err
+}
+
 // copyPlain passes bytes from r to the server until r ends.
-func copyPlain(server net.Conn, r io.Reader) error {
+func copyPlain(server io.Writer, r io.Reader) error {
 	b := make([]byte, maxFrame)
 	for {
 		n, err := r.Read(b)
--- a/adapter/tunnel/tunnel_test.go
+++ b/adapter/tunnel/tunnel_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +21,7 @@
 	"fieldvale/outcome"
 	"fieldvale/peer"
 	"fieldvale/reach"
+	"fieldvale/standin/early"
 	"fieldvale/standin/endless"
 )
 
@@ -355,3 +358,56 @@
 		}
 	}
 }
+
+// earlyRequests is how many requests are sent in each case of answers that come before their request was read.
+const earlyRequests = 20
+
+// Guards against an answer through another instance whose end depends on which of its goroutines gets the error of
+// the connection to the server, and on how much of the request it has passed on by then.
+func TestResetDuringUploadIsNoEndOfAnswerThroughHelper(t *testing.T) {
+	body := strings.Repeat("x", 1000)
+	for _, c := range []struct {
+		name, sent string
+		end        early.End
+		// read is the part of the request that the server reads before it closes the connection.
+		read      float64
+		wantWhole bool
+	}{
+		{"no length, reset", okHead + "\r\n" + body, early.Reset, 0, false},
+		{"no length, closed with the request unread", okHead + "\r\n" + body, early.Close, 0, false},
+		{"no length, closed after half of the request", okHead + "\r\n" + body, early.ReadAndClose, 0.5, false},
+		{"no length, closed after the request", okHead + "\r\n" + body, early.ReadAndClose, 1, true},
+		{"part of the length, reset", okHead + "Content-Length: 1001\r\n\r\n" + body, early.Reset, 0, false},
+	} {
+		for _, length := range []int{64 << 10, 1 << 20, 16 << 20} {
+			for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, %d kB, after %s", c.name, length>>10, delay), func(t *testing.T) {
+					head := len("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: \r\n\r\n") + len(strconv.Itoa(length))
+					e, err := early.Listen(early.Answer{
+						Respond: func([]byte) string { return c.sent }, Delay: delay, End: c.end, Request: int64(float64(head+length) * c.read),
+					})
+					if err != nil {
+						t.Fatal(err)
+					}
+					t.Cleanup(e.Close)
+					h := startHelper(t, "n1", "")
+					h.server.MaxTunnels = earlyRequests
+					p, sent := newPool(h), strings.Repeat("y", length)
+					wrong := 0
+					for range earlyRequests {
+						ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+						a, _, err := get(ctx, p, e.Addr(), sent)
+						cancel()
+						p.CloseIdle()
+						if isWhole := err == nil && a == body; isWhole != c.wantWhole {
+							wrong++
+						}
+					}
+					if wrong > 0 {
+						t.Errorf("%d of %d answers were taken wrongly, want all taken as whole: %t", wrong, earlyRequests, c.wantWhole)
+					}
+				})
+			}
+		}
+	}
+}
