tunnel: a whole answer is not lost because the upload failed behind it

What callers saw: a replica behind another instance answered a long upload at once, with a length, and closed its connection. The whole answer was lost at times.

Cause: when a write to the replica failed, the instance in between closed the connection at once, before its other goroutine had read the answer that had come already.

Change: after a failed write it discards what else comes of the request; the reader meets the end by itself. The client's end still closes the connection.

--- a/adapter/tunnel/session.go
+++ b/adapter/tunnel/session.go
@@ -20,7 +20,8 @@
 // writeEndTimeout bounds a write to the server that is under way when the server's side of the connection has ended.
 const writeEndTimeout = 2 * time.Second
 
-// countingWriter writes to the server and counts the bytes.
+// countingWriter writes to the server and counts the bytes. After an error it discards what follows: an answer that
+// came before the error may still be unread.
 type countingWriter struct {
 	conn net.Conn
 
@@ -33,10 +34,12 @@
 func (w *countingWriter) Write(b []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	n, err := w.conn.Write(b)
-	w.written += int64(n)
-	w.err = err
-	return n, err
+	if w.err == nil {
+		var n int
+		n, w.err = w.conn.Write(b)
+		w.written += int64(n)
+	}
+	return len(b), nil
 }
 
 // end returns how many bytes were written, or the error of writing, once the server's side of the connection has
--- a/adapter/tunnel/tunnel_test.go
+++ b/adapter/tunnel/tunnel_test.go
@@ -377,6 +377,8 @@
 		{"no length, closed with the request unread", okHead + "\r\n" + body, early.Close, 0, false},
 		{"no length, closed after half of the request", okHead + "\r\n" + body, early.ReadAndClose, 0.5, false},
 		{"no length, closed after the request", okHead + "\r\n" + body, early.ReadAndClose, 1, true},
+		{"length, reset", okHead + "Content-Length: 1000\r\n\r\n" + body, early.Reset, 0, true},
+		{"length, closed with the request unread", okHead + "Content-Length: 1000\r\n\r\n" + body, early.Close, 0, true},
 		{"part of the length, reset", okHead + "Content-Length: 1001\r\n\r\n" + body, early.Reset, 0, false},
 	} {
 		for _, length := range []int{64 << 10, 1 << 20, 16 << 20} {
