exchange, tunnel: a request that its server dropped unread makes an answer without a length no whole one

After the peer's end of a connection reads return the end of file only, and all bytes of the request were in the system's buffer already.

Change: socket.WaitDelivered waits until the server has acknowledged what was written and looks at the connection's pending error, for answers without a length to long requests only. The instance in between does so before it says what the server got. Where the system does not tell (other than Linux), nothing changes.

Answers without a length to requests that were read, also after the answer's end, stay whole.

--- a/adapter/exchange/early_test.go
+++ b/adapter/exchange/early_test.go
@@ -64,25 +64,28 @@
 	for _, c := range []struct {
 		name, sent string
 		end        early.End
-		wantWhole  bool
+		// read is the part of the request that the server reads before it closes the connection.
+		read      float64
+		wantWhole bool
 	}{
-		{"no length, reset", unframedHead + body, early.Reset, false},
-		{"no length, closed with the request unread", unframedHead + body, early.Close, false},
-		{"no length, closed after the request", unframedHead + body, early.ReadAndClose, true},
-		{"no length, ended before the request was read", unframedHead + body, early.HalfClose, true},
-		{"length, reset", lengthHead + body, early.Reset, true},
-		{"length, closed with the request unread", lengthHead + body, early.Close, true},
-		{"part of the length, reset", lengthHead + body[:900], early.Reset, false},
-		{"chunks, reset", chunksHead + body + chunksEnd, early.Reset, true},
-		{"chunks without an end, reset", chunksHead + body, early.Reset, false},
+		{"no length, reset", unframedHead + body, early.Reset, 0, false},
+		{"no length, closed with the request unread", unframedHead + body, early.Close, 0, false},
+		{"no length, closed after half of the request", unframedHead + body, early.ReadAndClose, 0.5, false},
+		{"no length, closed after the request", unframedHead + body, early.ReadAndClose, 1, true},
+		{"no length, ended before the request was read", unframedHead + body, early.HalfClose, 1, true},
+		{"length, reset", lengthHead + body, early.Reset, 0, true},
+		{"length, closed with the request unread", lengthHead + body, early.Close, 0, true},
+		{"part of the length, reset", lengthHead + body[:900], early.Reset, 0, false},
+		{"chunks, reset", chunksHead + body + chunksEnd, early.Reset, 0, true},
+		{"chunks without an end, reset", chunksHead + body, early.Reset, 0, false},
 	} {
 		for _, length := range []int{1 << 10, 64 << 10, 1 << 20, 16 << 20} {
 			for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
-				if c.end == early.Close && length < 1<<20 {
-					continue // the server may have read all of the request
+				if c.end == early.Close && length < 64<<10 || c.read == 0.5 && length < 64<<10 {
+					continue // the server has read all of the request at once
 				}
 				t.Run(fmt.Sprintf("%s, %d kB, after %s", c.name, length>>10, delay), func(t *testing.T) {
-					addr := startEarly(t, c.sent, early.Answer{End: c.end, Delay: delay, Request: requestLength(length)})
+					addr := startEarly(t, c.sent, early.Answer{End: c.end, Delay: delay, Request: int64(float64(requestLength(length)) * c.read)})
 					wrong := 0
 					for range earlyRequests {
 						ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
--- a/adapter/exchange/upload.go
+++ b/adapter/exchange/upload.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"fieldvale/adapter/socket"
 )
 
 const (
@@ -52,18 +54,28 @@
 	}
 }
 
-// checkEnd returns io.EOF if the end of the connection is that of a whole response. The operating system reports an
-// error of a connection once, to its writer or to its reader: the other one sees an end like any other.
+// checkEnd returns io.EOF if the end of the connection is that of a whole response: the request's body was written, and
+// the server got it. The operating system reports an error of a connection once, to its writer or to its reader: the
+// other one sees an end like any other.
 func (s *Response) checkEnd() error {
 	if s.upload == nil {
 		return io.EOF
 	}
+	deadline := time.Now().Add(uploadTimeout)
 	err := s.upload.wait(uploadTimeout)
-	if x, ok := s.conn.netConn.(IndirectConn); ok && err == nil {
-		err = x.CheckWritten()
+	if err == nil {
+		err = s.conn.checkDelivered(deadline)
 	}
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, "the answer ended before its request was written"), io.ErrUnexpectedEOF)
 	}
 	return io.EOF
 }
+
+// checkDelivered returns an error unless the server got all bytes that were written, by the deadline.
+func (c *conn) checkDelivered(deadline time.Time) error {
+	if x, ok := c.netConn.(IndirectConn); ok {
+		return x.CheckWritten()
+	}
+	return socket.WaitDelivered(c.netConn, deadline)
+}
--- a/adapter/tunnel/session.go
+++ b/adapter/tunnel/session.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"fieldvale/adapter/socket"
 )
 
 // serve passes bytes in both directions until the client ends the tunnel or the server its connection.
@@ -17,7 +19,7 @@
 	_ = copyFrames(recorder{x.client, &x.answered, x}, x.server, w)
 }
 
-// writeEndTimeout bounds a write to the server that is under way when the server's side of the connection has ended.
+// writeEndTimeout bounds the time for bytes to the server that are under way when its side of the connection has ended.
 const writeEndTimeout = 2 * time.Second
 
 // countingWriter writes to the server and counts the bytes. After an error it discards what follows: an answer that
@@ -42,13 +44,17 @@
 	return len(b), nil
 }
 
-// end returns how many bytes were written, or the error of writing, once the server's side of the connection has
-// ended.
+// end returns how many bytes the server got, or why it didn't get all that were written, once its side of the
+// connection has ended.
 func (w *countingWriter) end() (int64, error) {
-	_ = w.conn.SetWriteDeadline(time.Now().Add(writeEndTimeout))
+	deadline := time.Now().Add(writeEndTimeout)
+	_ = w.conn.SetWriteDeadline(deadline)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.written, w.err
+	if w.err != nil {
+		return 0, w.err
+	}
+	return w.written, socket.WaitDelivered(w.conn, deadline)
 }
 
 // isBusy reports whether an answer may be under way.
