httphead: an answer whose head HTTP does not allow is none, for every reader of answers

What callers saw: an answer with status 000 reached the client as an answer (at fieldvale-entry as 200 with the replica's body), and one in whose head the name of a field held a blank or a control byte, with that line passed on or with a body that was not the replica's.

Cause: the readers looked at what a parser had made of a head, and parsers are lenient, each in its own way. net/http takes statuses 000 to 099, which exchange skipped as informational, so that what came after them counted. fasthttp has 0 for "not set", which is 200, and stops skipping at 000. Both take two blanks before the status, any version, and join a line that begins with a blank to the one before it: with it a length is lost, and the body is another one. fasthttp drops a blank before the colon ("Content-Length : 1" became a length), and looks at no head before an interim one. Neither checks blanks in the names of trailers.

Change: httphead looks at the head as it was received, before it is parsed: Peek waits until all of it is in the read buffer, Check looks at the status line and each line. exchange (replicas, store, duties, other instances' state), httpconn (model engines, plain services, the key-value service, rating, the list of servers) and the answer to CONNECT use it, for interim heads too; trailers are checked behind the body. A head longer than the read buffer gets a larger one until its answer ends.

Decided: statuses from 600 on are no answer, as RFC 9110 has none (what a client makes of one is up to its library); so are 101, which nothing asked for, other versions than HTTP/1.x, two blanks before a status, and folded lines, which RFC 9112 lets a gateway turn down: no sound server sends them, and joined lines hide names. The request may have run.

--- a/adapter/exchange/exchange.go
+++ b/adapter/exchange/exchange.go
@@ -52,9 +52,11 @@
 	Header http.Header
 
 	body io.ReadCloser
-	pool *Pool
-	addr string
-	conn *conn
+	// trailers returns the headers behind the body, once it was read.
+	trailers func() http.Header
+	pool     *Pool
+	addr     string
+	conn     *conn
 	// stopCancel ends the cancellation by the request's context, and returns false
 	// if the context was done before.
 	stopCancel func() bool
@@ -192,7 +194,7 @@
 // Read implements io.Reader on the response's body. It returns io.EOF at the end of a whole body only.
 func (s *Response) Read(b []byte) (int, error) {
 	n, err := s.body.Read(b)
-	if errors.Is(err, io.EOF) && s.endsWithConnection {
+	if errors.Is(err, io.EOF) {
 		err = s.checkEnd()
 	}
 	s.bodyRead = s.bodyRead || errors.Is(err, io.EOF)
--- a/adapter/exchange/head.go
+++ b/adapter/exchange/head.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -9,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"fieldvale/adapter/httphead"
+	"fieldvale/adapter/readlimit"
 )
 
 const (
@@ -55,6 +58,7 @@
 			continue
 		}
 		s.Status, s.Header, s.body = r.StatusCode, r.Header, r.Body
+		s.trailers = func() http.Header { return r.Trailer }
 		s.idleTimeout = idleTimeoutOf(r)
 		s.length = r.ContentLength
 		s.endsWithConnection = r.Body != http.NoBody && r.ContentLength < 0 && len(r.TransferEncoding) == 0
@@ -69,11 +73,32 @@
 		return nil, err
 	}
 	defer s.beginStep(ctx, maxHeadBytes)()
-	r, err := http.ReadResponse(s.conn.reader, &http.Request{Method: method})
+	b, err := s.conn.peekHead()
 	if err != nil {
 		return nil, err
 	}
-	return r, httphead.Check(r.Status, r.Header)
+	if _, err := httphead.Check(b); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(s.conn.reader, &http.Request{Method: method})
+}
+
+// peekHead returns the next head, unread. A head that is longer than the read buffer gets a larger one.
+func (c *conn) peekHead() ([]byte, error) {
+	b, err := httphead.Peek(c.reader)
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return b, err
+	}
+	received, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(received)), c.limit), maxHeadBytes)
+	b, err = httphead.Peek(c.reader)
+	if errors.Is(err, bufio.ErrBufferFull) {
+		err = readlimit.ErrExceeded
+	}
+	return b, err
 }
 
 // skipBody reads the body of a response to another request.
--- a/adapter/exchange/pool.go
+++ b/adapter/exchange/pool.go
@@ -221,5 +221,8 @@
 		_ = c.netConn.Close()
 		return
 	}
+	if c.reader.Size() > readBufferSize {
+		c.reader = bufio.NewReaderSize(c.limit, readBufferSize)
+	}
 	p.idle[addr] = append(p.idle[addr], c)
 }
--- a/adapter/exchange/upload.go
+++ b/adapter/exchange/upload.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fieldvale/adapter/httphead"
 	"fieldvale/adapter/socket"
 )
 
@@ -19,6 +20,9 @@
 	uploadTimeout = 2 * time.Second
 )
 
+// ErrBrokenOff reports a response that ended with its connection before the server had all of the request.
+var ErrBrokenOff = errors.New("the answer ended before its request was written")
+
 // errUploading reports that the request's body is still being written.
 var errUploading = errors.New("the request's body is not written yet")
 
@@ -54,24 +58,31 @@
 	}
 }
 
-// checkEnd returns io.EOF if the end of the connection is that of a whole response: the request's body was written, and
-// the server got it. The operating system reports an error of a connection once, to its writer or to its reader: the
-// other one sees an end like any other.
+// checkEnd returns io.EOF if the end of the body is that of a whole response.
 func (s *Response) checkEnd() error {
-	if s.upload == nil {
-		return io.EOF
-	}
-	deadline := time.Now().Add(uploadTimeout)
-	err := s.upload.wait(uploadTimeout)
-	if err == nil {
-		err = s.conn.checkDelivered(deadline)
+	if err := httphead.CheckHeader(s.trailers()); err != nil {
+		return err
 	}
-	if err != nil {
-		return errors.Mark(errors.Wrap(err, "the answer ended before its request was written"), io.ErrUnexpectedEOF)
+	if err := s.checkUpload(); err != nil {
+		return errors.Mark(errors.Wrap(err, ErrBrokenOff.Error()), ErrBrokenOff)
 	}
 	return io.EOF
 }
 
+// checkUpload returns an error if the response ends with its connection, and the end may be that of a broken one: the
+// request's body was not written, or the server didn't get it. The operating system reports an error of a connection
+// once, to its writer or to its reader: the other one sees an end like any other.
+func (s *Response) checkUpload() error {
+	if s.upload == nil || !s.endsWithConnection {
+		return nil
+	}
+	deadline := time.Now().Add(uploadTimeout)
+	if err := s.upload.wait(uploadTimeout); err != nil {
+		return err
+	}
+	return s.conn.checkDelivered(deadline)
+}
+
 // checkDelivered returns an error unless the server got all bytes that were written, by the deadline.
 func (c *conn) checkDelivered(deadline time.Time) error {
 	if x, ok := c.netConn.(IndirectConn); ok {
--- a/adapter/httpconn/httpconn.go
+++ b/adapter/httpconn/httpconn.go
@@ -28,6 +28,8 @@
 	idleTimeout = 5 * time.Second
 	// maxBody bounds a response body that is read into memory, in bytes.
 	maxBody = 8 << 20
+	// maxInterim bounds the interim responses before a response.
+	maxInterim = 100
 	// dialTimeout bounds one attempt to connect.
 	dialTimeout = 500 * time.Millisecond
 )
@@ -135,27 +137,67 @@
 	if err := l.conn.writer.Flush(); err != nil {
 		return outcome.New(outcome.Unknown, "write", l.addr, err)
 	}
-	l.resp.StreamBody = stream
-	if err := l.resp.ReadLimitBody(l.conn.reader, maxBody); err != nil {
-		return outcome.New(outcome.Unknown, "read", l.addr, err)
-	}
-	if err := checkHead(&l.resp.Header); err != nil {
+	if err := l.readResponse(stream); err != nil {
 		return outcome.New(outcome.Unknown, "read", l.addr, err)
 	}
 	return nil
 }
 
-// checkHead returns an error if the response's head contradicts itself.
-func checkHead(h *fasthttp.ResponseHeader) error {
-	if err := httphead.CheckStatus(string(h.StatusMessage())); err != nil {
+// readResponse reads the response, without its body if stream is set.
+func (l *Call) readResponse(stream bool) error {
+	if err := l.skipInterim(); err != nil {
 		return err
 	}
-	for n, v := range h.All() {
-		if err := httphead.CheckField(string(n), string(v)); err != nil {
+	l.resp.Reset()
+	l.resp.StreamBody = stream
+	if err := l.resp.Header.Read(l.conn.reader); err != nil {
+		return err
+	}
+	if s := l.resp.StatusCode(); s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified {
+		return nil
+	}
+	isChunked := l.resp.Header.ContentLength() == chunkedLength
+	if err := l.resp.ReadBody(l.conn.reader, maxBody); err != nil {
+		return err
+	}
+	if isChunked && !stream {
+		return l.readTrailers()
+	}
+	return nil
+}
+
+// chunkedLength is fasthttp's content length of a body in chunks.
+const chunkedLength = -1
+
+// skipInterim checks the head that comes next, and skips those of interim responses before.
+func (l *Call) skipInterim() error {
+	for range maxInterim + 1 {
+		b, err := httphead.Peek(l.conn.reader)
+		if err != nil {
+			return err
+		}
+		status, err := httphead.Check(b)
+		if err != nil || status >= fasthttp.StatusOK {
+			return err
+		}
+		if _, err := l.conn.reader.Discard(len(b)); err != nil {
 			return err
 		}
 	}
-	return nil
+	return errors.Newf("more than %d interim responses", maxInterim)
+}
+
+// readTrailers reads what follows a body in chunks.
+func (l *Call) readTrailers() error {
+	b, err := httphead.Peek(l.conn.reader)
+	if err != nil {
+		return err
+	}
+	if err := httphead.CheckTrailers(b); err != nil {
+		return err
+	}
+	_, err = l.conn.reader.Discard(len(b))
+	return err
 }
 
 // getConn returns an idle connection to the address, or else a new one.
--- a/adapter/tunnel/dialer.go
+++ b/adapter/tunnel/dialer.go
@@ -11,7 +11,6 @@
 
 	"fieldvale/adapter/exchange"
 	"fieldvale/adapter/httphead"
-	"fieldvale/adapter/readlimit"
 	"fieldvale/peer"
 	"fieldvale/reach"
 )
@@ -280,11 +279,8 @@
 	if t, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(t)
 	}
-	l := readlimit.New(c)
-	r := bufio.NewReaderSize(l, readBuffer)
-	l.Limit(maxAnswerBytes)
+	r := bufio.NewReaderSize(c, readBuffer)
 	status, err := connect(c, r, addr)
-	l.Unlimit()
 	if err == nil && status == http.StatusOK {
 		setNoDeadline(c)
 		d.Helpers.Opened(m.ID)
@@ -301,17 +297,21 @@
 	return nil, err
 }
 
-// maxAnswerBytes bounds the answer to a request for a tunnel.
-const maxAnswerBytes = 8 << 10
-
-// connect sends the request for the tunnel and returns the status of the answer.
+// connect sends the request for the tunnel and returns the status of the answer. Its head fits into r's buffer.
 func connect(c net.Conn, r *bufio.Reader, addr string) (int, error) {
 	if _, err := c.Write([]byte("CONNECT " + addr + " HTTP/1.1\r\nHost: " + addr + "\r\n\r\n")); err != nil {
 		return 0, errors.Wrap(err, "ask")
 	}
+	b, err := httphead.Peek(r)
+	if err != nil {
+		return 0, errors.Wrap(err, "read the answer")
+	}
+	if _, err := httphead.Check(b); err != nil {
+		return 0, errors.Wrap(err, "read the answer")
+	}
 	p, err := http.ReadResponse(r, &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return 0, errors.Wrap(err, "read the answer")
 	}
-	return p.StatusCode, errors.Wrap(httphead.Check(p.Status, p.Header), "read the answer")
+	return p.StatusCode, nil
 }
--- a/cmd/fieldvale-node/observe.go
+++ b/cmd/fieldvale-node/observe.go
@@ -137,6 +137,8 @@
 	{exchange.ErrUnmatched, "other_id"},
 	{exchange.ErrInformational, "informational"},
 	{httphead.ErrContradictory, "contradictory"},
+	{httphead.ErrMalformed, "malformed"},
+	{exchange.ErrBrokenOff, "broken_off"},
 	{readlimit.ErrExceeded, "too_long"},
 	{answerbuffer.ErrTooLong, "too_long"},
 	{answerbuffer.ErrNoRoom, "no_room"},
