--- a/entry/active.go
+++ b/entry/active.go
@@ -11,6 +11,8 @@
 type activeForwards struct {
 	mu      sync.Mutex
 	cancels map[*forwarding]context.CancelFunc
+	// ended is set once no request goes on.
+	ended bool
 }
 
 func newActiveForwards() *activeForwards {
@@ -21,6 +23,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.cancels[w] = cancel
+	if u.ended {
+		cancel()
+	}
 }
 
 func (u *activeForwards) remove(w *forwarding) {
@@ -29,6 +34,24 @@
 	delete(u.cancels, w)
 }
 
+func (u *activeForwards) isEnded() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ended
+}
+
+// EndForwards ends the opaque requests in progress, and those that still come, since the instance stops. Each fails with
+// what is known of its run.
+func (r *Router) EndForwards() {
+	u := r.activeForwards
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ended = true
+	for _, cancel := range u.cancels {
+		cancel()
+	}
+}
+
 // AfterSuspension has to be called after the machine was suspended. It ends requests whose
 // deadline passed meanwhile, and sets new timers for the others.
 func (r *Router) AfterSuspension() {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -123,6 +123,10 @@
 		w.cause = err
 		return w.stopIf(true, "over its share")
 	}
+	if w.r.activeForwards.isEnded() {
+		w.cause = err
+		return w.stopIf(true, "the instance stops")
+	}
 	isLate := !w.r.clock().Before(w.q.EffectiveDeadline())
 	if errors.Is(err, errCallerGone) || errors.Is(ctx.Err(), context.Canceled) && !isLate {
 		return w.stopIf(true, "the client left")
