fieldvale-node: a stopping instance closes idle connections through it beside the requests of its own clients

What could happen: an instance that stops kept idle connections that others have through it to replicas for as long as a request of its own clients ran, to the end of the stop. A request that another instance sent on one late was cut.

Change: both are waited for at the same time.

--- a/cmd/fieldvale-node/stop.go
+++ b/cmd/fieldvale-node/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,7 +52,8 @@
 }
 
 // stop shuts down gracefully: it stops being ready, accepts connections for drainDelay, and
-// waits for the requests in progress until the time for the stop is over.
+// waits for the requests in progress until the time for the stop is over. Connections through this instance on which
+// nothing is under way are closed meanwhile, so that no further request comes on them.
 func (n *node) stop() error {
 	n.logEvent("stopping")
 	end := n.clock().Add(n.settings.StopTimeout - exitMargin)
@@ -60,10 +62,12 @@
 	time.Sleep(min(drainDelay, n.settings.StopTimeout/2))
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(n.clock()))
 	defer cancel()
+	var g sync.WaitGroup
+	g.Go(func() { n.tunnels.Drain(ctx) })
 	if err := n.ingress.Shutdown(ctx); err != nil {
 		n.logEvent("stop_incomplete", "error", err)
 	}
-	n.tunnels.Drain(ctx)
+	g.Wait()
 	if n.dutyWorker != nil {
 		n.dutyWorker.sendUsage()
 	}
--- a/cmd/fieldvale-node/stop_test.go
+++ b/cmd/fieldvale-node/stop_test.go
@@ -148,6 +148,40 @@
 	}
 }
 
+// Guards against an idle connection through a stopping instance that is kept for as long as requests of its own clients
+// run: another instance may send a request on it, which is cut at the end.
+func TestStoppingInstanceClosesIdleTunnelsBesideRequests(t *testing.T) {
+	s := newTestEnv(t)
+	r := s.startReplica("r1", "v1")
+	r.Handler = func(c net.Conn, q sitetest.Request) {
+		time.Sleep(5 * time.Second)
+		r.RespondOK("ok")(c, q)
+	}
+	s.start()
+	c, err := net.Dial("tcp", s.node.settings.PeersListen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := fmt.Fprintf(c, "CONNECT %s HTTP/1.1\r\nHost: %[1]s\r\n\r\n", r.Addr()); err != nil {
+		t.Fatal(err)
+	}
+	b := bufio.NewReader(c)
+	if a, err := http.ReadResponse(b, &http.Request{Method: http.MethodConnect}); err != nil || a.StatusCode != http.StatusOK {
+		t.Fatalf("got answer %v and error %v, want status 200", a, err)
+	}
+	s.stop()
+	stopAt := time.Now()
+	go func() { s.send("POST", "/once/x", "x", apiKeyHeader) }()
+	_, err = b.ReadByte()
+	if took := time.Since(stopAt); err == nil || took > 2500*ms {
+		t.Errorf("got error %v after %s, want the end of the connection soon after 2 s", err, took)
+	}
+	if err := <-s.done; err != nil {
+		t.Errorf("node.run: got %v, want nil", err)
+	}
+}
+
 // received reports whether a replica has received a request with the target.
 func (s *testEnv) received(target string) bool {
 	for _, r := range s.replicas {
