adapter/platform: an odd entry of the list costs that entry alone, for fieldvale-control too

Here it did happen in the product's own interface: the list of instances and servers is one document, and one entry that was nested too deeply, had a number too large or a value of another type made all of it unreadable, so that fieldvale-control followed it no longer while the entry was there. Entries with ports out of range, without an id, or with line breaks were used.

Change: each entry is decoded by itself and left out if nothing can be used by it (log line list_entries_invalid). gjson finds the array, since encoding/json reads nothing of a document that is nested deeper than 10,000 levels in one place; it was among the modules already. A part of a list is none, as before.

--- a/adapter/platform/platform.go
+++ b/adapter/platform/platform.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"time"
@@ -12,17 +13,10 @@
 
 	"fieldvale/adapter/httpconn"
 	"fieldvale/entry"
-	"fieldvale/peer"
 	"fieldvale/pool"
 	"fieldvale/version"
 )
 
-// InstanceList is the platform's list of fieldvale instances and of backend servers.
-type InstanceList struct {
-	Members  []peer.Member
-	Replicas []pool.Replica
-}
-
 // Client is a client of the platform's services.
 type Client struct {
 	http *httpconn.Client
@@ -38,45 +32,6 @@
 	return &Client{http: c, listAddr: listAddr, ratingAddr: ratingAddr}
 }
 
-type wireInstance struct {
-	ID          string `json:"id"`
-	Addr        string `json:"addr"`
-	DataCentre  string `json:"data_centre"`
-	Kind        string `json:"kind"`
-	Service     string `json:"service"`
-	Slots       int    `json:"slots"`
-	ChecksFence bool   `json:"checks_fence"`
-	Leaving     bool   `json:"leaving"`
-}
-
-// memberKind is the kind of fieldvale's own instances in the list.
-const memberKind = "fieldvale"
-
-// Instances returns the list, which lags behind the actual state. It leaves out draining
-// instances of fieldvale.
-func (p *Client) Instances(ctx context.Context) (InstanceList, error) {
-	var w struct {
-		Instances []wireInstance `json:"instances"`
-	}
-	if err := p.get(ctx, p.listAddr, "/v1/instances", &w); err != nil {
-		return InstanceList{}, errors.Wrap(err, "platform: list instances")
-	}
-	var l InstanceList
-	for _, i := range w.Instances {
-		if i.Kind == memberKind {
-			if !i.Leaving {
-				l.Members = append(l.Members, peer.Member{ID: i.ID, Addr: i.Addr, DataCentre: i.DataCentre})
-			}
-			continue
-		}
-		l.Replicas = append(l.Replicas, pool.Replica{
-			ID: i.ID, Addr: i.Addr, DataCentre: i.DataCentre, Kind: pool.Kind(i.Kind),
-			Service: i.Service, Slots: i.Slots, ChecksFencingToken: i.ChecksFence, Draining: i.Leaving,
-		})
-	}
-	return l, nil
-}
-
 // EngineReport is a model engine's report of its load and state.
 type EngineReport struct {
 	Running  int
@@ -151,6 +106,15 @@
 
 // call sends a JSON request and decodes the response into out unless out is nil.
 func (p *Client) call(ctx context.Context, method, addr, path string, b []byte, out any) error {
+	r, err := p.fetch(ctx, method, addr, path, b)
+	if err != nil || out == nil {
+		return err
+	}
+	return errors.Wrapf(json.Unmarshal(r, out), "%s%s", addr, path)
+}
+
+// fetch sends a JSON request and returns the body of the response.
+func (p *Client) fetch(ctx context.Context, method, addr, path string, b []byte) ([]byte, error) {
 	x, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	q, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -161,13 +125,10 @@
 	q.Header.SetContentType("application/json")
 	q.SetBodyRaw(b)
 	if err := p.http.Do(x, addr, q, a); err != nil {
-		return err
+		return nil, err
 	}
 	if a.StatusCode() != fasthttp.StatusOK {
-		return errors.Newf("%s%s: got status %d, want 200", addr, path, a.StatusCode())
-	}
-	if out == nil {
-		return nil
+		return nil, errors.Newf("%s%s: got status %d, want 200", addr, path, a.StatusCode())
 	}
-	return errors.Wrapf(json.Unmarshal(a.Body(), out), "%s%s", addr, path)
+	return bytes.Clone(a.Body()), nil
 }
--- a/control/replicas.go
+++ b/control/replicas.go
@@ -30,6 +30,9 @@
 		n.log("list_unreachable", "error", err)
 		return
 	}
+	if len(l.Invalid) > 0 {
+		n.log("list_entries_invalid", "entries", len(l.Invalid), "first", l.Invalid[0])
+	}
 	n.mu.Lock()
 	added := n.updateReplicas(l)
 	n.listRead = true
