httpconn: an answer without a length counts as whole only if the server got all of its request

A reset in the middle was noticed, as this client writes its request before it reads.

Change: as in exchange, for bodies that end with their connection. The stand-in reads a request by its length now, and can end its answer before it closes the connection, so that the order does not depend on the machine.

--- a/adapter/exchange/early_test.go
+++ b/adapter/exchange/early_test.go
@@ -40,15 +40,20 @@
 	return string(b), err
 }
 
-// requestLength is the length of sendUpload's request, in bytes.
-func requestLength(body int) int64 {
-	q := &Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, body)}
-	return int64(len(q.encodeHeader()) + body)
+// leastUnread returns the length of a request, in bytes, from which on a server leaves a part unread: it reads one
+// buffer, or, where it has ended its answer, its system takes another one.
+func leastUnread(e early.End, read float64) int {
+	switch {
+	case e == early.HalfCloseUnread:
+		return 1 << 20
+	case e == early.Close || read == 0.5:
+		return 64 << 10
+	}
+	return 0
 }
 
 // startEarly starts a server that answers each request before it was read.
-func startEarly(t *testing.T, sent string, a early.Answer) string {
-	a.Respond = func([]byte) string { return sent }
+func startEarly(t *testing.T, a early.Answer) string {
 	s, err := early.Listen(a)
 	if err != nil {
 		t.Fatal(err)
@@ -73,6 +78,7 @@
 		{"no length, closed after half of the request", unframedHead + body, early.ReadAndClose, 0.5, false},
 		{"no length, closed after the request", unframedHead + body, early.ReadAndClose, 1, true},
 		{"no length, ended before the request was read", unframedHead + body, early.HalfClose, 1, true},
+		{"no length, ended and closed with the request unread", unframedHead + body, early.HalfCloseUnread, 0, false},
 		{"length, reset", lengthHead + body, early.Reset, 0, true},
 		{"length, closed with the request unread", lengthHead + body, early.Close, 0, true},
 		{"part of the length, reset", lengthHead + body[:900], early.Reset, 0, false},
@@ -81,11 +87,11 @@
 	} {
 		for _, length := range []int{1 << 10, 64 << 10, 1 << 20, 16 << 20} {
 			for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
-				if c.end == early.Close && length < 64<<10 || c.read == 0.5 && length < 64<<10 {
-					continue // the server has read all of the request at once
+				if length < leastUnread(c.end, c.read) {
+					continue
 				}
 				t.Run(fmt.Sprintf("%s, %d kB, after %s", c.name, length>>10, delay), func(t *testing.T) {
-					addr := startEarly(t, c.sent, early.Answer{End: c.end, Delay: delay, Request: int64(float64(requestLength(length)) * c.read)})
+					addr := startEarly(t, early.Answer{Sent: c.sent, End: c.end, Delay: delay, Read: c.read})
 					wrong := 0
 					for range earlyRequests {
 						ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
--- a/adapter/httpconn/httpconn.go
+++ b/adapter/httpconn/httpconn.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"fieldvale/adapter/httphead"
+	"fieldvale/adapter/socket"
 	"fieldvale/outcome"
 )
 
@@ -156,18 +157,27 @@
 	if s := l.resp.StatusCode(); s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified {
 		return nil
 	}
-	isChunked := l.resp.Header.ContentLength() == chunkedLength
+	length := l.resp.Header.ContentLength()
 	if err := l.resp.ReadBody(l.conn.reader, maxBody); err != nil {
 		return err
 	}
-	if isChunked && !stream {
+	switch {
+	case stream || length >= 0:
+		return nil
+	case length == chunkedLength:
 		return l.readTrailers()
 	}
-	return nil
+	// The body ends with the connection, whose reset is not reported behind its end.
+	err := socket.WaitDelivered(l.conn.netConn, time.Now().Add(deliveryTimeout))
+	return errors.Wrap(err, "the answer ended before its request was read")
 }
 
-// chunkedLength is fasthttp's content length of a body in chunks.
-const chunkedLength = -1
+const (
+	// chunkedLength is fasthttp's content length of a body in chunks.
+	chunkedLength = -1
+	// deliveryTimeout bounds the wait for a server to read its request after it has ended its answer.
+	deliveryTimeout = 2 * time.Second
+)
 
 // skipInterim checks the head that comes next, and skips those of interim responses before.
 func (l *Call) skipInterim() error {
--- a/adapter/tunnel/tunnel_test.go
+++ b/adapter/tunnel/tunnel_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"runtime"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -384,10 +383,7 @@
 		for _, length := range []int{64 << 10, 1 << 20, 16 << 20} {
 			for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
 				t.Run(fmt.Sprintf("%s, %d kB, after %s", c.name, length>>10, delay), func(t *testing.T) {
-					head := len("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: \r\n\r\n") + len(strconv.Itoa(length))
-					e, err := early.Listen(early.Answer{
-						Respond: func([]byte) string { return c.sent }, Delay: delay, End: c.end, Request: int64(float64(head+length) * c.read),
-					})
+					e, err := early.Listen(early.Answer{Sent: c.sent, Delay: delay, End: c.end, Read: c.read})
 					if err != nil {
 						t.Fatal(err)
 					}
--- a/standin/early/early.go
+++ b/standin/early/early.go
@@ -2,16 +2,15 @@
 package early
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// maxRead is how much of a request is read before the answer, in bytes.
-const maxRead = 4 << 10
-
 // End is how the server ends a connection after its answer.
 type End int
 
@@ -20,21 +19,26 @@
 	Reset End = iota
 	// Close closes the connection while the rest of the request is unread, upon which the kernel resets it.
 	Close
-	// ReadAndClose closes the connection once the given part of the request was read.
+	// ReadAndClose closes the connection once the given part of the request's body was read.
 	ReadAndClose
-	// HalfClose ends the answer, reads the given part of the request, and then closes the connection.
+	// HalfClose ends the answer, reads the given part of the request's body, and then closes the connection.
 	HalfClose
+	// HalfCloseUnread ends the answer, and a moment later closes the connection while the rest of the request is unread.
+	HalfCloseUnread
 )
 
-// Answer is what the server sends after the begin of a request.
+// halfCloseTime is the time from the end of the answer to that of the connection for HalfCloseUnread.
+const halfCloseTime = 10 * time.Millisecond
+
+// Answer is what the server sends after the head of a request, of whose body at most one read buffer was read.
 type Answer struct {
-	// Respond returns the bytes of the answer to a request that begins so.
-	Respond func(begin []byte) string
+	// Sent are the bytes of the answer.
+	Sent string
 	// Delay is the time from the answer to the end of the connection.
 	Delay time.Duration
 	End   End
-	// Request is the length of the request's part that ReadAndClose and HalfClose read, in bytes.
-	Request int64
+	// Read is the part of the request's body that ReadAndClose and HalfClose read, from 0 to 1.
+	Read float64
 }
 
 // Server answers each connection once.
@@ -72,23 +76,25 @@
 
 func (s *Server) serve(c *net.TCPConn) {
 	defer c.Close()
-	b := make([]byte, maxRead)
-	n, err := c.Read(b)
+	q, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
 	}
-	if _, err := io.WriteString(c, s.answer.Respond(b[:n])); err != nil {
+	if _, err := io.WriteString(c, s.answer.Sent); err != nil {
 		return
 	}
 	time.Sleep(s.answer.Delay)
-	rest := s.answer.Request - int64(n)
+	read := int64(float64(q.ContentLength) * s.answer.Read)
 	switch s.answer.End {
 	case Reset:
 		_ = c.SetLinger(0)
 	case ReadAndClose:
-		_, _ = io.CopyN(io.Discard, c, rest)
+		_, _ = io.CopyN(io.Discard, q.Body, read)
 	case HalfClose:
 		_ = c.CloseWrite()
-		_, _ = io.CopyN(io.Discard, c, rest)
+		_, _ = io.CopyN(io.Discard, q.Body, read)
+	case HalfCloseUnread:
+		_ = c.CloseWrite()
+		time.Sleep(halfCloseTime)
 	}
 }
