handover: a part of an instance's state is not taken for all of it

Found while looking at every other reader of answers: the state that an instance fetches from another one was read to the end of the connection if the answer stated no length, and a state beyond the bound was cut at it without an error.

Change: the answer must state a length within the bound, as instances do.

--- a/adapter/handover/handover.go
+++ b/adapter/handover/handover.go
@@ -91,7 +91,10 @@
 		return nil, errors.Wrap(err, "handover: fetch")
 	}
 	defer r.Close()
-	b, err := io.ReadAll(io.LimitReader(progressReader{r, stall}, maxBody))
+	if r.Length() < 0 || r.Length() > maxBody {
+		return nil, errors.Newf("handover: fetch from %s: got a state of length %d, want one from 0 to %d bytes", addr, r.Length(), maxBody)
+	}
+	b, err := io.ReadAll(progressReader{r, stall})
 	if err != nil {
 		return nil, errors.Wrap(err, "handover: read the state")
 	}
--- a/adapter/handover/handover_test.go
+++ b/adapter/handover/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -60,3 +61,36 @@
 		t.Errorf("got error %v and context error %v, want an error before the context is done", err, x.Err())
 	}
 }
+
+// Guards against a part of the state that is taken for all of it.
+func TestPartOfTheStateIsNone(t *testing.T) {
+	for name, c := range map[string]struct {
+		head, body string
+		want       bool
+	}{
+		"whole":                        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "state", true},
+		"cut":                          {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "sta", false},
+		"to the end of the connection": {"HTTP/1.1 200 OK\r\n\r\n", "sta", false},
+		"longer than allowed":          {"HTTP/1.1 200 OK\r\nContent-Length: 40000000\r\n\r\n", strings.Repeat("x", 40_000_000), false},
+		"status 000":                   {"HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\n", "state", false},
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			k, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer k.Close()
+			_, _ = k.Read(make([]byte, 4<<10))
+			_, _ = io.WriteString(k, c.head+c.body)
+		}()
+		b, err := handover.NewClient(time.Now).Fetch(t.Context(), l.Addr().String(), -1)
+		if (err == nil) != c.want || c.want && string(b) != c.body {
+			t.Errorf("%s: got %d bytes and error %v, want the state: %t", name, len(b), err, c.want)
+		}
+	}
+}
