rpc: an answer without end from another instance does not take the memory of a process

What other operators told: bytes without end, kept until the process ran out of memory. Replicas, the store, the duties' API, CONNECT and the entry's servers are bounded (endless_test.go in six packages, which hold on as now); the product's calls between instances and the operators' client were not.

Change: 32 MB at most for an answer; what goes beyond ends its connection.

--- a/adapter/rpc/adminclient.go
+++ b/adapter/rpc/adminclient.go
@@ -40,7 +40,7 @@
 func (b bearerTransport) RoundTrip(q *http.Request) (*http.Response, error) {
 	q = q.Clone(q.Context())
 	q.Header.Set("Authorization", "Bearer "+b.key)
-	r, err := b.next.RoundTrip(q)
+	r, err := roundTrip(b.next, q)
 	if err != nil {
 		return nil, err
 	}
--- a/adapter/rpc/local.go
+++ b/adapter/rpc/local.go
@@ -176,5 +176,18 @@
 func (t fleetKeyTransport) RoundTrip(q *http.Request) (*http.Response, error) {
 	q = q.Clone(q.Context())
 	q.Header.Set(headerFleetKey, t.key)
-	return t.next.RoundTrip(q)
+	return roundTrip(t.next, q)
+}
+
+// maxAnswer bounds an answer, in bytes. An instance's whole state fits into it.
+const maxAnswer = 32 << 20
+
+// roundTrip sends the request with t and bounds the answer's body.
+func roundTrip(t http.RoundTripper, q *http.Request) (*http.Response, error) {
+	r, err := t.RoundTrip(q)
+	if err != nil {
+		return nil, err
+	}
+	r.Body = http.MaxBytesReader(nil, r.Body, maxAnswer)
+	return r, nil
 }
--- a/adapter/rpc/oddhead_test.go
+++ b/adapter/rpc/oddhead_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"connectrpc.com/connect"
 
 	"fieldvale/adapter/rpc"
+	"fieldvale/control"
 	fieldvalev1 "fieldvale/gen/fieldvale/v1"
 	"fieldvale/peer"
 )
@@ -87,3 +90,52 @@
 		t.Errorf("got error %v, want one at once", err)
 	}
 }
+
+// Guards against an answer without end that takes the memory of a process.
+func TestAnswersWithoutEndAreGivenUp(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &http.Protocols{}
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	s := &http.Server{Protocols: p, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/proto")
+		for b := make([]byte, 64<<10); ; {
+			if _, err := w.Write(b); err != nil {
+				return
+			}
+		}
+	})}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	addr := l.Addr().String()
+	for name, call := range map[string]func(context.Context) error{
+		"operators": func(context.Context) error { return status(t, addr) },
+		"peers": func(ctx context.Context) error {
+			_, err := rpc.NewPeers("key").Document(ctx, peer.Member{ID: "n1", Addr: addr}, 0)
+			return err
+		},
+		"the entry's control": func(ctx context.Context) error {
+			_, err := rpc.NewLocal(addr, "key").Sync(ctx, control.EntryReport{})
+			return err
+		},
+	} {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		err := call(ctx)
+		runtime.ReadMemStats(&after)
+		if connect.CodeOf(err) != connect.CodeResourceExhausted {
+			t.Errorf("%s: got error %v, want one of a message that is too long", name, err)
+		}
+		if n := after.Sys - before.Sys; n > maxEndlessBytes {
+			t.Errorf("%s: the process grew by %d bytes, want at most %d", name, n, maxEndlessBytes)
+		}
+		cancel()
+	}
+}
+
+// maxEndlessBytes bounds the memory that an answer without end takes: a message of 32 MB, as it grows by doubling.
+const maxEndlessBytes = 256 << 20
