tests: odd heads of the answers to CONNECT, and of long ones; one stand-in sends bytes and closes

TestHeadLongerThanTheReadBufferIsRead guards the larger buffer. heads.Serve takes the place of four listeners in tests.

--- a/adapter/backend/oddhead_test.go
+++ b/adapter/backend/oddhead_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"testing"
 	"time"
 
@@ -16,22 +15,11 @@
 
 // startSender starts a server that answers each connection with the bytes and closes it.
 func startSender(t *testing.T, bytes string) *pool.Replica {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := heads.Serve(bytes)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = c.Read(make([]byte, 4<<10))
-			_, _ = c.Write([]byte(bytes))
-			_ = c.Close()
-		}
-	}()
 	return &pool.Replica{ID: "s", Addr: l.Addr().String()}
 }
 
--- a/adapter/exchange/oddhead_test.go
+++ b/adapter/exchange/oddhead_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -26,3 +27,18 @@
 		})
 	}
 }
+
+// Guards against a head that is longer than the read buffer and is not read, or whose connection is not used again.
+func TestHeadLongerThanTheReadBufferIsRead(t *testing.T) {
+	long := strings.Replace(ok, "Id: a", "Id: a\r\nX-Note: "+strings.Repeat("x", 5*readBufferSize), 1)
+	p := New(time.Now)
+	addr := startScripted(t, long, ok, long)
+	for n := range 3 {
+		if b, err := get(p, addr, ownByID); b != "ok" || err != nil {
+			t.Errorf("answer %d: got body %q and error %v, want ok", n+1, b, err)
+		}
+	}
+	if p.Dialed() != 1 {
+		t.Errorf("got %d connections opened, want 1", p.Dialed())
+	}
+}
--- a/adapter/handover/handover_test.go
+++ b/adapter/handover/handover_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"strings"
 	"testing"
@@ -12,6 +11,7 @@
 
 	"fieldvale/adapter/handover"
 	"fieldvale/connlimit"
+	"fieldvale/standin/heads"
 )
 
 // state is a Source that writes its text, and fails for the changes after revision 7.
@@ -74,20 +74,11 @@
 		"longer than allowed":          {"HTTP/1.1 200 OK\r\nContent-Length: 40000000\r\n\r\n", strings.Repeat("x", 40_000_000), false},
 		"status 000":                   {"HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\n", "state", false},
 	} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := heads.Serve(c.head + c.body)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			k, err := l.Accept()
-			if err != nil {
-				return
-			}
-			defer k.Close()
-			_, _ = k.Read(make([]byte, 4<<10))
-			_, _ = io.WriteString(k, c.head+c.body)
-		}()
 		b, err := handover.NewClient(time.Now).Fetch(t.Context(), l.Addr().String(), -1)
 		if (err == nil) != c.want || c.want && string(b) != c.body {
 			t.Errorf("%s: got %d bytes and error %v, want the state: %t", name, len(b), err, c.want)
--- a/adapter/httpconn/oddhead_test.go
+++ b/adapter/httpconn/oddhead_test.go
@@ -1,8 +1,6 @@
 package httpconn_test
 
 import (
-	"io"
-	"net"
 	"testing"
 
 	"fieldvale/adapter/httpconn"
@@ -19,12 +17,12 @@
 	}
 	for _, c := range l {
 		t.Run(c.Name, func(t *testing.T) {
-			addr := startServer(t, func(_ int, k net.Conn) {
-				defer k.Close()
-				_, _ = k.Read(make([]byte, 4<<10))
-				_, _ = io.WriteString(k, c.Answer())
-			})
-			b, err := do(httpconn.New(), addr, "x")
+			s, err := heads.Serve(c.Answer())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = s.Close() })
+			b, err := do(httpconn.New(), s.Addr().String(), "x")
 			if c.Usable && (b != "ok" || err != nil) {
 				t.Errorf("got body %q and error %v, want ok", b, err)
 			}
--- a/adapter/rpc/oddhead_test.go
+++ b/adapter/rpc/oddhead_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -16,26 +15,16 @@
 	"fieldvale/control"
 	fieldvalev1 "fieldvale/gen/fieldvale/v1"
 	"fieldvale/peer"
+	"fieldvale/standin/heads"
 )
 
 // startSender starts a server that answers each connection with the bytes and closes it.
 func startSender(t *testing.T, bytes string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := heads.Serve(bytes)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = c.Read(make([]byte, 4<<10))
-			_, _ = io.WriteString(c, bytes)
-			_ = c.Close()
-		}
-	}()
 	return l.Addr().String()
 }
 
--- a/adapter/tunnel/tunnel_test.go
+++ b/adapter/tunnel/tunnel_test.go
@@ -22,6 +22,7 @@
 	"fieldvale/reach"
 	"fieldvale/standin/early"
 	"fieldvale/standin/endless"
+	"fieldvale/standin/heads"
 )
 
 // backend is a server that answers each request with what handle writes, and then closes the
@@ -409,3 +410,33 @@
 		}
 	}
 }
+
+// Guards against an instance whose answer to the request for a tunnel has an odd head, and is taken for one.
+func TestHelperWithOddHeadIsPassedOver(t *testing.T) {
+	l, err := heads.Read()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range l {
+		if c.Usable || strings.Contains(c.Name, "trailer") {
+			continue
+		}
+		s, err := heads.Serve(c.Answer())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = s.Close() })
+		d := &tunnel.Dialer{
+			Tracker: reach.NewTracker(time.Now, nil), Helpers: reach.NewHelpers(peer.Member{ID: "self"}, time.Now, func() float64 { return 0 }), MayHelp: anyMember, Tunneled: func(string, error) {},
+			Direct: exchange.DialFunc(func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }),
+		}
+		d.Helpers.SetMembers([]peer.Member{{ID: "n1", Addr: s.Addr().String()}})
+		for range 2 {
+			// The second failure in succession asks the other instance.
+			if k, err := d.Dial(t.Context(), "127.0.0.1:1"); err == nil {
+				_ = k.Close()
+				t.Errorf("%s: got a connection, want none", c.Name)
+			}
+		}
+	}
+}
--- a/standin/heads/heads.go
+++ b/standin/heads/heads.go
@@ -5,6 +5,8 @@
 	"bytes"
 	_ "embed"
 	"encoding/json"
+	"io"
+	"net"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -62,3 +64,27 @@
 	}
 	return c.Before + strings.Join(l, "\r\n") + "\r\n\r\n" + b
 }
+
+// maxRequest is how much of a request is read before the answer, in bytes.
+const maxRequest = 4 << 10
+
+// Serve starts a server on a loopback address that answers each connection with the bytes and closes it. It ends when
+// the listener is closed.
+func Serve(answer string) (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "heads")
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, maxRequest))
+			_, _ = io.WriteString(c, answer)
+			_ = c.Close()
+		}
+	}()
+	return l, nil
+}
